--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,163 @@
+package retry_test
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/figfront/figfront/internal/retry"
+)
+
+// epoch is the start of virtual time.
+var epoch = time.Date(2026, 7, 1, 0, 0, 0, 0, time.UTC)
+
+// steadily makes calls at an even rate and asks for an extra send after each.
+// It returns the number of extra sends.
+func steadily(b *retry.Budget, from time.Time, calls int, interval time.Duration) int {
+	extra := 0
+	for i := range calls {
+		now := from.Add(time.Duration(i) * interval)
+		b.FirstSend(now)
+		if b.Take(now) {
+			extra++
+		}
+	}
+	return extra
+}
+
+var _ = Describe("Budget", func() {
+	It("pays for its share in ordinary times", func() {
+		b := retry.NewBudget(0.05)
+		extra := steadily(b, epoch, 10000, 5*time.Millisecond)
+		Expect(extra).To(BeNumerically(">=", 490))
+		Expect(extra).To(BeNumerically("<=", 500))
+	})
+
+	It("pays for nothing before there were calls", func() {
+		b := retry.NewBudget(0.05)
+		Expect(b.Take(epoch)).To(BeFalse())
+		Expect(steadily(b, epoch, 9, time.Millisecond)).To(Equal(0))
+	})
+
+	It("does not spend after an idle time what it saved before", func() {
+		b := retry.NewBudget(0.10)
+		for i := range 1000 {
+			b.FirstSend(epoch.Add(time.Duration(i) * time.Millisecond))
+		}
+		later := epoch.Add(time.Minute)
+		Expect(steadily(b, later, 30, time.Millisecond)).To(BeNumerically("<=", 3))
+	})
+
+	It("never goes above the largest share, whatever is set", func() {
+		b := retry.NewBudget(0)
+		b.SetShare(0.5)
+		Expect(steadily(b, epoch, 2000, 5*time.Millisecond)).To(BeNumerically("<=", 200))
+	})
+
+	It("pays for nothing while the whole service fails, and again after", func() {
+		b := retry.NewBudget(0.05)
+		steadily(b, epoch, 1000, 5*time.Millisecond)
+		for range 100 {
+			b.Answered(false)
+		}
+		failing := epoch.Add(20 * time.Second)
+		Expect(steadily(b, failing, 1000, 5*time.Millisecond)).To(Equal(0))
+		for range 50 {
+			b.Answered(true)
+		}
+		Expect(b.Take(failing.Add(5 * time.Second))).To(BeTrue())
+	})
+
+	It("pays for retries while half of the answers fail", func() {
+		b := retry.NewBudget(0.05)
+		for i := range 200 {
+			b.Answered(i%2 == 0)
+		}
+		Expect(steadily(b, epoch, 1000, 5*time.Millisecond)).To(BeNumerically(">", 40))
+	})
+})
+
+// event is one send of a history.
+type event struct {
+	at    time.Time
+	extra bool
+}
+
+// TestBudgetHoldsOverAnyWindow checks random histories of rushes and idle
+// times: a window that ends in an extra send holds at most MaxShare of extra
+// sends, and so does any window with enough calls to have earned a burst.
+func TestBudgetHoldsOverAnyWindow(t *testing.T) {
+	useFixedSeed(t)
+	rapid.Check(t, func(t *rapid.T) {
+		share := rapid.Float64Range(0, 0.2).Draw(t, "share")
+		b := retry.NewBudget(share)
+		history := drawHistory(t, b)
+		for end, last := range history {
+			if !last.extra {
+				continue
+			}
+			first, extra := countWindow(history[:end+1], last.at)
+			if float64(extra) > retry.MaxShare*float64(first) {
+				t.Fatalf("%d extra sends on %d calls in the window that ends %s after the start",
+					extra, first, last.at.Sub(epoch))
+			}
+		}
+	})
+}
+
+// useFixedSeed makes each run draw the same histories unless a seed is given.
+func useFixedSeed(t *testing.T) {
+	t.Helper()
+	seed := flag.Lookup("rapid.seed")
+	if seed == nil {
+		t.Fatal("rapid has no flag for its seed")
+	}
+	if seed.Value.String() != "0" {
+		return
+	}
+	if err := flag.Set("rapid.seed", "20260701"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func drawHistory(t *rapid.T, b *retry.Budget) []event {
+	now := epoch
+	var history []event
+	phases := rapid.IntRange(1, 6).Draw(t, "phases")
+	for range phases {
+		now = now.Add(time.Duration(rapid.IntRange(0, 15000).Draw(t, "idle_ms")) * time.Millisecond)
+		interval := time.Duration(rapid.IntRange(1, 300).Draw(t, "interval_ms")) * time.Millisecond
+		wanted := rapid.IntRange(0, 3).Draw(t, "wanted")
+		calls := rapid.IntRange(1, 200).Draw(t, "calls")
+		for range calls {
+			now = now.Add(interval)
+			b.FirstSend(now)
+			history = append(history, event{at: now})
+			for range wanted {
+				if b.Take(now) {
+					history = append(history, event{at: now, extra: true})
+				}
+			}
+		}
+	}
+	return history
+}
+
+// countWindow counts the sends of the window that ends at end.
+func countWindow(history []event, end time.Time) (first, extra int) {
+	for i := len(history) - 1; i >= 0; i-- {
+		if end.Sub(history[i].at) >= retry.Window {
+			break
+		}
+		if history[i].extra {
+			extra++
+		} else {
+			first++
+		}
+	}
+	return first, extra
+}
--- /dev/null
+++ b/internal/retry/policy_test.go
@@ -0,0 +1,67 @@
+package retry_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/retry"
+)
+
+var _ = Describe("Decide", func() {
+	lookup := retry.Call{IsIdempotent: true, Attempt: 1}
+	booking := retry.Call{Attempt: 1}
+	DescribeTable("what may be sent again",
+		func(call retry.Call, failure retry.Failure, want retry.Verdict) {
+			Expect(retry.Decide(call, failure)).To(Equal(want))
+		},
+		Entry("a booking that was shed", booking,
+			retry.Failure{Outcome: outcome.NotRun, Reason: outcome.UpstreamShed}, retry.Resend),
+		Entry("a booking that found no connection", booking,
+			retry.Failure{Outcome: outcome.NotRun, Reason: outcome.ConnectFailed}, retry.Resend),
+		Entry("a booking that may have run", booking,
+			retry.Failure{Outcome: outcome.Unknown, Reason: outcome.UpstreamFailed}, retry.KeepMayHaveRun),
+		Entry("a booking that ran", booking,
+			retry.Failure{Outcome: outcome.Ran, Reason: outcome.UpstreamFailed}, retry.KeepMayHaveRun),
+		Entry("a lookup that may have run", lookup,
+			retry.Failure{Outcome: outcome.Unknown, Reason: outcome.UpstreamFailed}, retry.Resend),
+		Entry("a lookup whose answer was cut off", lookup,
+			retry.Failure{Outcome: outcome.Ran, Reason: outcome.UpstreamTruncated}, retry.Resend),
+		Entry("a lookup past its deadline", lookup,
+			retry.Failure{Outcome: outcome.Unknown, Reason: outcome.DeadlinePassed}, retry.KeepTooLate),
+		Entry("a lookup whose caller left", lookup,
+			retry.Failure{Outcome: outcome.Unknown, Reason: outcome.CallerGone}, retry.KeepTooLate),
+		Entry("a failure that came from below", lookup,
+			retry.Failure{Outcome: outcome.Ran, Reason: outcome.UpstreamFailed, IsFromBelow: true}, retry.KeepFromBelow),
+		Entry("a call that was sent again further up", retry.Call{IsIdempotent: true, Attempt: 2},
+			retry.Failure{Outcome: outcome.NotRun, Reason: outcome.UpstreamShed}, retry.KeepMarked),
+	)
+})
+
+var _ = Describe("Call", func() {
+	It("marks a resend and keeps a mark from further up", func() {
+		Expect(retry.Call{Attempt: 1}.Mark(1)).To(Equal(1))
+		Expect(retry.Call{Attempt: 1}.Mark(2)).To(Equal(2))
+		Expect(retry.Call{Attempt: 3}.Mark(1)).To(Equal(3))
+		Expect(retry.Call{}.Mark(1)).To(Equal(1))
+	})
+})
+
+var _ = Describe("Backoff", func() {
+	It("is absent before the first resend, then random and bounded", func() {
+		random := rand.New(rand.NewPCG(1, 2))
+		Expect(retry.Backoff(1, random)).To(BeZero())
+		Expect(retry.Backoff(2, random)).To(BeZero())
+		seen := map[time.Duration]bool{}
+		for send := 3; send < 40; send++ {
+			wait := retry.Backoff(send, random)
+			Expect(wait).To(BeNumerically(">", 0))
+			Expect(wait).To(BeNumerically("<=", 50*time.Millisecond))
+			seen[wait] = true
+		}
+		Expect(len(seen)).To(BeNumerically(">", 30))
+	})
+})
