Admit, queue or refuse a call when it arrives

Cause: the limiter let calls wait until their deadline passed in the queue and refused them only then; upstreams had no limit; one team's rush could take every place of a VM; Retry-After was always 1 s.

The decisions stand in internal/limit without channels: an Admission for the service's kinds of traffic that refuses at once what the observed service time says will be late, an adaptive limit for each upstream whose sum is the capacity that the Admission shares out, and shares of the VM for teams. The gateway's waiting part only maps decided tickets to channels. Retry-After comes from the queue and the refusals of late, with a random part.

Lookups that an upstream answers with a server error may go to another one; a call that may have run is no longer told to have not run because its last send was refused. Failed sends that are kept are counted by their reason.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,18 +35,6 @@
 	rest io.ReadCloser
 }
 
-// isFinal tells whether the result goes to the caller whatever the budget
-// holds.
-func (a attemptResult) isFinal(traffic dynamic.Traffic) bool {
-	if a.reason == "" {
-		return true
-	}
-	if a.outcome == outcome.NotRun {
-		return false
-	}
-	return traffic != dynamic.Lookup
-}
-
 // attempt sends the call once and reads the answer.
 func (c *call) attempt(sent send) attemptResult {
 	var wrote atomic.Bool
@@ -65,7 +53,7 @@
 		Method:     c.r.Method,
 		URL:        &url.URL{Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery},
 		Host:       c.r.Host,
-		Header:     upstreamHeader(c.r, c.id, c.attempts, c.deadline),
+		Header:     upstreamHeader(c.r, c.id, c.mark(), c.deadline),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -48,6 +48,9 @@
 // refuse answers the call with a problem and counts its reason.
 func (c *call) refuse(p outcome.Problem) {
 	p.RequestID = c.id
+	if p.RetryAfter > 0 && c.route.service != nil {
+		p.RetryAfter = max(p.RetryAfter, c.route.service.admission.retryAfter(c.route.rule.settings.Traffic))
+	}
 	c.gateway.options.Counters.Refuse(p.Reason)
 	c.log(p.Outcome, p.Reason, "")
 	p.Write(c.w)
@@ -87,11 +90,17 @@
 	defer cancel()
 	c.ctx = ctx
 	c.gateway.options.Counters.Add(telemetry.GroupCalls, string(to.rule.settings.Traffic), 1)
-	if err := to.rule.limiter.Acquire(ctx, c.deadline); err != nil {
+	if !c.gateway.shares.enter(to.service.team) {
+		c.refuseLimit(limit.ErrConcurrency)
+		return
+	}
+	defer c.gateway.shares.leave(to.service.team)
+	ticket, err := to.service.admission.acquire(ctx, to.rule.settings.Traffic, c.deadline)
+	if err != nil {
 		c.refuseLimit(err)
 		return
 	}
-	defer to.rule.limiter.Release()
+	defer func() { to.service.admission.release(ticket, c.hasDuration()) }()
 	switch to.rule.settings.Traffic {
 	case dynamic.Upload:
 		c.serveUpload()
@@ -102,12 +111,20 @@
 	}
 }
 
+// hasDuration tells whether the time that the call took says how long the
+// service takes.
+func (c *call) hasDuration() bool {
+	return c.attempts > 0 && c.r.Context().Err() == nil
+}
+
 func (c *call) refuseLimit(err error) {
 	reason := outcome.QueueDeadline
 	switch {
 	case errors.Is(err, limit.ErrQueueFull):
 		reason = outcome.QueueFull
-	case errors.Is(err, limit.ErrGone):
+	case errors.Is(err, limit.ErrConcurrency):
+		reason = outcome.ConcurrencyLimit
+	case errors.Is(err, errCallerGone):
 		reason = outcome.CallerGone
 	}
 	c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, reason,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -17,6 +17,9 @@
 // retryAfter is the time after which a refused caller may come back.
 const retryAfter = time.Second
 
+// defaultMaxCalls limits the calls of all teams at once on one VM.
+const defaultMaxCalls = 4096
+
 // Options are what a Gateway is built from.
 type Options struct {
 	VM   string
@@ -30,6 +33,9 @@
 	Dial DialFunc
 	// Seed seeds the random choices.
 	Seed uint64
+	// MaxCalls limits the calls of all teams at once; 0 stands for
+	// defaultMaxCalls.
+	MaxCalls int
 	// IsStopping tells whether new calls are refused; nil means never.
 	IsStopping func() bool
 }
@@ -38,6 +44,7 @@
 type Gateway struct {
 	options Options
 	configs *merge.Store
+	shares  *teamShares
 
 	mu    sync.Mutex
 	teams map[string]*team
@@ -55,7 +62,15 @@
 	if options.IsStopping == nil {
 		options.IsStopping = func() bool { return false }
 	}
-	g := &Gateway{options: options, configs: merge.NewStore(), teams: make(map[string]*team)}
+	if options.MaxCalls == 0 {
+		options.MaxCalls = defaultMaxCalls
+	}
+	g := &Gateway{
+		options: options,
+		configs: merge.NewStore(),
+		shares:  newTeamShares(options.MaxCalls),
+		teams:   make(map[string]*team),
+	}
 	g.routes.Store(&routeTable{})
 	return g
 }
@@ -96,6 +111,7 @@
 	running, ok := g.teams[settings.Name]
 	if !ok {
 		running = &team{}
+		g.shares.add(settings.Name)
 	}
 	services := make(map[string]*service, len(settings.Services))
 	for _, s := range settings.Services {
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -2,25 +2,124 @@
 
 import (
 	"net/http"
+	"time"
 
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
+// keptPrefix marks the counters of failed sends that were not sent again.
+const keptPrefix = "kept_"
+
 // sendUntilAnswered sends a call whose body is in memory, and sends it again
 // elsewhere while that is safe and the budget allows. It returns the last
-// attempt's result, or the problem that kept the call from being sent.
+// attempt's result, or the problem that kept the call from being sent at all.
 func (c *call) sendUntilAnswered() (attemptResult, *outcome.Problem) {
+	sent, problem := c.startSend()
+	if problem != nil {
+		return attemptResult{}, problem
+	}
+	mayHaveRun := false
 	for {
-		sent, problem := c.startSend()
-		if problem != nil {
-			return attemptResult{}, problem
-		}
 		a := c.attempt(sent)
-		if a.isFinal(c.route.rule.settings.Traffic) || !c.mayRetry(a) {
+		mayHaveRun = mayHaveRun || a.outcome != outcome.NotRun
+		again, ok := c.resend(a)
+		if !ok {
+			if a.outcome == outcome.NotRun && mayHaveRun {
+				a.outcome = outcome.Unknown
+			}
 			return a, nil
 		}
-		c.gateway.options.Counters.Retry(a.reason)
+		sent = again
+	}
+}
+
+// resend starts another send after a failed one. It returns false when the
+// result goes to the caller; a failure that is kept is counted by its reason.
+func (c *call) resend(a attemptResult) (send, bool) {
+	if !a.isFailure() {
+		return send{}, false
+	}
+	if !c.mayRetry(a) {
+		return send{}, false
+	}
+	sent, problem := c.startSend()
+	if problem != nil {
+		c.keep(string(problem.Reason))
+		return send{}, false
+	}
+	closeRest(a.rest)
+	c.gateway.options.Counters.Retry(a.failure().Reason)
+	return sent, true
+}
+
+// isFailure tells whether the send failed or was answered with an error of the
+// upstream.
+func (a attemptResult) isFailure() bool {
+	return a.reason != "" || isServerError(a.status)
+}
+
+// isServerError tells whether another upstream may answer better.
+func isServerError(status int) bool {
+	return status >= http.StatusInternalServerError && status != http.StatusNotImplemented
+}
+
+// failure describes a failed send to the retry policy.
+func (a attemptResult) failure() retry.Failure {
+	failure := retry.Failure{Outcome: a.outcome, Reason: a.reason}
+	if failure.Reason == "" {
+		failure.Reason = outcome.UpstreamFailed
+	}
+	failure.IsFromBelow = a.header.Get(outcome.HeaderOutcome) != ""
+	return failure
+}
+
+// policyCall describes the call to the retry policy.
+func (c *call) policyCall() retry.Call {
+	return retry.Call{
+		IsIdempotent: c.route.rule.settings.Traffic == dynamic.Lookup,
+		Attempt:      callheader.ParseAttempt(c.r.Header),
+	}
+}
+
+// mark returns the attempt number that the upstream is told.
+func (c *call) mark() int {
+	return c.policyCall().Mark(c.attempts)
+}
+
+// mayRetry tells whether a failed send may be sent again, after the backoff.
+func (c *call) mayRetry(a attemptResult) bool {
+	verdict := retry.Decide(c.policyCall(), a.failure())
+	if verdict == retry.Resend && !c.waitBackoff() {
+		verdict = retry.KeepTooLate
+	}
+	if verdict == retry.Resend {
+		return true
+	}
+	c.keep(string(verdict))
+	return false
+}
+
+// keep counts a failed send that is not sent again.
+func (c *call) keep(reason string) {
+	c.gateway.options.Counters.Add(telemetry.GroupRetries, keptPrefix+reason, 1)
+}
+
+// waitBackoff waits before the next send. It returns false when the call ended
+// meanwhile.
+func (c *call) waitBackoff() bool {
+	wait := c.route.service.backoff(c.attempts + 1)
+	if wait == 0 {
+		return c.ctx.Err() == nil
+	}
+	select {
+	case <-time.After(wait):
+		return c.ctx.Err() == nil
+	case <-c.ctx.Done():
+		return false
 	}
 }
 
@@ -42,8 +141,3 @@
 		"no upstream can take this call now").WithRetryAfter(retryAfter)
 	return send{}, &p
 }
-
-// mayRetry tells whether there is time for another send.
-func (c *call) mayRetry(a attemptResult) bool {
-	return c.ctx.Err() == nil && a.outcome != outcome.Unknown
-}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -19,7 +19,7 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, ok := s.balancer.Pick(now, loadbalancer.Request{Exclude: exclude})
+	choice, ok := s.pickLocked(now, exclude, extra)
 	if !ok {
 		return send{}, sendErrNoUpstream
 	}
@@ -30,6 +30,7 @@
 		s.budget.FirstSend(now)
 	}
 	s.balancer.Sent(now, choice)
+	s.limits.started(choice.Name)
 	return send{choice: choice, transport: s.transports[choice.Address], started: now}, sendOK
 }
 
@@ -49,6 +50,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, sent.choice, result)
+	s.recordLocked(now, sent.choice.Name, result)
 }
 
 // cancelSend records that a send was given up.
@@ -56,4 +58,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Cancelled(time.Now(), sent.choice)
+	s.limits.cancelled(sent.choice.Name)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,7 +9,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
-	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/retry"
 )
@@ -23,7 +22,11 @@
 	// rules is read by calls and replaced as a whole.
 	rules atomic.Pointer[[]*rule]
 
+	admission *admission
+
 	mu         sync.Mutex
+	random     *rand.Rand
+	limits     *upstreamLimits
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
 	transports map[string]*transport
@@ -32,15 +35,18 @@
 // rule is the running state of one kind of traffic.
 type rule struct {
 	settings dynamic.Rule
-	limiter  *limit.Limiter
 }
 
 func newService(teamName, name string, options Options) *service {
-	random := rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(teamName+"/"+name)))
+	id := xxhash.Sum64String(teamName + "/" + name)
+	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
 		team:       teamName,
 		name:       name,
 		dial:       options.Dial,
+		admission:  newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		random:     random,
+		limits:     newUpstreamLimits(),
 		balancer:   loadbalancer.New(loadbalancer.Options{Zone: options.Zone, RemoteZoneCost: 0.2}, random),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
@@ -59,20 +65,12 @@
 }
 
 func (s *service) configureRules(settings []dynamic.Rule) {
-	known := make(map[dynamic.Traffic]*limit.Limiter)
-	for _, r := range s.currentRules() {
-		known[r.settings.Traffic] = r.limiter
-	}
 	rules := make([]*rule, 0, len(settings))
 	for _, r := range settings {
-		limiter, ok := known[r.Traffic]
-		if !ok {
-			limiter = limit.New(r.Concurrency, r.Queue)
-		}
-		limiter.SetLimits(r.Concurrency, r.Queue)
-		rules = append(rules, &rule{settings: r, limiter: limiter})
+		rules = append(rules, &rule{settings: r})
 	}
 	s.rules.Store(&rules)
+	s.admission.configure(settings)
 }
 
 func (s *service) configureUpstreams(settings []dynamic.Upstream) {
@@ -95,6 +93,36 @@
 	}
 	s.transports = transports
 	s.balancer.SetUpstreams(time.Now(), upstreams)
+	s.limits.configure(settings)
+	s.admission.setCapacity(time.Now(), s.limits.capacity)
+}
+
+// pickLocked chooses an upstream below its limit. A first send, which was
+// admitted, goes to a full one rather than nowhere; hedges may have taken its
+// place.
+func (s *service) pickLocked(now time.Time, tried []string, extra bool) (loadbalancer.Choice, bool) {
+	choice, ok := s.balancer.Pick(now, loadbalancer.Request{Exclude: s.limits.exclude(tried)})
+	if ok || extra {
+		return choice, ok
+	}
+	return s.balancer.Pick(now, loadbalancer.Request{Exclude: tried})
+}
+
+// recordLocked records the result of a send for the limits and the budget.
+func (s *service) recordLocked(now time.Time, upstream string, result loadbalancer.Result) {
+	s.budget.Answered(!result.Failed && !result.Shed)
+	before := s.limits.capacity
+	s.limits.ended(now, upstream, result)
+	if s.limits.capacity != before {
+		s.admission.setCapacity(now, s.limits.capacity)
+	}
+}
+
+// backoff returns the wait before the given send of a call.
+func (s *service) backoff(send int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return retry.Backoff(send, s.random)
 }
 
 func (s *service) currentRules() []*rule {
