Add a queueing model that drives the decision packages

The model in internal/decisionbench runs the very packages of the gateway on an event heap with virtual time and fixed seeds.

--- /dev/null
+++ b/internal/decisionbench/policy_test.go
@@ -0,0 +1,78 @@
+package decisionbench
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/figfront/figfront/internal/loadbalancer"
+)
+
+// Policy chooses the upstreams for the calls of one VM. Upstreams go by their
+// index.
+type Policy interface {
+	// Pick chooses an upstream that none of the sends went to.
+	Pick(sends []*Send) (int, bool)
+	Sent(upstream int)
+	Done(upstream int, latency time.Duration, a answer)
+	Cancelled(upstream int, latency time.Duration)
+	Probed(upstream int, a answer)
+}
+
+// figfront is the policy of the product.
+type figfront struct {
+	sim      *Simulation
+	balancer *loadbalancer.Balancer
+	byName   map[string]int
+	choices  []loadbalancer.Choice
+	exclude  []string
+}
+
+// NewFigfront returns the product's policy.
+func NewFigfront(s *Simulation, vm int) Policy {
+	options := loadbalancer.Options{
+		Zone:           zoneName(vm % s.Config.Zones),
+		RemoteZoneCost: 0.2,
+	}
+	random := rand.New(rand.NewPCG(s.Config.Seed, uint64(3000+vm)))
+	f := &figfront{sim: s, balancer: loadbalancer.New(options, random), byName: make(map[string]int)}
+	upstreams := make([]loadbalancer.Upstream, 0, len(s.Upstreams))
+	for i, u := range s.Upstreams {
+		upstreams = append(upstreams, loadbalancer.Upstream{
+			Name: u.Name, Address: u.Name, Zone: zoneName(u.Zone), Slots: s.Config.Slots,
+		})
+		f.byName[u.Name] = i
+		f.choices = append(f.choices, loadbalancer.Choice{Name: u.Name, Address: u.Name})
+	}
+	f.balancer.SetUpstreams(s.Now(), upstreams)
+	return f
+}
+
+func zoneName(zone int) string {
+	return string(rune('a' + zone))
+}
+
+func (f *figfront) Pick(sends []*Send) (int, bool) {
+	f.exclude = f.exclude[:0]
+	for _, sent := range sends {
+		f.exclude = append(f.exclude, f.choices[sent.Upstream].Name)
+	}
+	choice, ok := f.balancer.Pick(f.sim.Now(), loadbalancer.Request{Exclude: f.exclude})
+	return f.byName[choice.Name], ok
+}
+
+func (f *figfront) Sent(upstream int) {
+	f.balancer.Sent(f.sim.Now(), f.choices[upstream])
+}
+
+func (f *figfront) Done(upstream int, latency time.Duration, a answer) {
+	f.balancer.Done(f.sim.Now(), f.choices[upstream], loadbalancer.Result{
+		Latency: latency, Failed: a.failed, Shed: a.shed, Draining: a.draining,
+		Report: a.report, HasReport: !a.lost,
+	})
+}
+
+func (f *figfront) Cancelled(upstream int, _ time.Duration) {
+	f.balancer.Cancelled(f.sim.Now(), f.choices[upstream])
+}
+
+func (f *figfront) Probed(int, answer) {}
--- /dev/null
+++ b/internal/decisionbench/table_test.go
@@ -0,0 +1,79 @@
+package decisionbench
+
+import (
+	"sort"
+	"sync"
+	"testing"
+)
+
+// seeds are the fixed seeds of the targets.
+var seeds = []uint64{1, 2, 3, 4, 5}
+
+// runSeeds runs a configuration once for each seed, in parallel.
+func runSeeds(config Config) []*Result {
+	results := make([]*Result, len(seeds))
+	var group sync.WaitGroup
+	for i, seed := range seeds {
+		group.Go(func() {
+			own := config
+			own.Seed = seed
+			results[i] = Run(own)
+		})
+	}
+	group.Wait()
+	return results
+}
+
+// median returns the median over the results.
+func median(results []*Result, value func(r *Result) float64) float64 {
+	values := make([]float64, 0, len(results))
+	for _, r := range results {
+		values = append(values, value(r))
+	}
+	sort.Float64s(values)
+	return values[len(values)/2]
+}
+
+func lookupP(q float64) func(r *Result) float64 {
+	return func(r *Result) float64 { return r.Lookups.P(q) }
+}
+
+// TestTable prints the policies side by side.
+func TestTable(t *testing.T) {
+	for _, load := range []float64{0.70, 0.85} {
+		for _, row := range []struct {
+			name   string
+			policy func(*Simulation, int) Policy
+			hedge  bool
+		}{
+			{"random", Random, false},
+			{"round robin", RoundRobin, false},
+			{"two choices", TwoChoices, false},
+			{"least in flight", LeastInFlight, false},
+			{"figfront", NewFigfront, false},
+			{"figfront, hedged", NewFigfront, true},
+			{"knows queues", KnowsQueues, false},
+			{"knows all", KnowsAll, false},
+		} {
+			config := StartBoard(load)
+			config.NewPolicy = row.policy
+			config.Hedge = row.hedge
+			results := runSeeds(config)
+			t.Logf("%.2f %-18s p50 %6.1f p99 %6.1f p99.9 %6.1f sends/call %.3f", load, row.name,
+				median(results, lookupP(0.5)), median(results, lookupP(0.99)),
+				median(results, lookupP(0.999)), median(results, (*Result).SendsPerCall))
+		}
+	}
+}
+
+// TestCapacity checks that Config.Capacity is what saturated upstreams run.
+func TestCapacity(t *testing.T) {
+	config := StartBoard(2)
+	config.NewPolicy = RoundRobin
+	ran := median(runSeeds(config), func(r *Result) float64 { return r.Ran })
+	ratio := ran / config.Capacity()
+	t.Logf("ran %.1f calls/s, capacity %.1f", ran, config.Capacity())
+	if ratio < 0.99 || ratio > 1.01 {
+		t.Errorf("saturated upstreams run %.3f of the capacity", ratio)
+	}
+}
