Let the limits follow the queue that upstreams report

The baseline rose while the VM had one call in flight, which is the usual state with 15 VMs, so that overload became the normal state; and the floor of one call for each of 15 VMs is a queue of 13 calls at 2 slots.

Now the baseline rises only while the upstream reports no queue, a limit may fall to a tenth of a call while it reports one (the sum over the upstreams is what counts), and a call may wait a tenth of its time at most.

--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -128,9 +128,10 @@
 	isExtra := c.attempts > 0
 	sent, err := c.route.service.startSend(c.tried, isExtra)
 	if err == sendOK {
+		sent.traffic = c.route.rule.settings.Traffic
 		c.attempts++
 		c.tried = append(c.tried, sent.choice.Name)
-		c.gateway.options.Counters.Add(telemetry.GroupAttempts, string(c.route.rule.settings.Traffic), 1)
+		c.gateway.options.Counters.Add(telemetry.GroupAttempts, string(sent.traffic), 1)
 		return sent, nil
 	}
 	reason := outcome.NoUpstream
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/loadbalancer"
 )
 
@@ -11,6 +12,8 @@
 	choice    loadbalancer.Choice
 	transport *transport
 	started   time.Time
+	// traffic is the kind of traffic of the call.
+	traffic dynamic.Traffic
 }
 
 // startSend chooses an upstream and records the send. extra marks a hedge or a
@@ -50,7 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, sent.choice, result)
-	s.recordLocked(now, sent.choice.Name, result)
+	s.recordLocked(now, sent, result)
 }
 
 // cancelSend records that a send was given up.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -94,7 +94,7 @@
 	s.transports = transports
 	s.balancer.SetUpstreams(time.Now(), upstreams)
 	s.limits.configure(settings)
-	s.admission.setCapacity(time.Now(), s.limits.capacity)
+	s.admission.setCapacity(time.Now(), s.limits.places())
 }
 
 // pickLocked chooses an upstream below its limit. A first send, which was
@@ -108,13 +108,19 @@
 	return s.balancer.Pick(now, loadbalancer.Request{Exclude: tried})
 }
 
-// recordLocked records the result of a send for the limits and the budget.
-func (s *service) recordLocked(now time.Time, upstream string, result loadbalancer.Result) {
+// recordLocked records the result of a send for the limits and the budget. The
+// time of an upload says more of its size than of the upstream.
+func (s *service) recordLocked(now time.Time, sent send, result loadbalancer.Result) {
 	s.budget.Answered(!result.Failed && !result.Shed)
-	before := s.limits.capacity
-	s.limits.ended(now, upstream, result)
-	if s.limits.capacity != before {
-		s.admission.setCapacity(now, s.limits.capacity)
+	before := s.limits.places()
+	isUploaded := sent.traffic == dynamic.Upload && !result.Failed && !result.Shed
+	if isUploaded {
+		s.limits.cancelled(sent.choice.Name)
+	} else {
+		s.limits.ended(now, sent.choice.Name, result)
+	}
+	if places := s.limits.places(); places != before {
+		s.admission.setCapacity(now, places)
 	}
 }
 
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -16,7 +17,7 @@
 	// full names the upstreams whose limit is reached.
 	full []string
 	// capacity is the sum of the limits.
-	capacity int
+	capacity float64
 }
 
 func newUpstreamLimits() *upstreamLimits {
@@ -68,12 +69,16 @@
 
 // ended records how a send ended.
 func (l *upstreamLimits) ended(now time.Time, name string, result loadbalancer.Result) {
+	queued := limit.NoQueueReport
+	if result.HasReport {
+		queued = result.Report.Queued
+	}
 	l.change(name, func(adaptive *limit.Adaptive) {
 		if result.Failed || result.Shed {
 			adaptive.Refused(now)
 			return
 		}
-		adaptive.Answered(now, result.Latency)
+		adaptive.Answered(now, result.Latency, queued)
 	})
 }
 
@@ -82,6 +87,11 @@
 	l.change(name, (*limit.Adaptive).Cancelled)
 }
 
+// places returns the number of calls that may run at once.
+func (l *upstreamLimits) places() int {
+	return int(math.Ceil(l.capacity))
+}
+
 // change applies a change to one limit and keeps the sum.
 func (l *upstreamLimits) change(name string, apply func(*limit.Adaptive)) {
 	adaptive, ok := l.byName[name]
--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -1,6 +1,7 @@
 package limit
 
 import (
+	"math"
 	"time"
 )
 
@@ -14,21 +15,31 @@
 	slowCut = 0.9
 	// tolerance is the ratio of latency to baseline above which calls count
 	// as slow.
-	tolerance = 3
+	tolerance = 1.5
+	// raise is added to the limit by an answer in time, and to a limit below
+	// one in proportion.
+	raise = 0.1
+	// minLimit is the lowest limit of an upstream that reports a queue, and
+	// minLimitUnreported that of any other.
+	minLimit           = 0.1
+	minLimitUnreported = 1.0
 	// latencyWeight is the weight of one answer in the smoothed latency.
 	latencyWeight = 0.1
 	// baselineWeight is the weight of one answer by which the baseline rises
-	// while this VM has little in flight.
+	// while the upstream reports no queue.
 	baselineWeight = 0.01
 	// minCutInterval is the least time between two cuts.
 	minCutInterval = 10 * time.Millisecond
 )
 
+// NoQueueReport stands for the queue of an upstream that did not report it.
+const NoQueueReport = -1
+
 // Adaptive limits the calls of this VM that are in flight at one upstream. The
-// limit rises by about one in the time of that many answers while it is used,
-// and is cut when the upstream refuses calls or becomes slow. It never falls
-// below one, so that an upstream that recovers is noticed. It is not safe for
-// concurrent use.
+// limit rises while it is used and answers come in time, and is cut when the
+// upstream refuses calls or becomes slow. Below one it is this VM's share of a
+// call at a time: one call may be in flight, but the sum over the upstreams
+// stays small. It is not safe for concurrent use.
 type Adaptive struct {
 	highest  float64
 	limit    float64
@@ -51,14 +62,15 @@
 	a.limit = min(a.limit, a.highest)
 }
 
-// Limit returns the number of calls that may be in flight.
-func (a *Adaptive) Limit() int {
-	return int(a.limit)
+// Limit returns the number of calls that may be in flight; a fraction counts in
+// the sum over the upstreams.
+func (a *Adaptive) Limit() float64 {
+	return a.limit
 }
 
-// IsFull tells whether the limit is reached.
+// IsFull tells whether the limit is reached; one call may always be in flight.
 func (a *Adaptive) IsFull() bool {
-	return a.inFlight >= a.Limit()
+	return float64(a.inFlight) >= max(math.Floor(a.limit), 1)
 }
 
 // Start records that a call is sent.
@@ -66,24 +78,27 @@
 	a.inFlight++
 }
 
-// Answered records an answer and the time it took.
-func (a *Adaptive) Answered(now time.Time, latency time.Duration) {
-	busy := a.inFlight
+// Answered records an answer, the time it took and the calls that the upstream
+// reported as waiting, or NoQueueReport. An upstream without a queue is slow for
+// another reason than this VM's calls, so that fewer of them would not help it.
+func (a *Adaptive) Answered(now time.Time, latency time.Duration, queued int) {
+	isUsed := 2*float64(a.inFlight) >= a.limit
 	a.end()
-	a.learn(busy, latency)
-	if a.smoothed > tolerance*a.baseline {
-		a.cut(now, slowCut)
+	a.learn(latency, queued)
+	isSlow := float64(a.smoothed) > tolerance*float64(a.baseline)
+	if isSlow && queued != 0 {
+		a.cut(now, slowCut, queued)
 		return
 	}
-	if isUsed := 2*busy >= a.Limit(); isUsed {
-		a.limit = min(a.limit+1/a.limit, a.highest)
+	if isUsed {
+		a.limit = min(a.limit+raise*min(a.limit, 1), a.highest)
 	}
 }
 
 // Refused records that the upstream refused or failed a call.
 func (a *Adaptive) Refused(now time.Time) {
 	a.end()
-	a.cut(now, shedCut)
+	a.cut(now, shedCut, NoQueueReport)
 }
 
 // Cancelled records that a call was given up; it says nothing of the upstream.
@@ -95,10 +110,10 @@
 	a.inFlight = max(a.inFlight-1, 0)
 }
 
-// learn follows the latency. The baseline falls at once and rises only while
-// this VM has one call in flight, so that the VM's own queue is never taken
-// for the normal state.
-func (a *Adaptive) learn(busy int, latency time.Duration) {
+// learn follows the latency. The baseline falls at once and rises only while the
+// upstream reports no queue, so that a lasting overload is never taken for the
+// normal state.
+func (a *Adaptive) learn(latency time.Duration, queued int) {
 	if a.smoothed == 0 {
 		a.smoothed = latency
 		a.baseline = latency
@@ -109,16 +124,20 @@
 		a.baseline = a.smoothed
 		return
 	}
-	if busy <= 1 {
-		a.baseline += time.Duration(baselineWeight * float64(a.smoothed-a.baseline))
+	if queued == 0 {
+		a.baseline += time.Duration(baselineWeight * float64(latency-a.baseline))
 	}
 }
 
 // cut lowers the limit, at most once in the time of an answer.
-func (a *Adaptive) cut(now time.Time, factor float64) {
+func (a *Adaptive) cut(now time.Time, factor float64, queued int) {
 	if now.Sub(a.cutAt) < max(a.smoothed, minCutInterval) {
 		return
 	}
 	a.cutAt = now
-	a.limit = max(a.limit*factor, 1)
+	lowest := minLimitUnreported
+	if queued > 0 {
+		lowest = minLimit
+	}
+	a.limit = min(max(a.limit*factor, lowest), a.limit)
 }
--- a/internal/limit/admission.go
+++ b/internal/limit/admission.go
@@ -121,6 +121,10 @@
 	return t, nil
 }
 
+// maxWaitShare is the largest part of the time to its deadline that a call may
+// be expected to wait.
+const maxWaitShare = 0.1
+
 func (a *Admission) enter(now time.Time, t *Ticket) error {
 	c := t.class
 	if !c.canMeet(now, t.deadline) {
@@ -136,8 +140,9 @@
 	if len(c.waiting) >= c.Queue {
 		return ErrQueueFull
 	}
-	answered := now.Add(a.wait(c, len(c.waiting)+1)).Add(c.service.high())
-	if answered.After(t.deadline) {
+	wait := a.wait(c, len(c.waiting)+1)
+	left := t.deadline.Sub(now)
+	if float64(wait) > maxWaitShare*float64(left) || wait+c.service.high() > left {
 		return ErrDeadline
 	}
 	c.waiting = append(c.waiting, t)
