Check command lines, settings pages and the list of known faults

Ruled out: reading ginkgo's specs one by one in the known-fault list; only plain test functions can be listed, which keeps the reader small. Conclusion: pages and code are compared by tests in both directions for refusal reasons and one way for settings; specs run in one order.

--- a/Makefile
+++ b/Makefile
@@ -20,6 +20,7 @@
 
 # check runs the tests; only the entries of KNOWN-RED.txt may fail.
 check: tools
+	cd tools && go test ./...
 	set -o pipefail; go test -race -json ./... 2>&1 | $(TOOLS)/knownred -list KNOWN-RED.txt
 
 lint: tools vet
--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,127 @@
+package docs_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+)
+
+func read(t *testing.T, path string) string {
+	t.Helper()
+	content, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(content)
+}
+
+func parse(t *testing.T, path string) *ast.File {
+	t.Helper()
+	file, err := parser.ParseFile(token.NewFileSet(), path, nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// TestEveryReasonIsExplained compares the reasons of the code with the
+// operators' page, in both directions.
+func TestEveryReasonIsExplained(t *testing.T) {
+	g := NewWithT(t)
+	page := read(t, "operators/refusals.md")
+	reasons := map[string]bool{}
+	ast.Inspect(parse(t, "../internal/outcome/outcome.go"), func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 {
+			return true
+		}
+		if kind, ok := spec.Type.(*ast.Ident); ok && kind.Name == "Reason" {
+			word, err := strconv.Unquote(spec.Values[0].(*ast.BasicLit).Value)
+			g.Expect(err).NotTo(HaveOccurred())
+			reasons[word] = true
+			g.Expect(page).To(ContainSubstring("| `"+word+"` |"), "reason is not explained")
+		}
+		return true
+	})
+	g.Expect(reasons).NotTo(BeEmpty())
+	for _, row := range regexp.MustCompile("(?m)^\\| `([a-z_]+)` \\|").FindAllStringSubmatch(page, -1) {
+		g.Expect(reasons).To(HaveKey(row[1]), "the page explains a reason that the code does not have")
+	}
+}
+
+// settingsReaders are the methods of inifile.Section whose first argument is a
+// key.
+var settingsReaders = map[string]bool{
+	"String": true, "RequiredName": true, "OneOf": true, "Bool": true, "Int": true, "Float": true,
+	"Duration": true, "Address": true, "RequiredAddress": true, "Addresses": true, "Words": true,
+}
+
+// TestEverySettingIsExplained looks for each key that the code reads on the
+// operators' page.
+func TestEverySettingIsExplained(t *testing.T) {
+	g := NewWithT(t)
+	page := read(t, "operators/settings.md")
+	keys := 0
+	for _, dir := range []string{"static", "dynamic"} {
+		files, err := filepath.Glob("../internal/config/" + dir + "/*.go")
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, file := range files {
+			ast.Inspect(parse(t, file), func(n ast.Node) bool {
+				key, ok := settingKey(n)
+				if ok {
+					keys++
+					g.Expect(page).To(ContainSubstring("`"+key+"`"), "setting is not explained")
+				}
+				return true
+			})
+		}
+	}
+	g.Expect(keys).To(BeNumerically(">", 20))
+}
+
+// settingKey returns the key that a call of a reader method asks for.
+func settingKey(n ast.Node) (string, bool) {
+	call, ok := n.(*ast.CallExpr)
+	if !ok || len(call.Args) < 2 {
+		return "", false
+	}
+	method, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok || !settingsReaders[method.Sel.Name] {
+		return "", false
+	}
+	literal, ok := call.Args[0].(*ast.BasicLit)
+	if !ok || literal.Kind != token.STRING {
+		return "", false
+	}
+	key, err := strconv.Unquote(literal.Value)
+	return key, err == nil
+}
+
+// TestLinksLeadSomewhere follows each relative link of the pages.
+func TestLinksLeadSomewhere(t *testing.T) {
+	g := NewWithT(t)
+	link := regexp.MustCompile(`\]\(([^)#:]+)(#[^)]*)?\)`)
+	pages, err := filepath.Glob("*.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	for _, dir := range []string{"operators", "decisions", "proofs"} {
+		more, err := filepath.Glob(dir + "/*.md")
+		g.Expect(err).NotTo(HaveOccurred())
+		pages = append(pages, more...)
+	}
+	pages = append(pages, "../README.md", "../CONTRIBUTING.md")
+	for _, page := range pages {
+		for _, found := range link.FindAllStringSubmatch(read(t, page), -1) {
+			target := filepath.Join(filepath.Dir(page), strings.TrimSpace(found[1]))
+			_, err := os.Stat(target)
+			g.Expect(err).NotTo(HaveOccurred(), "%s links to %s", page, found[1])
+		}
+	}
+}
--- a/internal/chart/chart_test.go
+++ b/internal/chart/chart_test.go
@@ -9,11 +9,11 @@
 
 	"github.com/figfront/figfront/charts"
 	"github.com/figfront/figfront/internal/chart"
+	"github.com/figfront/figfront/internal/spectest"
 )
 
 func TestChart(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "chart")
+	spectest.Run(t, "chart")
 }
 
 const header = "[chart]\nname = c\ninitial = a\nevents = go\n"
--- a/internal/config/inifile/inifile_test.go
+++ b/internal/config/inifile/inifile_test.go
@@ -8,11 +8,11 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figfront/figfront/internal/config/inifile"
+	"github.com/figfront/figfront/internal/spectest"
 )
 
 func TestInifile(t *testing.T) {
-	RegisterFailHandler(Fail)
-	RunSpecs(t, "inifile")
+	spectest.Run(t, "inifile")
 }
 
 var _ = Describe("a settings file", func() {
--- /dev/null
+++ b/internal/outcome/problem_test.go
@@ -0,0 +1,39 @@
+package outcome_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/spectest"
+)
+
+func TestOutcome(t *testing.T) {
+	spectest.Run(t, "outcome")
+}
+
+var _ = Describe("a problem", func() {
+	It("tells outcome, reason and request id in header and body", func() {
+		w := httptest.NewRecorder()
+		p := outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.QueueFull, "full").
+			WithRetryAfter(1200 * time.Millisecond)
+		p.RequestID = "r-1"
+		p.Write(w)
+
+		Expect(w.Code).To(Equal(http.StatusServiceUnavailable))
+		Expect(w.Header().Get("Content-Type")).To(Equal("application/problem+json"))
+		Expect(w.Header().Get("Retry-After")).To(Equal("2"))
+		Expect(w.Header().Get(outcome.HeaderOutcome)).To(Equal("not run"))
+		var got outcome.Problem
+		Expect(json.Unmarshal(w.Body.Bytes(), &got)).To(Succeed())
+		Expect(got.Type).To(Equal("urn:figfront:problem:queue_full"))
+		Expect(got.Reason).To(Equal(outcome.QueueFull))
+		Expect(got.RequestID).To(Equal("r-1"))
+	})
+})
