Bound what a slow caller holds, and answer refusals before its body

Cause: a call reads its body after it was admitted, without a time limit, so a caller that stops in the middle kept the place for good; a caller that does not read its answer kept it too; and net/http reads the rest of an unread body before it sends a refusal, so a refused caller with a slow body waited for itself. Ruled out: reading the body before admission, because bodies of all open connections would then be in memory at once; http.Server.ReadTimeout, because it would also end uploads. Lifting the read limit after a failed read was tried and failed: net/http then waits for the rest of the body again. Conclusion: read limit at the call's deadline, 20 s for each write, and a refused call with an unread body closes its connection.

--- /dev/null
+++ b/internal/capacity/agent.go
@@ -0,0 +1,67 @@
+package capacity
+
+import (
+	"encoding/json"
+	"runtime"
+
+	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/config/merge"
+	"github.com/figfront/figfront/internal/exchange"
+)
+
+// agentState is the state of an agent that grows with the configuration.
+type agentState struct {
+	configs *merge.Store
+	hub     *exchange.Hub
+}
+
+func newAgentState() agentState {
+	return agentState{configs: merge.NewStore(), hub: exchange.NewHub()}
+}
+
+// apply does with a configuration what the agent does.
+func (s agentState) apply(c merge.Config) bool {
+	payload, err := json.Marshal(c)
+	if err != nil || !s.configs.Apply(c) {
+		return false
+	}
+	return s.hub.Publish(&api.Message{
+		Topic: exchange.TopicConfig, Key: c.Team, Revision: c.Revision, Payload: payload,
+	})
+}
+
+// AgentState measures the agent's memory against the number of services.
+func AgentState() []Series {
+	memory := Series{Role: "agent", Figure: "memory", Unit: "bytes", Against: "services"}
+	for _, services := range stateSizes {
+		before := heapBytes()
+		s := newAgentState()
+		for _, c := range teams(services) {
+			s.apply(c)
+		}
+		memory.Add(float64(services), heapBytes()-before)
+		runtime.KeepAlive(s)
+	}
+	return []Series{memory}
+}
+
+// AgentChanges measures the work of accepting changes against their number.
+func AgentChanges() []Series {
+	cpu := Series{Role: "agent", Figure: "changes accepted", Unit: "ms of processor time", Against: "changes"}
+	bytes := Series{Role: "agent", Figure: "changes sent to the gateway", Unit: "bytes", Against: "changes"}
+	for _, changes := range changeSizes {
+		s := newAgentState()
+		configs := teams(targetServices)
+		size := 0.0
+		used := measure(func() { replay(s.apply, configs, changes) })
+		for i := range changes {
+			payload, err := json.Marshal(configs[i%len(configs)])
+			if err == nil {
+				size += float64(len(payload))
+			}
+		}
+		cpu.Add(float64(changes), float64(used.CPU.Microseconds())/1000)
+		bytes.Add(float64(changes), size)
+	}
+	return []Series{cpu, bytes}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,6 +32,8 @@
 	ctx context.Context
 	// body is the whole request body of a lookup or booking.
 	body []byte
+	// isBodyRead tells whether the request body has been read to its end.
+	isBodyRead bool
 	// tried names the upstreams that the call was sent to.
 	tried    []string
 	attempts int
@@ -42,7 +44,7 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	return &call{gateway: g, w: w, r: r, id: id, arrived: time.Now()}
+	return &call{gateway: g, w: newCallerWriter(w), r: r, id: id, arrived: time.Now()}
 }
 
 // refuse answers the call with a problem and counts its reason.
@@ -50,6 +52,7 @@
 	p.RequestID = c.id
 	c.gateway.options.Counters.Refuse(p.Reason)
 	c.log(p.Outcome, p.Reason, "")
+	c.abandonBody()
 	p.Write(c.w)
 }
 
@@ -117,6 +120,7 @@
 // readBody reads the whole request body. It returns false when the call has
 // been answered.
 func (c *call) readBody() bool {
+	c.limitBodyRead()
 	body, err := readBody(c.r, c.route.rule.settings.MaxBody)
 	if errors.Is(err, errBodyTooLarge) {
 		c.refuse(outcome.New(http.StatusRequestEntityTooLarge, outcome.NotRun, outcome.BodyTooLarge,
@@ -128,6 +132,8 @@
 			"the request body ended early"))
 		return false
 	}
+	c.unlimitBodyRead()
+	c.isBodyRead = true
 	c.body = body
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -130,3 +130,14 @@
 	}
 	c.serve(route)
 }
+
+// Close closes the idle connections to all upstreams.
+func (g *Gateway) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.teams {
+		for _, s := range t.services {
+			s.close()
+		}
+	}
+}
