--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/figfront/figfront/internal/process.Version=$(VERSION)
 
-.PHONY: all build demo test check lint format vet tools packages generate bench fuzz clean
+.PHONY: all build demo test check lint format vet tools packages generate capacity clean
 
 all: build
 
@@ -12,7 +12,7 @@
 	go build -ldflags '$(LDFLAGS)' -o bin/ ./cmd/...
 
 # demo builds figfront and runs it on loopback until it is interrupted.
-demo: build
+demo: packages build
 	deploy/demo/run.sh
 
 # test runs everything that CI runs.
@@ -50,5 +50,13 @@
 	PATH=$(TOOLS):$$PATH protoc -I api --go_out=. --go_opt=module=github.com/figfront/figfront \
 		--go-drpc_out=. --go-drpc_opt=module=github.com/figfront/figfront api/exchange/exchange.proto
 
+# capacity measures the figures behind docs/CAPACITY.md anew; it takes a few
+# minutes and starts up to a hundred agents on loopback.
+capacity: build
+	mkdir -p docs/capacity
+	go run ./internal/capacity/capacitytool slopes > docs/capacity/slopes.txt
+	go run ./internal/capacity/capacitytool agents > docs/capacity/agents.txt
+	go run ./internal/capacity/capacitytool loopback > docs/capacity/loopback.txt
+
 clean:
 	rm -rf bin
--- a/cmd/figfront-admin/main.go
+++ b/cmd/figfront-admin/main.go
@@ -18,6 +18,9 @@
 
 const name = "figfront-admin"
 
+// requestTimeout ends the reading of a request and the writing of its answer.
+const requestTimeout = 20 * time.Second
+
 // stopTimeout is the longest time that a planned stop waits for requests.
 const stopTimeout = 20 * time.Second
 
@@ -44,6 +47,8 @@
 		return err
 	}
 	server := process.NewServer(a.Handler(), settings.Limits)
+	server.ReadTimeout = requestTimeout
+	server.WriteTimeout = requestTimeout
 	life.Configured()
 
 	work, endWork := context.WithCancel(context.Background())
--- a/deploy/demo/run.sh
+++ b/deploy/demo/run.sh
@@ -80,6 +80,22 @@
   ctl "$team" status
 done
 
+echo "--- 300 lookups and 100 bookings through each VM, then the counters"
+for port in 17100 17200; do
+  curl -sS -o /dev/null "http://127.0.0.1:$port/asocrank/start-board/waves/[1-300]" &
+  curls=$!
+  for n in $(seq 100); do
+    printf 'next\nurl = http://127.0.0.1:%s/split/reservations/bookings\ndata = "ride=%s"\nheader = "Idempotency-Key: demo-%s-%s"\noutput = /dev/null\nsilent\n' \
+      "$port" "$n" "$port" "$n"
+  done | sed 1d | curl -sS -K -
+  wait "$curls"
+done
+for port in 17101 17201 17103; do
+  echo "counters at $port:"
+  curl -sS "http://127.0.0.1:$port/debug/vars" | grep '^"figfront"'
+done
+curl -sS http://127.0.0.1:17000/control/load
+
 if [ "${DEMO_ONCE:-0}" = 1 ]; then
   exit 0
 fi
--- a/internal/capacity/capacitytool/main.go
+++ b/internal/capacity/capacitytool/main.go
@@ -3,9 +3,11 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 
 	"github.com/alecthomas/kong"
 
@@ -14,6 +16,7 @@
 
 type command struct {
 	Slopes   slopesCommand   `cmd:"" help:"Measure state, messages and processor time against the sizes that drive them."`
+	Agents   agentsCommand   `cmd:"" help:"Measure real agents on loopback."`
 	Loopback loopbackCommand `cmd:"" help:"Measure the time that a gateway adds to a call on loopback."`
 }
 
@@ -28,10 +31,32 @@
 		capacity.AgentChanges,
 	}
 	for _, run := range measurements {
-		for _, s := range run() {
-			if err := s.Write(out); err != nil {
-				return err
-			}
+		if err := writeAll(out, run()); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type agentsCommand struct {
+	Binary   string `help:"Path of figfront-agent." default:"bin/figfront-agent" type:"existingfile"`
+	Numbers  []int  `help:"Numbers of agents." default:"10,25,50,75,100"`
+	Services int    `help:"Number of services in the configuration." default:"100"`
+}
+
+// Run runs the command.
+func (c agentsCommand) Run(ctx context.Context, out io.Writer) error {
+	all, err := capacity.Agents(ctx, c.Binary, c.Numbers, c.Services)
+	if err != nil {
+		return err
+	}
+	return writeAll(out, all)
+}
+
+func writeAll(out io.Writer, all []capacity.Series) error {
+	for _, s := range all {
+		if err := s.Write(out); err != nil {
+			return err
 		}
 	}
 	return nil
@@ -58,8 +83,12 @@
 func main() {
 	var c command
 	parsed := kong.Parse(&c, kong.Description("Measures how figfront's roles grow."))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	parsed.BindTo(ctx, (*context.Context)(nil))
 	parsed.BindTo(os.Stdout, (*io.Writer)(nil))
 	if err := parsed.Run(); err != nil {
+		stop()
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
