Claim bookings with an idempotency key before they are sent

Cause: a booking with an idempotency key was sent by every VM that got it, so two VMs given the same key both ran it.

One conditional write to the table claims the key before the send. The deadline is compared by wall clock right before each send. The upstream stand-in chose at random between a free slot and a deadline that had passed already; it now refuses such a call.

--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -9,9 +9,11 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -30,9 +32,15 @@
 	if err != nil {
 		return errors.Wrap(err, "load charts")
 	}
+	claims, err := claim.NewStore(claim.Options{
+		Table: platform.NewClient(settings.Platform, nil), Counters: counters, VM: settings.VM.Name,
+	})
+	if err != nil {
+		return err
+	}
 	g := gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize,
-		Log: log, Counters: counters, IsStopping: life.IsDraining, Seed: uint64(time.Now().UnixNano()),
+		Log: log, Counters: counters, IsStopping: life.IsDraining, Claims: claims, Seed: uint64(time.Now().UnixNano()),
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
 	if err != nil {
@@ -44,6 +52,7 @@
 	// The operators' page and the bus outlive ctx until every call is finished.
 	work, endWork := context.WithCancel(context.Background())
 	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return claims.Run(work) })
 	group.Go(func() error { return process.ServeOperators(work, settings.Operators, life) })
 	group.Go(func() error { return g.Follow(work, bus, life.Configured) })
 	group.Go(func() error { return process.Serve(server, listener) })
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,6 +49,10 @@
 
 // attempt sends the call once and reads the answer.
 func (c *call) attempt(sent send) attemptResult {
+	if c.isPastDeadline() {
+		c.route.service.cancelSend(sent)
+		return attemptResult{upstream: sent.choice.Name, outcome: outcome.NotRun, reason: outcome.DeadlinePassed}
+	}
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
 	ctx := httptrace.WithClientTrace(c.ctx, trace)
--- a/internal/gateway/booking.go
+++ b/internal/gateway/booking.go
@@ -1,10 +1,33 @@
 package gateway
 
-// serveBooking serves a booking.
+import (
+	"net/http"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/claim"
+	"github.com/figfront/figfront/internal/outcome"
+)
+
+// serveBooking serves a booking. One with an idempotency key is claimed first;
+// one without is sent once by this VM.
 func (c *call) serveBooking() {
 	if !c.readBody() {
 		return
 	}
+	keys := c.r.Header.Values(callheader.IdempotencyKey)
+	if len(keys) == 0 {
+		c.serveUnclaimed()
+		return
+	}
+	if len(keys) > 1 || keys[0] == "" || len(keys[0]) > claim.MaxKeyBytes {
+		c.refuse(outcome.New(http.StatusBadRequest, outcome.NotRun, outcome.HeaderInvalid,
+			"Idempotency-Key has to hold one key of at most 255 bytes"))
+		return
+	}
+	c.serveClaimed(keys[0])
+}
+
+func (c *call) serveUnclaimed() {
 	a, problem := c.sendUntilAnswered()
 	if problem != nil {
 		c.refuse(*problem)
@@ -12,3 +35,104 @@
 	}
 	c.finish(a)
 }
+
+// serveClaimed serves a booking that must run at most once across all VMs.
+func (c *call) serveClaimed(key string) {
+	if c.gateway.options.Claims == nil {
+		c.refuse(claimUnavailable())
+		return
+	}
+	result := c.gateway.options.Claims.Claim(c.ctx, claim.Request{
+		Key:      claim.Key{Team: c.route.service.team, Service: c.route.service.name, Idempotency: key},
+		Call:     claim.Call{Method: c.r.Method, Path: c.pathWithQuery(), Body: c.body},
+		Deadline: c.deadline,
+	})
+	switch result.Verdict {
+	case claim.Owned:
+		c.runClaimed(result.Ticket)
+	case claim.Replayed:
+		c.replay(result.Answer)
+	default:
+		c.refuse(claimProblem(result.Verdict))
+	}
+}
+
+func (c *call) pathWithQuery() string {
+	if c.r.URL.RawQuery == "" {
+		return c.route.path
+	}
+	return c.route.path + "?" + c.r.URL.RawQuery
+}
+
+// runClaimed sends a booking whose claim this VM owns.
+func (c *call) runClaimed(ticket *claim.Ticket) {
+	a, problem := c.sendUntilAnswered()
+	if problem != nil {
+		endClaim(ticket, problem.Outcome, nil)
+		c.refuse(*problem)
+		return
+	}
+	endClaim(ticket, a.outcome, a.keptAnswer())
+	c.finish(a)
+}
+
+// endClaim closes a claim by what is known of the call.
+func endClaim(ticket *claim.Ticket, out outcome.Outcome, answer *claim.Answer) {
+	switch out {
+	case outcome.Ran:
+		ticket.Done(answer)
+	case outcome.NotRun:
+		ticket.Release()
+	default:
+		ticket.Lose()
+	}
+}
+
+// keptAnswer returns the answer that repeats get, or nil when it did not come
+// whole into memory.
+func (a attemptResult) keptAnswer() *claim.Answer {
+	if a.reason != "" || a.rest != nil {
+		return nil
+	}
+	header := make(http.Header)
+	callerHeader(header, a.header)
+	return &claim.Answer{Status: a.status, Header: header, Body: a.body}
+}
+
+// replay answers a repeat with the kept answer of the call that ran.
+func (c *call) replay(answer *claim.Answer) {
+	if answer == nil {
+		c.refuse(outcome.New(http.StatusConflict, outcome.Ran, outcome.ClaimAnswerLost,
+			"the call with this key ran before and its answer was not kept"))
+		return
+	}
+	c.finish(attemptResult{
+		outcome: outcome.Ran, status: answer.Status, header: answer.Header, body: answer.Body,
+	})
+}
+
+func claimUnavailable() outcome.Problem {
+	return outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.ClaimUnavailable,
+		"the claim of the key could not be recorded").WithRetryAfter(retryAfter)
+}
+
+// claimProblem returns what the caller is told when its claim did not let the
+// call be sent.
+func claimProblem(verdict claim.Verdict) outcome.Problem {
+	switch verdict {
+	case claim.Running:
+		return outcome.New(http.StatusConflict, outcome.Unknown, outcome.ClaimRunning,
+			"the call with this key is still running").WithRetryAfter(retryAfter)
+	case claim.Mismatched:
+		return outcome.New(http.StatusUnprocessableEntity, outcome.NotRun, outcome.ClaimMismatch,
+			"the key was used for another call")
+	case claim.UnknownResult:
+		return outcome.New(http.StatusConflict, outcome.Unknown, outcome.ClaimUnknown,
+			"the call with this key may have run; it is not sent again")
+	case claim.Expired:
+		return outcome.New(http.StatusGatewayTimeout, outcome.NotRun, outcome.DeadlinePassed,
+			"the deadline passed before the call was sent").WithRetryAfter(retryAfter)
+	default:
+		return claimUnavailable()
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -76,6 +76,12 @@
 	c.gateway.options.Log.Info("call", args...)
 }
 
+// isPastDeadline compares the deadline by wall clock, because the monotonic
+// clock, and with it every timer, stands still while the VM is suspended.
+func (c *call) isPastDeadline() bool {
+	return !c.gateway.options.Now().Round(0).Before(c.deadline.Round(0))
+}
+
 // serve runs the call along its route.
 func (c *call) serve(to route) {
 	c.route = to
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/outcome"
@@ -32,6 +33,11 @@
 	Seed uint64
 	// IsStopping tells whether new calls are refused; nil means never.
 	IsStopping func() bool
+	// Claims records the claims of bookings with an idempotency key; nil
+	// refuses such bookings.
+	Claims *claim.Store
+	// Now returns the wall clock time; nil stands for time.Now.
+	Now func() time.Time
 }
 
 // Gateway serves callers. It is an http.Handler.
@@ -55,6 +61,9 @@
 	if options.IsStopping == nil {
 		options.IsStopping = func() bool { return false }
 	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	g := &Gateway{options: options, configs: merge.NewStore(), teams: make(map[string]*team)}
 	g.routes.Store(&routeTable{})
 	return g
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -45,5 +45,5 @@
 
 // mayRetry tells whether there is time for another send.
 func (c *call) mayRetry(a attemptResult) bool {
-	return c.ctx.Err() == nil && a.outcome != outcome.Unknown
+	return c.ctx.Err() == nil && !c.isPastDeadline() && a.outcome != outcome.Unknown
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -38,6 +38,7 @@
 	ClaimRunning      Reason = "claim_running"
 	ClaimMismatch     Reason = "claim_mismatch"
 	ClaimUnknown      Reason = "claim_unknown"
+	ClaimAnswerLost   Reason = "claim_answer_lost"
 	StoreUnavailable  Reason = "store_unavailable"
 	RetryBudget       Reason = "retry_budget"
 	CallerGone        Reason = "caller_gone"
--- a/internal/upstreamstandin/server.go
+++ b/internal/upstreamstandin/server.go
@@ -223,6 +223,9 @@
 	}()
 	var expired <-chan time.Time
 	if deadline, ok := callheader.ParseDeadline(r.Header); ok {
+		if !time.Now().Before(deadline) {
+			return false
+		}
 		timer := time.NewTimer(time.Until(deadline))
 		defer timer.Stop()
 		expired = timer.C
