--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -113,16 +113,22 @@
 func (c *call) waitBackoff() bool {
 	wait := c.route.service.backoff(c.attempts + 1)
 	if wait == 0 {
-		return c.ctx.Err() == nil
+		return c.isInTime()
 	}
 	select {
 	case <-time.After(wait):
-		return c.ctx.Err() == nil
+		return c.isInTime()
 	case <-c.ctx.Done():
 		return false
 	}
 }
 
+// isInTime tells whether the caller is still there and the deadline has not
+// passed, also by the wall clock.
+func (c *call) isInTime() bool {
+	return c.ctx.Err() == nil && !c.isPastDeadline()
+}
+
 // startSend chooses the upstream of the next send.
 func (c *call) startSend() (send, *outcome.Problem) {
 	isExtra := c.attempts > 0
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,6 +13,9 @@
 	MaxShare = 0.10
 	// burstSends is the number of extra sends that a budget may save up.
 	burstSends = 10
+	// floorSends is the number of extra sends of a Window that MaxShare does
+	// not rule out, so that a service with few calls may send again at all.
+	floorSends = 1
 )
 
 // Outage detection.
@@ -27,7 +30,8 @@
 // Budget limits the extra sends of one service on one VM: hedges and retries
 // together. It earns a share of each first send, pays for each extra send and
 // keeps the extra sends of each Window that ends in one at or below MaxShare of
-// its first sends, also right after the start and after an idle time. While
+// its first sends, or at floorSends, also right after the start and after an idle
+// time. While
 // nearly every answer is a failure it pays for nothing. It is not safe for
 // concurrent use.
 type Budget struct {
@@ -41,7 +45,7 @@
 // NewBudget returns a budget that allows share extra sends for each first
 // send.
 func NewBudget(share float64) *Budget {
-	return &Budget{share: share}
+	return &Budget{share: share, tokens: floorSends}
 }
 
 // SetShare changes the share.
@@ -63,8 +67,8 @@
 		return false
 	}
 	bucket := b.sends.at(now)
-	extra := float64(b.sends.total.extra + 1)
-	if extra > MaxShare*float64(b.sends.firstInWindow()) {
+	allowed := max(MaxShare*float64(b.sends.firstInWindow()), floorSends)
+	if float64(b.sends.total.extra+1) > allowed {
 		return false
 	}
 	bucket.extra++
