--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -37,6 +37,10 @@
 
 // attempt sends the call once and reads the answer.
 func (c *call) attempt(sent send) attemptResult {
+	if c.isPastDeadline() {
+		c.route.service.cancelSend(sent)
+		return attemptResult{upstream: sent.choice.Name, outcome: outcome.NotRun, reason: outcome.DeadlinePassed}
+	}
 	var wrote atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
 	ctx := httptrace.WithClientTrace(c.ctx, trace)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/outcome"
@@ -38,6 +39,11 @@
 	MaxCalls int
 	// IsStopping tells whether new calls are refused; nil means never.
 	IsStopping func() bool
+	// Claims records the claims of bookings with an idempotency key; nil
+	// refuses such bookings.
+	Claims *claim.Store
+	// Now returns the wall clock time; nil stands for time.Now.
+	Now func() time.Time
 }
 
 // Gateway serves callers. It is an http.Handler.
@@ -62,6 +68,9 @@
 	if options.IsStopping == nil {
 		options.IsStopping = func() bool { return false }
 	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
 	if options.MaxCalls == 0 {
 		options.MaxCalls = defaultMaxCalls
 	}
