--- a/internal/capacity/processes.go
+++ b/internal/capacity/processes.go
@@ -122,7 +122,7 @@
 	address := listener.Addr().String()
 	store := configstore.New(platform.NewClient(address, nil))
 	for _, c := range teams(services) {
-		if err := store.Commit(ctx, c); err != nil {
+		if _, err := store.Commit(ctx, c); err != nil {
 			return platformServer{}, "", errors.Wrap(err, "commit configuration")
 		}
 	}
