--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -48,9 +48,11 @@
 
 // Gateway serves callers. It is an http.Handler.
 type Gateway struct {
-	options Options
-	configs *merge.Store
-	shares  *teamShares
+	options   Options
+	configs   *merge.Store
+	rejected  *rejections
+	readiness readiness
+	shares    *teamShares
 
 	mu    sync.Mutex
 	teams map[string]*team
@@ -75,10 +77,11 @@
 		options.MaxCalls = defaultMaxCalls
 	}
 	g := &Gateway{
-		options: options,
-		configs: merge.NewStore(),
-		shares:  newTeamShares(options.MaxCalls),
-		teams:   make(map[string]*team),
+		options:  options,
+		configs:  merge.NewStore(),
+		rejected: newRejections(),
+		shares:   newTeamShares(options.MaxCalls),
+		teams:    make(map[string]*team),
 	}
 	g.routes.Store(&routeTable{})
 	return g
@@ -89,6 +92,7 @@
 func (g *Gateway) Apply(c merge.Config) bool {
 	settings, err := dynamic.Parse(c.Team, c.Team, []byte(c.Settings))
 	if err != nil {
+		g.rejected.add(c.Team, c.Revision)
 		g.options.Counters.Add(telemetry.GroupConfig, "unreadable", 1)
 		g.options.Log.Error("team configuration is not readable",
 			telemetry.FieldTeam, c.Team, telemetry.FieldRevision, c.Revision, telemetry.FieldError, err)
