Probe upstreams that answers tell nothing of

The gateway names, twice a second, the upstreams that are leaving, may be back or gave no answer for 5 s; the agent's prober asks them within the Planner's budget at the service's health_path and publishes what it saw for the gateway. Probes, bytes, upstream time and probes put off by the budget are counted.

--- a/cmd/figfront-agent/main.go
+++ b/cmd/figfront-agent/main.go
@@ -40,7 +40,7 @@
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Listen,
 		FeedInterval: settings.FeedInterval, HeartbeatInterval: settings.HeartbeatInterval,
 		Table: client, Membership: client, Log: log, Counters: counters, Life: life,
-		Seed: rand.Uint64(),
+		ProbesPerSecond: settings.ProbesPerSecond, Seed: rand.Uint64(),
 	})
 	if err != nil {
 		return errors.Wrap(err, "build agent")
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"time"
 
@@ -39,6 +40,10 @@
 	Life              *process.Life
 	// Dialer opens connections to other agents; nil stands for the network.
 	Dialer exchange.Dialer
+	// ProbesPerSecond is the VM's budget for measuring; 0 means no probes.
+	ProbesPerSecond int
+	// DialUpstream opens connections to upstreams; nil stands for the network.
+	DialUpstream func(ctx context.Context, network, address string) (net.Conn, error)
 	// Seed seeds the random choices.
 	Seed uint64
 }
@@ -53,6 +58,7 @@
 	status  *gatewayStatus
 	peers   *peerClients
 	contact *contact
+	prober  *prober
 	// background are the calls to peers that run on their own.
 	background sync.WaitGroup
 
@@ -77,7 +83,7 @@
 		return nil, err
 	}
 	logger := telemetry.NewBusLogger(options.Log)
-	return &Agent{
+	a := &Agent{
 		options: options,
 		configs: merge.NewStore(),
 		store:   configstore.New(options.Table),
@@ -89,7 +95,9 @@
 		view:    view,
 		rnd:     rand.New(rand.NewPCG(options.Seed, uint64(now.UnixNano()))),
 		source:  sourceNone,
-	}, nil
+	}
+	a.prober = a.newAgentProber()
+	return a, nil
 }
 
 var _ api.DRPCExchangeServer = (*Agent)(nil)
@@ -103,7 +111,8 @@
 	router.AddConsumerHandler("config", exchange.TopicConfig, a.bus, a.handleConfig)
 	router.AddConsumerHandler("commit", exchange.TopicCommit, a.bus, a.handleCommit)
 	router.AddConsumerHandler("gateway", exchange.TopicGateway, a.bus, a.handleGateway)
-	for _, loop := range []func(context.Context){a.followFeed, a.followList, a.heartbeatLoop} {
+	router.AddConsumerHandler("probe_needs", exchange.TopicProbeNeeds, a.bus, a.handleProbeNeeds)
+	for _, loop := range []func(context.Context){a.followFeed, a.followList, a.heartbeatLoop, a.probeLoop} {
 		a.background.Go(func() {
 			<-router.Running()
 			loop(ctx)
--- /dev/null
+++ b/internal/agent/probe.go
@@ -0,0 +1,206 @@
+package agent
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/ThreeDotsLabs/watermill/message"
+
+	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/exchange"
+	"github.com/figfront/figfront/internal/measure"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// Bounds of a probe.
+const (
+	probeTimeout = 200 * time.Millisecond
+	// maxProbeTargets limits the upstreams that a gateway may name.
+	maxProbeTargets = 256
+	// maxProbeBody is the longest answer body that is read, in bytes.
+	maxProbeBody = 1 << 10
+	// maxProbeHeader limits the header of an answer, in bytes.
+	maxProbeHeader = 4 << 10
+	// headerSeparators is the length of what parts a header's name and value
+	// and ends its line.
+	headerSeparators = 4
+	// probeInterval is the time between two questions to the planner.
+	probeInterval = 50 * time.Millisecond
+)
+
+// Counters of probes, in the group telemetry.GroupProbes.
+const (
+	countProbesSent    = "sent"
+	countProbesSkipped = "skipped_budget"
+	countProbesFailed  = "failed"
+	countProbeBytes    = "bytes"
+	countProbeTime     = "upstream_us"
+)
+
+// prober asks upstreams how they are when the planner allows it.
+type prober struct {
+	counters *telemetry.Counters
+	client   *http.Client
+	publish  func(measure.Observation)
+
+	mu      sync.Mutex
+	planner *measure.Planner
+}
+
+// dialFunc opens a connection to an upstream.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// newProber returns a prober that hands what it sees to publish.
+func newProber(planner *measure.Planner, dial dialFunc, counters *telemetry.Counters,
+	publish func(measure.Observation),
+) *prober {
+	return &prober{
+		counters: counters,
+		publish:  publish,
+		planner:  planner,
+		client: &http.Client{
+			Timeout: probeTimeout,
+			Transport: &http.Transport{
+				DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeader,
+			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
+	}
+}
+
+// setTargets replaces the upstreams that have to be asked.
+func (p *prober) setTargets(targets []measure.Target) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.planner.SetTargets(time.Now(), targets)
+}
+
+// run probes until ctx ends. liveVMs returns the number of live VMs.
+func (p *prober) run(ctx context.Context, liveVMs func() int) {
+	for sleep(ctx, probeInterval) {
+		target, ok := p.next(liveVMs())
+		if !ok {
+			continue
+		}
+		seen, cost := p.ask(ctx, target)
+		p.mu.Lock()
+		p.planner.Done(time.Now(), target, cost)
+		p.mu.Unlock()
+		p.publish(seen)
+	}
+}
+
+// next asks the planner for the next target.
+func (p *prober) next(liveVMs int) (measure.Target, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	p.planner.SetLiveVMs(now, liveVMs)
+	target, verdict := p.planner.Next(now)
+	if verdict == measure.OverBudget {
+		p.counters.Add(telemetry.GroupProbes, countProbesSkipped, 1)
+	}
+	return target, verdict == measure.Probe
+}
+
+// ask sends one probe. An upstream that does not answer is not healthy.
+func (p *prober) ask(ctx context.Context, target measure.Target) (measure.Observation, measure.Cost) {
+	seen := measure.Observation{Address: target.Address, Sent: time.Now()}
+	address := url.URL{Scheme: "http", Host: target.Address, Path: target.Path}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, address.String(), nil)
+	if err != nil {
+		p.counters.Add(telemetry.GroupProbes, countProbesFailed, 1)
+		return seen, measure.Cost{}
+	}
+	cost := measure.Cost{Bytes: len(request.Method) + len(address.String()) + headerSeparators}
+	response, err := p.client.Do(request)
+	if err == nil {
+		body, _ := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeBody))
+		_ = response.Body.Close()
+		cost.Bytes += headerBytes(response.Header) + int(body)
+		isOK := response.StatusCode >= http.StatusOK && response.StatusCode < http.StatusMultipleChoices
+		seen.IsHealthy = isOK && !callheader.IsDraining(response.Header)
+		seen.Report, seen.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
+	} else {
+		p.counters.Add(telemetry.GroupProbes, countProbesFailed, 1)
+	}
+	cost.UpstreamTime = time.Since(seen.Sent)
+	p.count(cost)
+	return seen, cost
+}
+
+func (p *prober) count(cost measure.Cost) {
+	p.counters.Add(telemetry.GroupProbes, countProbesSent, 1)
+	p.counters.Add(telemetry.GroupProbes, countProbeBytes, int64(cost.Bytes))
+	p.counters.Add(telemetry.GroupProbes, countProbeTime, cost.UpstreamTime.Microseconds())
+}
+
+// headerBytes returns the length of a header on the wire.
+func headerBytes(header http.Header) int {
+	total := 0
+	for name, values := range header {
+		for _, value := range values {
+			total += len(name) + len(value) + headerSeparators
+		}
+	}
+	return total
+}
+
+// newAgentProber returns the prober of an agent.
+func (a *Agent) newAgentProber() *prober {
+	options := measure.Options{PerVM: float64(a.options.ProbesPerSecond)}
+	random := rand.New(rand.NewPCG(a.options.Seed, uint64(time.Now().UnixNano())))
+	dial := a.options.DialUpstream
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: probeTimeout}).DialContext
+	}
+	return newProber(measure.NewPlanner(options, time.Now(), random), dial, a.options.Counters, a.publishObservation)
+}
+
+// publishObservation hands what a probe saw to the VM's gateway.
+func (a *Agent) publishObservation(seen measure.Observation) {
+	payload, err := json.Marshal(seen)
+	if err != nil {
+		return
+	}
+	a.hub.Publish(&api.Message{
+		Topic: exchange.TopicUpstream, Key: seen.Address, Revision: uint64(seen.Sent.UnixNano()), Payload: payload,
+	})
+}
+
+// handleProbeNeeds takes the upstreams that the gateway wants to be asked.
+func (a *Agent) handleProbeNeeds(m *message.Message) error {
+	targets, ok := decodeProbeNeeds(m.Payload)
+	if !ok {
+		a.options.Counters.Add(telemetry.GroupPeers, "probe_needs_malformed", 1)
+		return nil
+	}
+	a.prober.setTargets(targets)
+	return nil
+}
+
+func decodeProbeNeeds(payload []byte) ([]measure.Target, bool) {
+	var targets []measure.Target
+	err := json.Unmarshal(payload, &targets)
+	return targets, err == nil && len(targets) <= maxProbeTargets
+}
+
+// probeLoop probes until ctx ends.
+func (a *Agent) probeLoop(ctx context.Context) {
+	a.prober.run(ctx, a.liveVMs)
+}
+
+// liveVMs returns the number of live VMs.
+func (a *Agent) liveVMs() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.view.Live().All
+}
--- a/internal/config/dynamic/dynamic_test.go
+++ b/internal/config/dynamic/dynamic_test.go
@@ -69,6 +69,7 @@
 		Entry("an unknown kind of traffic", "[/teams/asocrank/services/x/traffic/video]\n", "lookup, booking or upload"),
 		Entry("a service without rules", "[/teams/asocrank/services/x]\n", "at least one of"),
 		Entry("a retry share above the ceiling", "[/teams/asocrank/services/x]\nretry_share = 0.5\n", "from 0 to 0.1"),
+		Entry("a health path that is none", "[/teams/asocrank/services/x]\nhealth_path = health\n", "a path that starts with /"),
 		Entry("a path too deep", "[/teams/asocrank/services/x/traffic/lookup/more]\n", "<service>"),
 		Entry("a name in capitals", "[/teams/asocrank/services/X/traffic/lookup]\n", "names of a-z"),
 	)
--- a/internal/config/dynamic/parse.go
+++ b/internal/config/dynamic/parse.go
@@ -146,6 +146,10 @@
 	service := Service{Name: name}
 	section := p.file.Section(p.servicePath(name))
 	section.Float("retry_share", &service.RetryShare, defaultRetryShare, 0, maxRetryShare)
+	section.String("health_path", &service.HealthPath, "", maxPathPrefix)
+	if service.HealthPath != "" && !strings.HasPrefix(service.HealthPath, "/") {
+		section.Fault("health_path", service.HealthPath, "a path that starts with /")
+	}
 	for _, path := range paths {
 		switch path.part {
 		case partTraffic:
--- a/internal/config/dynamic/team.go
+++ b/internal/config/dynamic/team.go
@@ -58,6 +58,9 @@
 	Name string
 	// RetryShare limits extra sends to this share of the calls.
 	RetryShare float64
+	// HealthPath is where upstreams answer probes with their health and load;
+	// empty means that they are not probed.
+	HealthPath string
 	Rules      []Rule
 	Upstreams  []Upstream
 }
--- a/internal/exchange/topics.go
+++ b/internal/exchange/topics.go
@@ -15,6 +15,9 @@
 	// TopicGateway carries what gateways report of themselves, keyed by
 	// gateway.
 	TopicGateway = "gateway"
+	// TopicProbeNeeds carries the upstreams that a gateway wants to be asked,
+	// keyed by gateway.
+	TopicProbeNeeds = "probe_needs"
 	// TopicUpstream carries the agent's observations of upstreams, keyed by
 	// address.
 	TopicUpstream = "upstream"
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -36,6 +36,10 @@
 		g.readiness.check(g, onReady)
 		return nil
 	})
+	router.AddConsumerHandler("upstream", exchange.TopicUpstream, bus, func(m *message.Message) error {
+		g.receiveObservation(m)
+		return nil
+	})
 	go g.reportLoop(ctx, bus)
 	return router.Run(ctx)
 }
@@ -145,7 +149,7 @@
 	}
 }
 
-// report publishes the revisions in force. The time orders reports, also
+// report publishes the revisions in force and the upstreams to be asked. The time orders reports, also
 // across restarts of the gateway.
 func (g *Gateway) report(bus message.Publisher) error {
 	sequence := uint64(time.Now().UnixNano())
@@ -157,5 +161,8 @@
 	if err != nil {
 		return errors.Wrap(err, "encode report")
 	}
-	return bus.Publish(exchange.TopicGateway, exchange.NewBusMessage(g.options.VM, sequence, payload))
+	if err := bus.Publish(exchange.TopicGateway, exchange.NewBusMessage(g.options.VM, sequence, payload)); err != nil {
+		return err
+	}
+	return g.publishProbeNeeds(bus)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -27,6 +27,7 @@
 	mu         sync.Mutex
 	random     *rand.Rand
 	limits     *upstreamLimits
+	watch      *upstreamWatch
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
 	transports map[string]*transport
@@ -47,6 +48,7 @@
 		admission:  newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
 		random:     random,
 		limits:     newUpstreamLimits(),
+		watch:      newUpstreamWatch(),
 		balancer:   loadbalancer.New(loadbalancer.Options{Zone: options.Zone, RemoteZoneCost: 0.2}, random),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
@@ -62,6 +64,7 @@
 	s.budget.SetShare(settings.RetryShare)
 	s.configureRules(settings.Rules)
 	s.configureUpstreams(settings.Upstreams)
+	s.watch.configure(time.Now(), settings)
 }
 
 func (s *service) configureRules(settings []dynamic.Rule) {
@@ -112,6 +115,7 @@
 // time of an upload says more of its size than of the upstream.
 func (s *service) recordLocked(now time.Time, sent send, result loadbalancer.Result) {
 	s.budget.Answered(!result.Failed && !result.Shed)
+	s.watch.ended(now, sent.choice.Name, result)
 	before := s.limits.places()
 	isUploaded := sent.traffic == dynamic.Upload && !result.Failed && !result.Shed
 	if isUploaded {
