Choose upstreams by aged reports, own sends and own evidence

Cause: the balancer took the last report at its word, whatever its age, knew no slow start, and fell for an upstream that fails fast or reports no load.

The gateway gives the time of a cancelled send.

Ruled out by trials: a preference for own upstreams within the zone, the pace of the last answer as a factor, reports alone decaying to zero, noise of 0.1 to 0.3 among near-equals.

--- a/internal/decisionbench/config_test.go
+++ b/internal/decisionbench/config_test.go
@@ -44,6 +44,8 @@
 	// SubsetSize is the number of upstreams that figfront's policy uses on one
 	// VM; 0 means all.
 	SubsetSize int
+	ZoneCost   float64
+	HedgeQ2    float64
 	// Hedge allows hedges of lookups.
 	Hedge bool
 	// Retry allows a second send of what did not run and of failed lookups.
@@ -55,6 +57,10 @@
 	// ProbeRate is the number of probes that each VM sends a second.
 	ProbeRate float64
 
+	// HedgeProbes is the number of upstreams that are asked for their load
+	// before each hedge, BookingProbes that before each booking.
+	HedgeProbes   int
+	BookingProbes int
 	// Script changes the simulation while it runs.
 	Script []Step
 	// OnSend observes each send, OnEnd each end of a call; nil observes none.
--- a/internal/decisionbench/result_test.go
+++ b/internal/decisionbench/result_test.go
@@ -86,3 +86,15 @@
 func (r *Result) ProbesPerCall() float64 {
 	return float64(r.Probes) / float64(max(r.Calls, 1))
 }
+
+// countSend counts a send of a call that has ended.
+func (r *Result) countSend(sent *Send) {
+	r.Sends++
+	r.SendsTo[sent.Upstream]++
+	switch sent.Kind {
+	case Hedge:
+		r.Hedges++
+	case Retry:
+		r.Retries++
+	}
+}
--- a/internal/decisionbench/table_test.go
+++ b/internal/decisionbench/table_test.go
@@ -1,6 +1,7 @@
 package decisionbench
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"testing"
@@ -77,3 +78,43 @@
 		t.Errorf("saturated upstreams run %.3f of the capacity", ratio)
 	}
 }
+
+// runEach measures one value for each seed, in parallel.
+func runEach(measure func(seed uint64) float64) []float64 {
+	values := make([]float64, len(seeds))
+	var group sync.WaitGroup
+	for i, seed := range seeds {
+		group.Go(func() { values[i] = measure(seed) })
+	}
+	group.Wait()
+	return values
+}
+
+// middle returns the median of the values.
+func middle(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// highest returns the highest of the values.
+func highest(values []float64) float64 {
+	return slices.Max(values)
+}
+
+// atMost fails the test when a figure is above its bound.
+func atMost(t *testing.T, name string, got, bound float64) {
+	t.Helper()
+	t.Logf("%s: %.4f, bound %.4f", name, got, bound)
+	if got > bound {
+		t.Errorf("%s is %.4f, above %.4f", name, got, bound)
+	}
+}
+
+// atLeast fails the test when a figure is below its bound.
+func atLeast(t *testing.T, name string, got, bound float64) {
+	t.Helper()
+	t.Logf("%s: %.4f, bound %.4f", name, got, bound)
+	if got < bound {
+		t.Errorf("%s is %.4f, below %.4f", name, got, bound)
+	}
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -55,5 +55,6 @@
 func (s *service) cancelSend(sent send) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.Cancelled(time.Now(), sent.choice)
+	now := time.Now()
+	s.balancer.Cancelled(now, sent.choice, now.Sub(sent.started))
 }
--- a/internal/hedge/hedge.go
+++ b/internal/hedge/hedge.go
@@ -18,7 +18,7 @@
 // Options are the settings of a Trigger.
 type Options struct {
 	// Quantile is the share of first sends that are answered before the delay.
-	// The default is 0.955.
+	// The default is 0.945.
 	Quantile float64
 	// Min is the shortest delay. The default is 1 ms.
 	Min time.Duration
@@ -28,7 +28,7 @@
 }
 
 const (
-	defaultQuantile = 0.955
+	defaultQuantile = 0.945
 	defaultMin      = time.Millisecond
 	defaultWindow   = 400
 	// minObserved is the number of latencies before the first hedge.
@@ -95,19 +95,21 @@
 	return min(int(doubles*bucketsPerDouble), bucketCount-1)
 }
 
-// upperBound returns the latency at which a bucket ends.
-func upperBound(i int) time.Duration {
-	return time.Duration(float64(lowestLatency) * math.Exp2(float64(i+1)/bucketsPerDouble))
+// lowerBound returns the latency at which a bucket begins.
+func lowerBound(i int) time.Duration {
+	return time.Duration(float64(lowestLatency) * math.Exp2(float64(i)/bucketsPerDouble))
 }
 
+// quantile returns the latency above which the share 1 - Quantile lies. Within
+// a bucket it takes the latencies as evenly spread.
 func (t *Trigger) quantile() time.Duration {
 	above := t.total * (1 - t.options.Quantile)
-	seen := 0.0
 	for i := bucketCount - 1; i >= 0; i-- {
-		seen += t.counts[i]
-		if seen > above {
-			return upperBound(i)
+		if t.counts[i] > above {
+			low, high := lowerBound(i), lowerBound(i+1)
+			return high - time.Duration(above/t.counts[i]*float64(high-low))
 		}
+		above -= t.counts[i]
 	}
 	return lowestLatency
 }
--- /dev/null
+++ b/internal/loadbalancer/estimate.go
@@ -0,0 +1,116 @@
+package loadbalancer
+
+import (
+	"math"
+	"time"
+)
+
+// learnReport takes over the load report of an answer. The answered call is in
+// it, but no longer at the upstream.
+func (b *Balancer) learnReport(e *entry, at time.Duration, result Result) {
+	load := float64(result.Report.Running + result.Report.Queued)
+	if !result.Shed && !result.Failed {
+		load--
+	}
+	e.learnLoad(at, load)
+	b.background += backgroundWeight * (e.others - b.background)
+}
+
+// learnLoad takes over a load. The VM's own calls are taken out of it, because
+// the VM knows them at any time.
+func (e *entry) learnLoad(at time.Duration, load float64) {
+	e.others = max(load-float64(e.inFlight()), 0)
+	e.reportedAt = at
+}
+
+// load estimates the calls that run and wait at the upstream: those of others
+// by the last report, which counts less with age, the VM's own, and what
+// failures stand for.
+func (b *Balancer) load(e *entry, at time.Duration) float64 {
+	weight := math.Exp(-float64(at-e.reportedAt) / float64(reportLife))
+	others := weight*e.others + (1-weight)*backgroundFactor*b.background
+	return others + float64(e.inFlight()) + e.errorLoad(at)
+}
+
+// cost returns the expected time until an answer, in units of one call's
+// service time.
+func (b *Balancer) cost(e *entry, at time.Duration) float64 {
+	slots := float64(max(e.upstream.Slots, 1))
+	load := b.load(e, at)
+	wait := (max(load+1-slots, 0) + partialLoad*load) / slots
+	cost := (1 + wait) * b.slowness(e, at) / e.warmth(at)
+	return cost + e.zoneCost + tieNoise*b.random.Float64()
+}
+
+// slowness multiplies the cost of an upstream that has kept a call of this VM
+// waiting: the older the call, the likelier a slow phase.
+func (b *Balancer) slowness(e *entry, at time.Duration) float64 {
+	if b.typical == 0 || len(e.starts) == 0 {
+		return 1
+	}
+	return 1 + float64(at-e.starts[0])/float64(b.typical)
+}
+
+// learnLatency records the latency of an answer.
+func (b *Balancer) learnLatency(e *entry, at, latency time.Duration) {
+	if b.typical == 0 {
+		b.typical = latency
+	}
+	ratio := b.ratio(latency)
+	b.typical += time.Duration(typicalWeight * (ratio - 1) * float64(b.typical))
+	e.learnPace(at, ratio)
+}
+
+// learnCancelled takes the time of a cancelled send as a latency that was at
+// least as long. It counts only against the upstream.
+func (b *Balancer) learnCancelled(e *entry, at, elapsed time.Duration) {
+	if b.typical == 0 {
+		return
+	}
+	if ratio := b.ratio(elapsed); ratio > e.pace {
+		e.learnPace(at, ratio)
+	}
+}
+
+// ratio returns a latency as a multiple of the typical one, at most maxPace.
+func (b *Balancer) ratio(latency time.Duration) float64 {
+	return min(float64(latency)/float64(max(b.typical, 1)), maxPace)
+}
+
+// learnPace adds an answer to the pace. An upstream that is slow over several
+// answers becomes a suspect whatever it reports; a trial call with an ordinary
+// latency clears it.
+func (e *entry) learnPace(at time.Duration, ratio float64) {
+	e.pace += paceWeight * (ratio - e.pace)
+	isTrialPassed := e.phase == phaseSuspect && ratio < suspectPace
+	switch {
+	case isTrialPassed:
+		e.fire(eventAnswered, at)
+	case e.pace > suspectPace:
+		e.isSlow = true
+		e.fire(eventSuspected, at)
+	}
+}
+
+// errorLoad returns what is left of the load that failures stand for.
+func (e *entry) errorLoad(at time.Duration) float64 {
+	if e.errors == 0 {
+		return 0
+	}
+	return e.errors * math.Exp2(-float64(at-e.errorsAt)/float64(errorHalfLife))
+}
+
+func (e *entry) addError(at time.Duration) {
+	e.errors = e.errorLoad(at) + errorLoad
+	e.errorsAt = at
+}
+
+// failed records a failure. One failure alone makes no suspect of an upstream
+// that has proved itself.
+func (e *entry) failed(at time.Duration) {
+	e.addError(at)
+	e.failures++
+	if e.failures >= suspectFailures || e.phase != phaseReady {
+		e.fire(eventFailed, at)
+	}
+}
