--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -32,6 +32,8 @@
 	ctx context.Context
 	// body is the whole request body of a lookup or booking.
 	body []byte
+	// isBodyRead tells whether the request body has been read to its end.
+	isBodyRead bool
 	// tried names the upstreams that the call was sent to.
 	tried    []string
 	attempts int
@@ -42,14 +44,18 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	return &call{gateway: g, w: w, r: r, id: id, arrived: time.Now()}
+	return &call{gateway: g, w: newCallerWriter(w), r: r, id: id, arrived: time.Now()}
 }
 
 // refuse answers the call with a problem and counts its reason.
 func (c *call) refuse(p outcome.Problem) {
 	p.RequestID = c.id
+	if p.RetryAfter > 0 && c.route.service != nil {
+		p.RetryAfter = max(p.RetryAfter, c.route.service.admission.retryAfter(c.route.rule.settings.Traffic))
+	}
 	c.gateway.options.Counters.Refuse(p.Reason)
 	c.log(p.Outcome, p.Reason, "")
+	c.abandonBody()
 	p.Write(c.w)
 }
 
@@ -76,6 +82,12 @@
 	c.gateway.options.Log.Info("call", args...)
 }
 
+// isPastDeadline compares the deadline by wall clock, because the monotonic
+// clock, and with it every timer, stands still while the VM is suspended.
+func (c *call) isPastDeadline() bool {
+	return !c.gateway.options.Now().Round(0).Before(c.deadline.Round(0))
+}
+
 // serve runs the call along its route.
 func (c *call) serve(to route) {
 	c.route = to
@@ -87,11 +99,17 @@
 	defer cancel()
 	c.ctx = ctx
 	c.gateway.options.Counters.Add(telemetry.GroupCalls, string(to.rule.settings.Traffic), 1)
-	if err := to.rule.limiter.Acquire(ctx, c.deadline); err != nil {
+	if !c.gateway.shares.enter(to.service.team) {
+		c.refuseLimit(limit.ErrConcurrency)
+		return
+	}
+	defer c.gateway.shares.leave(to.service.team)
+	ticket, err := to.service.admission.acquire(ctx, to.rule.settings.Traffic, c.deadline)
+	if err != nil {
 		c.refuseLimit(err)
 		return
 	}
-	defer to.rule.limiter.Release()
+	defer func() { to.service.admission.release(ticket, c.hasDuration()) }()
 	switch to.rule.settings.Traffic {
 	case dynamic.Upload:
 		c.serveUpload()
@@ -102,12 +120,20 @@
 	}
 }
 
+// hasDuration tells whether the time that the call took says how long the
+// service takes.
+func (c *call) hasDuration() bool {
+	return c.attempts > 0 && c.r.Context().Err() == nil
+}
+
 func (c *call) refuseLimit(err error) {
 	reason := outcome.QueueDeadline
 	switch {
 	case errors.Is(err, limit.ErrQueueFull):
 		reason = outcome.QueueFull
-	case errors.Is(err, limit.ErrGone):
+	case errors.Is(err, limit.ErrConcurrency):
+		reason = outcome.ConcurrencyLimit
+	case errors.Is(err, errCallerGone):
 		reason = outcome.CallerGone
 	}
 	c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, reason,
@@ -117,6 +143,7 @@
 // readBody reads the whole request body. It returns false when the call has
 // been answered.
 func (c *call) readBody() bool {
+	c.limitBodyRead()
 	body, err := readBody(c.r, c.route.rule.settings.MaxBody)
 	if errors.Is(err, errBodyTooLarge) {
 		c.refuse(outcome.New(http.StatusRequestEntityTooLarge, outcome.NotRun, outcome.BodyTooLarge,
@@ -128,6 +155,8 @@
 			"the request body ended early"))
 		return false
 	}
+	c.unlimitBodyRead()
+	c.isBodyRead = true
 	c.body = body
 	return true
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/outcome"
@@ -17,6 +18,9 @@
 // retryAfter is the time after which a refused caller may come back.
 const retryAfter = time.Second
 
+// defaultMaxCalls limits the calls of all teams at once on one VM.
+const defaultMaxCalls = 4096
+
 // Options are what a Gateway is built from.
 type Options struct {
 	VM   string
@@ -30,14 +34,25 @@
 	Dial DialFunc
 	// Seed seeds the random choices.
 	Seed uint64
+	// MaxCalls limits the calls of all teams at once; 0 stands for
+	// defaultMaxCalls.
+	MaxCalls int
 	// IsStopping tells whether new calls are refused; nil means never.
 	IsStopping func() bool
+	// Claims records the claims of bookings with an idempotency key; nil
+	// refuses such bookings.
+	Claims *claim.Store
+	// Now returns the wall clock time; nil stands for time.Now.
+	Now func() time.Time
 }
 
 // Gateway serves callers. It is an http.Handler.
 type Gateway struct {
-	options Options
-	configs *merge.Store
+	options   Options
+	configs   *merge.Store
+	rejected  *rejections
+	readiness readiness
+	shares    *teamShares
 
 	mu    sync.Mutex
 	teams map[string]*team
@@ -55,7 +70,19 @@
 	if options.IsStopping == nil {
 		options.IsStopping = func() bool { return false }
 	}
-	g := &Gateway{options: options, configs: merge.NewStore(), teams: make(map[string]*team)}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.MaxCalls == 0 {
+		options.MaxCalls = defaultMaxCalls
+	}
+	g := &Gateway{
+		options:  options,
+		configs:  merge.NewStore(),
+		rejected: newRejections(),
+		shares:   newTeamShares(options.MaxCalls),
+		teams:    make(map[string]*team),
+	}
 	g.routes.Store(&routeTable{})
 	return g
 }
@@ -65,6 +92,7 @@
 func (g *Gateway) Apply(c merge.Config) bool {
 	settings, err := dynamic.Parse(c.Team, c.Team, []byte(c.Settings))
 	if err != nil {
+		g.rejected.add(c.Team, c.Revision)
 		g.options.Counters.Add(telemetry.GroupConfig, "unreadable", 1)
 		g.options.Log.Error("team configuration is not readable",
 			telemetry.FieldTeam, c.Team, telemetry.FieldRevision, c.Revision, telemetry.FieldError, err)
@@ -96,6 +124,7 @@
 	running, ok := g.teams[settings.Name]
 	if !ok {
 		running = &team{}
+		g.shares.add(settings.Name)
 	}
 	services := make(map[string]*service, len(settings.Services))
 	for _, s := range settings.Services {
@@ -130,3 +159,14 @@
 	}
 	c.serve(route)
 }
+
+// Close closes the idle connections to all upstreams.
+func (g *Gateway) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.teams {
+		for _, s := range t.services {
+			s.close()
+		}
+	}
+}
