Hedge late lookups on another upstream

Cause: a lookup waited for its one upstream, however slow that had become.

The first whole answer wins, the other send is cancelled and says nothing against its upstream. Calls that were sent again before they came here, bookings and uploads are not hedged. Counters: hedges.sent, won, lost, failed, budget, no_upstream.

The tests failed first: without the hedge TestHedge saw 400 ms instead of less than 100 ms; with any 200 as the winner TestHedgeTakesWholeAnswers saw a cut-off answer as 502. Taking out the race's own cancellation did not fail TestHedge, because the end of the call cancels its sends too.

--- /dev/null
+++ b/internal/gateway/lookup_test.go
@@ -0,0 +1,176 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/config/merge"
+	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/pipenet"
+	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/upstreamstandin"
+)
+
+// hedgeSettings has two upstreams in one zone.
+const hedgeSettings = `
+[/teams/t/services/s]
+retry_share = 0.05
+[/teams/t/services/s/traffic/lookup]
+hedge = true
+[/teams/t/services/s/traffic/booking]
+[/teams/t/services/s/upstreams/u-1]
+address = 10.0.1.1:80
+zone = z
+[/teams/t/services/s/upstreams/u-2]
+address = 10.0.1.2:80
+zone = z
+`
+
+const (
+	ordinaryTime = 8 * time.Millisecond
+	slowTime     = 400 * time.Millisecond
+	// warmUpCalls teach the gateway what is late and fill its budget.
+	warmUpCalls = 200
+)
+
+// pair is a gateway with two upstreams on a network in memory.
+type pair struct {
+	network   *pipenet.Network
+	counters  *telemetry.Counters
+	upstreams map[string]*upstreamstandin.Server
+	client    *http.Client
+	close     func()
+}
+
+func newPair(g *WithT) *pair {
+	network := pipenet.New()
+	p := &pair{
+		network: network, counters: telemetry.NewCounters(),
+		upstreams: make(map[string]*upstreamstandin.Server),
+		client:    &http.Client{Transport: &http.Transport{DialContext: network.Dial}},
+	}
+	front := gateway.New(gateway.Options{
+		VM: "vm", Zone: "z", Log: hclog.NewNullLogger(), Counters: p.counters, Dial: network.Dial, Seed: 1,
+	})
+	g.Expect(front.Apply(merge.Config{Team: "t", Revision: 1, Settings: hedgeSettings})).To(BeTrue())
+	servers := []*http.Server{network.Serve(gatewayAddress, front)}
+	for name, address := range map[string]string{"u-1": "10.0.1.1:80", "u-2": "10.0.1.2:80"} {
+		p.upstreams[name] = upstreamstandin.New(name, 2, 10, upstreamstandin.Switches{ServiceTime: ordinaryTime})
+		servers = append(servers, network.Serve(address, p.upstreams[name].Handler()))
+	}
+	p.close = func() {
+		p.client.CloseIdleConnections()
+		front.Close()
+		for _, s := range servers {
+			_ = s.Close()
+		}
+		time.Sleep(time.Second)
+	}
+	for range warmUpCalls {
+		p.call(g, http.MethodGet)
+	}
+	return p
+}
+
+// answered is the answer to a call.
+type answered struct {
+	upstream string
+	duration time.Duration
+}
+
+// call makes a call and checks that its answer is whole.
+func (p *pair) call(g *WithT, method string) answered {
+	began := time.Now()
+	request, err := http.NewRequest(method, "http://"+gatewayAddress+"/t/s/x", strings.NewReader(""))
+	g.Expect(err).NotTo(HaveOccurred())
+	response, err := p.client.Do(request)
+	g.Expect(err).NotTo(HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusOK), string(body))
+	var whole struct {
+		Upstream string `json:"upstream"`
+	}
+	g.Expect(json.Unmarshal(body, &whole)).To(Succeed())
+	return answered{upstream: whole.Upstream, duration: time.Since(began)}
+}
+
+func (p *pair) hedges(name string) int64 {
+	return p.counters.Get(telemetry.GroupHedges, name)
+}
+
+// TestHedge checks that a lookup whose upstream is slow gets the whole answer of
+// another, and that the slow upstream is cancelled.
+func TestHedge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPair(g)
+		defer p.close()
+		p.upstreams["u-1"].Set(upstreamstandin.Switches{ServiceTime: slowTime})
+		ran := p.upstreams["u-1"].Counts().Ran
+		for p.hedges("sent") == 0 {
+			a := p.call(g, http.MethodGet)
+			g.Expect(a.duration).To(BeNumerically("<", slowTime/4))
+			g.Expect(a.upstream).To(Equal("u-2"))
+		}
+		g.Expect(p.hedges("won")).To(Equal(int64(1)))
+		time.Sleep(2 * slowTime)
+		g.Expect(p.upstreams["u-1"].Counts().Ran).To(Equal(ran), "the slow upstream was not cancelled")
+	})
+}
+
+// TestHedgeTakesWholeAnswers checks that an answer cut off in its body does not
+// win against a slower whole one.
+func TestHedgeTakesWholeAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPair(g)
+		defer p.close()
+		p.upstreams["u-1"].Set(upstreamstandin.Switches{ServiceTime: slowTime})
+		for p.hedges("sent") == 0 {
+			p.upstreams["u-2"].Set(upstreamstandin.Switches{ServiceTime: ordinaryTime, CutBodyAfter: 5})
+			before := p.upstreams["u-1"].Counts().Received
+			a := p.call(g, http.MethodGet)
+			if p.upstreams["u-1"].Counts().Received > before {
+				g.Expect(a.upstream).To(Equal("u-1"))
+			}
+		}
+		g.Expect(p.hedges("failed")).To(Equal(int64(1)))
+	})
+}
+
+// TestBookingIsNotHedged checks that a booking waits for its one upstream.
+func TestBookingIsNotHedged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		p := newPair(g)
+		defer p.close()
+		for _, u := range p.upstreams {
+			u.Set(upstreamstandin.Switches{ServiceTime: slowTime})
+		}
+		received := p.received()
+		for range 4 {
+			a := p.call(g, http.MethodPost)
+			g.Expect(a.duration).To(BeNumerically(">=", slowTime))
+		}
+		g.Expect(p.received()).To(Equal(received + 4))
+		g.Expect(p.hedges("sent")).To(BeZero())
+	})
+}
+
+func (p *pair) received() int64 {
+	var all int64
+	for _, u := range p.upstreams {
+		all += u.Counts().Received
+	}
+	return all
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/figfront/figfront/internal/loadbalancer"
@@ -11,6 +12,20 @@
 	choice    loadbalancer.Choice
 	transport *transport
 	started   time.Time
+	// isGivenUp tells that another send of the call has won; nil when the call
+	// is sent to one upstream at a time.
+	isGivenUp *atomic.Bool
+}
+
+// cancellable returns the send in a form that can be given up.
+func (s send) cancellable() send {
+	s.isGivenUp = new(atomic.Bool)
+	return s
+}
+
+// giveUp marks a send whose end says nothing of its upstream any more.
+func (s send) giveUp() {
+	s.isGivenUp.Store(true)
 }
 
 // startSend chooses an upstream and records the send. extra marks a hedge or a
@@ -45,6 +60,10 @@
 
 // endSend records how a send ended.
 func (s *service) endSend(sent send, result loadbalancer.Result) {
+	if sent.isGivenUp != nil && sent.isGivenUp.Load() {
+		s.cancelSend(sent)
+		return
+	}
 	now := time.Now()
 	result.Latency = now.Sub(sent.started)
 	s.mu.Lock()
@@ -61,3 +80,18 @@
 	s.balancer.Cancelled(now, sent.choice, now.Sub(sent.started))
 	s.limits.cancelled(sent.choice.Name)
 }
+
+// hedgeDelay returns the time after which the answer to a lookup counts as
+// late; false until enough answers were seen.
+func (s *service) hedgeDelay() (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hedges.Delay()
+}
+
+// observeLookup records the latency of a lookup's first send.
+func (s *service) observeLookup(latency time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hedges.Observe(latency)
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/hedge"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/retry"
 )
@@ -29,6 +30,7 @@
 	limits     *upstreamLimits
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
+	hedges     *hedge.Trigger
 	transports map[string]*transport
 }
 
@@ -41,13 +43,16 @@
 	id := xxhash.Sum64String(teamName + "/" + name)
 	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
-		team:       teamName,
-		name:       name,
-		dial:       options.Dial,
-		admission:  newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
-		random:     random,
-		limits:     newUpstreamLimits(),
-		balancer:   loadbalancer.New(loadbalancer.Options{Zone: options.Zone, RemoteZoneCost: 0.2}, random),
+		team:      teamName,
+		name:      name,
+		dial:      options.Dial,
+		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		random:    random,
+		limits:    newUpstreamLimits(),
+		balancer: loadbalancer.New(loadbalancer.Options{
+			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
+		}, random),
+		hedges:     hedge.NewTrigger(hedge.Options{}),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
 	}
