--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/hedge"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/retry"
 )
@@ -30,6 +31,7 @@
 	watch      *upstreamWatch
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
+	hedges     *hedge.Trigger
 	transports map[string]*transport
 }
 
@@ -42,14 +44,17 @@
 	id := xxhash.Sum64String(teamName + "/" + name)
 	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
-		team:       teamName,
-		name:       name,
-		dial:       options.Dial,
-		admission:  newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
-		random:     random,
-		limits:     newUpstreamLimits(),
-		watch:      newUpstreamWatch(),
-		balancer:   loadbalancer.New(loadbalancer.Options{Zone: options.Zone, RemoteZoneCost: 0.2}, random),
+		team:      teamName,
+		name:      name,
+		dial:      options.Dial,
+		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		random:    random,
+		limits:    newUpstreamLimits(),
+		watch:     newUpstreamWatch(),
+		balancer: loadbalancer.New(loadbalancer.Options{
+			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
+		}, random),
+		hedges:     hedge.NewTrigger(hedge.Options{}),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
 	}
