Count the limits of the upstreams in use alone

Cause: the admission shared out the limits of all upstreams; with a subset, those that the VM never uses stay at their first limit, so that the capacity would not fall under overload. Before (sum over all, 20 upstreams, subset of 2): 80 places; after: 8. The sum is taken every 5 ms at most, so that its cost does not grow with the calls.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -14,6 +14,10 @@
 	"github.com/figfront/figfront/internal/retry"
 )
 
+// capacityInterval is the least time between two sums of the limits of a
+// service's upstreams.
+const capacityInterval = 5 * time.Millisecond
+
 // service is the running state of one service on this VM.
 type service struct {
 	team string
@@ -25,10 +29,12 @@
 
 	admission *admission
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	limits     *upstreamLimits
-	watch      *upstreamWatch
+	mu     sync.Mutex
+	random *rand.Rand
+	limits *upstreamLimits
+	watch  *upstreamWatch
+	// sharedAt is when the admission was last told the capacity.
+	sharedAt   time.Time
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
 	hedges     *hedge.Trigger
@@ -102,7 +108,7 @@
 	s.transports = transports
 	s.balancer.SetUpstreams(time.Now(), upstreams)
 	s.limits.configure(settings)
-	s.admission.setCapacity(time.Now(), s.limits.places())
+	s.shareCapacityLocked(time.Now())
 }
 
 // pickLocked chooses an upstream below its limit. A first send, which was
@@ -121,18 +127,23 @@
 func (s *service) recordLocked(now time.Time, sent send, result loadbalancer.Result) {
 	s.budget.Answered(!result.Failed && !result.Shed)
 	s.watch.ended(now, sent.choice.Name, result)
-	before := s.limits.places()
 	isUploaded := sent.traffic == dynamic.Upload && !result.Failed && !result.Shed
 	if isUploaded {
 		s.limits.cancelled(sent.choice.Name)
 	} else {
 		s.limits.ended(now, sent.choice.Name, result)
 	}
-	if places := s.limits.places(); places != before {
-		s.admission.setCapacity(now, places)
+	if now.Sub(s.sharedAt) >= capacityInterval {
+		s.shareCapacityLocked(now)
 	}
 }
 
+// shareCapacityLocked tells the admission how many calls may run at once.
+func (s *service) shareCapacityLocked(now time.Time) {
+	s.sharedAt = now
+	s.admission.setCapacity(now, s.limits.places(s.balancer.InUse()))
+}
+
 // backoff returns the wait before the given send of a call.
 func (s *service) backoff(send int) time.Duration {
 	s.mu.Lock()
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"iter"
 	"math"
 	"slices"
 	"time"
@@ -16,8 +17,6 @@
 	byName map[string]*limit.Adaptive
 	// full names the upstreams whose limit is reached.
 	full []string
-	// capacity is the sum of the limits.
-	capacity float64
 }
 
 func newUpstreamLimits() *upstreamLimits {
@@ -29,7 +28,6 @@
 	known := l.byName
 	l.byName = make(map[string]*limit.Adaptive, len(settings))
 	l.full = nil
-	l.capacity = 0
 	for _, u := range settings {
 		adaptive, ok := known[u.Name]
 		if !ok {
@@ -37,7 +35,6 @@
 		}
 		adaptive.SetHighest(u.MaxConnections)
 		l.byName[u.Name] = adaptive
-		l.capacity += adaptive.Limit()
 		l.markFull(u.Name, adaptive)
 	}
 }
@@ -87,19 +84,24 @@
 	l.change(name, (*limit.Adaptive).Cancelled)
 }
 
-// places returns the number of calls that may run at once.
-func (l *upstreamLimits) places() int {
-	return int(math.Ceil(l.capacity))
+// places returns the number of calls that may run at once at the upstreams in
+// use.
+func (l *upstreamLimits) places(inUse iter.Seq[string]) int {
+	sum := 0.0
+	for name := range inUse {
+		if adaptive, ok := l.byName[name]; ok {
+			sum += adaptive.Limit()
+		}
+	}
+	return int(math.Ceil(sum))
 }
 
-// change applies a change to one limit and keeps the sum.
+// change applies a change to one limit and keeps the list of full upstreams.
 func (l *upstreamLimits) change(name string, apply func(*limit.Adaptive)) {
 	adaptive, ok := l.byName[name]
 	if !ok {
 		return
 	}
-	before := adaptive.Limit()
 	apply(adaptive)
-	l.capacity += adaptive.Limit() - before
 	l.markFull(name, adaptive)
 }
--- /dev/null
+++ b/internal/gateway/upstreamlimit_test.go
@@ -0,0 +1,30 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// TestCapacityCountsTheUpstreamsInUse gives a VM a subset of a large service:
+// limits of upstreams that it never uses must not count, because they never
+// fall under overload.
+func TestCapacityCountsTheUpstreamsInUse(t *testing.T) {
+	g := NewWithT(t)
+	settings := dynamic.Service{Name: "s", Rules: []dynamic.Rule{{Traffic: dynamic.Lookup, Concurrency: 100}}}
+	for i := range 20 {
+		settings.Upstreams = append(settings.Upstreams, dynamic.Upstream{
+			Name: fmt.Sprint(i), Address: fmt.Sprintf("10.0.0.%d:80", i), MaxConnections: 8, Slots: 2,
+		})
+	}
+	s := newService("t", "s", Options{
+		VM: "vm", SubsetSize: 2, Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters(),
+	})
+	s.configure(settings)
+	g.Expect(s.limits.places(s.balancer.InUse())).To(Equal(8), "two upstreams with four places")
+}
