--- /dev/null
+++ b/internal/gateway/retries_test.go
@@ -0,0 +1,239 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/config/merge"
+	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/pipenet"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// sends is a gateway with two upstreams whose answers a test chooses by the
+// number of the send.
+type sends struct {
+	network  *pipenet.Network
+	counters *telemetry.Counters
+	client   *http.Client
+	gateway  *gateway.Gateway
+	servers  []*http.Server
+
+	mu       sync.Mutex
+	attempts []string
+}
+
+// answerFunc answers the send of a number, from 1 on.
+type answerFunc func(w http.ResponseWriter, r *http.Request, number int)
+
+func newSends(t *testing.T, options gateway.Options, settings map[string]string, answer answerFunc) *sends {
+	t.Helper()
+	s := &sends{network: pipenet.New(), counters: telemetry.NewCounters()}
+	options.VM, options.Zone, options.Log = "vm", "z", hclog.NewNullLogger()
+	options.Counters, options.Dial, options.Seed = s.counters, s.network.Dial, 1
+	s.gateway = gateway.New(options)
+	for team, text := range settings {
+		for i := range 2 {
+			text += fmt.Sprintf("[/teams/%s/services/s/upstreams/u-%d]\naddress = 10.0.1.%d:80\nzone = z\n", team, i, i)
+		}
+		if !s.gateway.Apply(merge.Config{Team: team, Revision: 1, Settings: text}) {
+			t.Fatal("the settings were not applied")
+		}
+	}
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		answer(w, r, s.note(r))
+	})
+	s.servers = append(s.servers, s.network.Serve(gatewayAddress, s.gateway))
+	for i := range 2 {
+		s.servers = append(s.servers, s.network.Serve(fmt.Sprintf("10.0.1.%d:80", i), handler))
+	}
+	s.client = &http.Client{Transport: &http.Transport{DialContext: s.network.Dial}}
+	return s
+}
+
+// note keeps the attempt header of a send and returns the send's number.
+func (s *sends) note(r *http.Request) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts = append(s.attempts, r.Header.Get(callheader.Attempt))
+	return len(s.attempts)
+}
+
+func (s *sends) seen() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.attempts
+}
+
+// ask makes a call and returns its answer without the body.
+func (s *sends) ask(t *testing.T, method, team string, header http.Header) *http.Response {
+	t.Helper()
+	request, err := http.NewRequest(method, "http://"+gatewayAddress+"/"+team+"/s/x", strings.NewReader(""))
+	if err != nil {
+		t.Error(err)
+		return &http.Response{}
+	}
+	for name, values := range header {
+		request.Header[name] = values
+	}
+	response, err := s.client.Do(request)
+	if err != nil {
+		t.Error(err)
+		return &http.Response{}
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	_ = response.Body.Close()
+	return response
+}
+
+func (s *sends) retried(reason string) int64 {
+	return s.counters.Get(telemetry.GroupRetries, reason)
+}
+
+func (s *sends) close() {
+	s.client.CloseIdleConnections()
+	s.gateway.Close()
+	for _, server := range s.servers {
+		_ = server.Close()
+	}
+	time.Sleep(time.Second)
+}
+
+// oneTeam is a team with lookups and bookings.
+var oneTeam = map[string]string{"t": "[/teams/t/services/s/traffic/lookup]\nhedge = false\n" +
+	"[/teams/t/services/s/traffic/booking]\n"}
+
+func shed(w http.ResponseWriter) {
+	w.Header().Set(callheader.Shed, "1")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+func TestFailedLookupIsAnsweredElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSends(t, gateway.Options{}, oneTeam, func(w http.ResponseWriter, _ *http.Request, number int) {
+			if number == 1 {
+				w.WriteHeader(http.StatusInternalServerError)
+			}
+		})
+		defer s.close()
+		g.Expect(s.ask(t, http.MethodGet, "t", nil).StatusCode).To(Equal(http.StatusOK))
+		g.Expect(s.seen()).To(Equal([]string{"1", "2"}))
+		g.Expect(s.retried(string(outcome.UpstreamFailed))).To(Equal(int64(1)))
+	})
+}
+
+// TestWhatIsNotSentAgain has upstreams that fail every send.
+func TestWhatIsNotSentAgain(t *testing.T) {
+	fail := func(w http.ResponseWriter, _ *http.Request, _ int) { w.WriteHeader(http.StatusInternalServerError) }
+	for _, test := range []struct {
+		name   string
+		method string
+		header http.Header
+		answer answerFunc
+		seen   string
+		kept   string
+	}{
+		{"a booking that may have run", http.MethodPost, nil, fail, "1", "kept_may_have_run"},
+		{
+			"a failure that a figfront below gave up on", http.MethodGet, nil,
+			func(w http.ResponseWriter, _ *http.Request, _ int) {
+				w.Header().Set(outcome.HeaderOutcome, string(outcome.NotRun))
+				w.WriteHeader(http.StatusServiceUnavailable)
+			}, "1", "kept_from_below",
+		},
+		{
+			"a call that was sent again further up", http.MethodGet,
+			http.Header{callheader.Attempt: {"3"}},
+			func(w http.ResponseWriter, _ *http.Request, _ int) { shed(w) }, "3", "kept_marked",
+		},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				s := newSends(t, gateway.Options{}, oneTeam, test.answer)
+				defer s.close()
+				response := s.ask(t, test.method, "t", test.header)
+				g.Expect(response.StatusCode).To(BeNumerically(">=", http.StatusInternalServerError))
+				g.Expect(s.seen()).To(Equal([]string{test.seen}))
+				g.Expect(s.retried(test.kept)).To(Equal(int64(1)))
+			})
+		})
+	}
+}
+
+// TestOutcomeCoversEverySend cuts the first send off after it may have run and
+// sheds the second: the caller must not be told that the call did not run.
+func TestOutcomeCoversEverySend(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s := newSends(t, gateway.Options{}, oneTeam, func(w http.ResponseWriter, _ *http.Request, number int) {
+			if number == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			shed(w)
+		})
+		defer s.close()
+		response := s.ask(t, http.MethodGet, "t", nil)
+		g.Expect(s.seen()).To(Equal([]string{"1", "2"}))
+		g.Expect(response.Header.Get(outcome.HeaderOutcome)).To(Equal(string(outcome.Unknown)))
+		g.Expect(response.Header.Get(outcome.HeaderReason)).To(Equal(string(outcome.UpstreamShed)))
+	})
+}
+
+// rushTeam has the settings of a team for the rush.
+func rushTeam(team string) string {
+	return "[/teams/" + team + "/services/s/traffic/lookup]\nhedge = false\nconcurrency = 100\nqueue = 100\ndeadline = 800ms\n"
+}
+
+// TestRushOfOneTeamLeavesTheOthersAlone lets one team make 200 calls at once on
+// a VM that takes 16: another team's calls run, and each refusal comes at once
+// with its reason and the time to come back.
+func TestRushOfOneTeamLeavesTheOthersAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		settings := map[string]string{"rush": rushTeam("rush"), "calm": rushTeam("calm")}
+		s := newSends(t, gateway.Options{MaxCalls: 16}, settings, func(http.ResponseWriter, *http.Request, int) {
+			time.Sleep(100 * time.Millisecond)
+		})
+		defer s.close()
+		start := time.Now()
+		var done sync.WaitGroup
+		for range 200 {
+			done.Go(func() {
+				response := s.ask(t, http.MethodGet, "rush", nil)
+				if response.StatusCode == http.StatusOK {
+					return
+				}
+				seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
+				if err != nil || seconds < 1 || time.Since(start) > time.Millisecond {
+					t.Errorf("refused after %s, Retry-After %q", time.Since(start), response.Header.Get("Retry-After"))
+				}
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		for range 4 {
+			done.Go(func() {
+				if status := s.ask(t, http.MethodGet, "calm", nil).StatusCode; status != http.StatusOK {
+					t.Errorf("a call of the other team got %d", status)
+				}
+			})
+		}
+		done.Wait()
+		refused := s.counters.Get(telemetry.GroupRefusals, string(outcome.ConcurrencyLimit))
+		g.Expect(refused).To(Equal(int64(188)), "the rush gets its quarter and the common half")
+	})
+}
