--- a/Makefile
+++ b/Makefile
@@ -20,8 +20,8 @@
 
 # check runs the tests; only the entries of KNOWN-RED.txt may fail.
 check: tools
-	cd tools && go test ./...
-	set -o pipefail; go test -race -json ./... 2>&1 | $(TOOLS)/knownred -list KNOWN-RED.txt
+	cd tools && go test -count=1 ./...
+	set -o pipefail; go test -count=1 -race -json ./... 2>&1 | $(TOOLS)/knownred -list KNOWN-RED.txt
 
 lint: tools vet
 	@unformatted=$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
--- a/internal/config/static/static.go
+++ b/internal/config/static/static.go
@@ -28,6 +28,25 @@
 	return vm
 }
 
+// Endpoints are the addresses that every process has.
+type Endpoints struct {
+	// Listen is where the process serves: callers at the gateway, operators at
+	// admin, other processes at the agent.
+	Listen string
+	// Operators is where health, readiness and counters are served.
+	Operators string
+	// Platform is the address of the platform's services.
+	Platform string
+}
+
+func readEndpoints(section *inifile.Section) Endpoints {
+	var e Endpoints
+	section.RequiredAddress("listen", &e.Listen)
+	section.RequiredAddress("operators", &e.Operators)
+	section.RequiredAddress("platform", &e.Platform)
+	return e
+}
+
 // Limits protect a listener against slow or oversized callers.
 type Limits struct {
 	// MaxHeaderBytes limits a request's header.
@@ -52,15 +71,10 @@
 // Gateway holds the settings of figfront-gateway.
 type Gateway struct {
 	VM VM
-	// Listen is where callers are served.
-	Listen string
-	// Operators is where health, readiness and counters are served.
-	Operators string
+	Endpoints
 	// Agent is the address of this VM's agent.
-	Agent string
-	// Platform is the address of the platform's services.
-	Platform string
-	Limits   Limits
+	Agent  string
+	Limits Limits
 	// StopLag is the time that the platform's balancer may go on sending new
 	// calls after the process said that it is not ready.
 	StopLag time.Duration
@@ -79,10 +93,8 @@
 	}
 	g := &Gateway{VM: readVM(file)}
 	section := file.Section("gateway")
-	section.RequiredAddress("listen", &g.Listen)
-	section.RequiredAddress("operators", &g.Operators)
+	g.Endpoints = readEndpoints(section)
 	section.RequiredAddress("agent", &g.Agent)
-	section.RequiredAddress("platform", &g.Platform)
 	section.Duration("stop_lag", &g.StopLag, 3*time.Second, 0, time.Minute)
 	section.Duration("stop_timeout", &g.StopTimeout, 5*time.Minute, time.Second, time.Hour)
 	section.Int("subset_size", &g.SubsetSize, 0, 0, 1000)
@@ -93,12 +105,7 @@
 // Agent holds the settings of figfront-agent.
 type Agent struct {
 	VM VM
-	// Listen is where the VM's other processes and other agents are served.
-	Listen string
-	// Operators is where health, readiness and counters are served.
-	Operators string
-	// Platform is the address of the platform's services.
-	Platform string
+	Endpoints
 	// FeedInterval is the time between two readings of the configuration feed.
 	FeedInterval time.Duration
 	// HeartbeatInterval is the time between two heartbeats to a peer.
@@ -115,9 +122,7 @@
 	}
 	a := &Agent{VM: readVM(file)}
 	section := file.Section("agent")
-	section.RequiredAddress("listen", &a.Listen)
-	section.RequiredAddress("operators", &a.Operators)
-	section.RequiredAddress("platform", &a.Platform)
+	a.Endpoints = readEndpoints(section)
 	section.Duration("feed_interval", &a.FeedInterval, time.Second, 100*time.Millisecond, 3*time.Second)
 	section.Duration("heartbeat_interval", &a.HeartbeatInterval, time.Second, 100*time.Millisecond, 10*time.Second)
 	section.Int("probes_per_second", &a.ProbesPerSecond, 10, 0, 1000)
@@ -134,16 +139,11 @@
 // Admin holds the settings of figfront-admin.
 type Admin struct {
 	VM VM
-	// Listen is where operators are served.
-	Listen string
-	// Operators is where health, readiness and counters are served.
-	Operators string
+	Endpoints
 	// Agent is the address of this VM's agent.
-	Agent string
-	// Platform is the address of the platform's services.
-	Platform string
-	Limits   Limits
-	Tokens   []Token
+	Agent  string
+	Limits Limits
+	Tokens []Token
 }
 
 // LoadAdmin reads the settings of figfront-admin from path.
@@ -154,10 +154,8 @@
 	}
 	a := &Admin{VM: readVM(file)}
 	section := file.Section("admin")
-	section.RequiredAddress("listen", &a.Listen)
-	section.RequiredAddress("operators", &a.Operators)
+	a.Endpoints = readEndpoints(section)
 	section.RequiredAddress("agent", &a.Agent)
-	section.RequiredAddress("platform", &a.Platform)
 	a.Limits = readLimits(section)
 	a.Tokens = readTokens(file.Section("tokens"))
 	return a, file.Finish()
