--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -105,11 +105,7 @@
 		if !ok || e.upstream.Address != upstream.Address {
 			e = newEntry(b, at, len(known) == 0)
 		}
-		e.upstream = upstream
-		e.zoneCost = 0
-		if upstream.Zone != b.options.Zone {
-			e.zoneCost = b.options.RemoteZoneCost
-		}
+		b.describe(e, upstream)
 		b.byName[upstream.Name] = e
 		b.ranked = append(b.ranked, e)
 	}
@@ -117,6 +113,17 @@
 	b.selectSubset()
 }
 
+// describe takes over the settings of an upstream.
+func (b *Balancer) describe(e *entry, upstream Upstream) {
+	e.upstream = upstream
+	e.slots = float64(max(upstream.Slots, 1))
+	e.perSlot = 1 / e.slots
+	e.zoneCost = 0
+	if upstream.Zone != b.options.Zone {
+		e.zoneCost = b.options.RemoteZoneCost
+	}
+}
+
 // Pick chooses an upstream. It returns false when there is none that may get
 // the call.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
@@ -160,10 +167,12 @@
 	var bestCost float64
 	for _, e := range b.entries {
 		b.examined++
-		if slices.Contains(request.Exclude, e.upstream.Name) {
+		if len(request.Exclude) > 0 && slices.Contains(request.Exclude, e.upstream.Name) {
 			continue
 		}
-		e.advance(at)
+		if e.phase == phaseWarming {
+			e.advance(at)
+		}
 		if e.phase == phaseSuspect && !isLast {
 			if !request.NoTrial && e.isTrialDue(at) {
 				return e
--- a/internal/loadbalancer/entry.go
+++ b/internal/loadbalancer/entry.go
@@ -13,6 +13,9 @@
 	balancer *Balancer
 	upstream Upstream
 	zoneCost float64
+	// slots is the number of the upstream's slots, perSlot one by that number.
+	slots   float64
+	perSlot float64
 	// rank is the upstream's place in the VM's order.
 	rank uint64
 
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -27,25 +27,40 @@
 // by the last report, which counts less with age, the VM's own, and what
 // failures stand for.
 func (b *Balancer) load(e *entry, at time.Duration) float64 {
-	weight := math.Exp(-float64(at-e.reportedAt) / float64(reportLife))
-	others := weight*e.others + (1-weight)*backgroundFactor*b.background
+	mean := backgroundFactor * b.background
+	others := mean + decay(at-e.reportedAt)*(e.others-mean)
 	return others + float64(e.inFlight()) + e.errorLoad(at)
 }
 
+// decay returns the weight of a report by its age. It follows the exponential
+// function closely while that is large and costs one division.
+func decay(age time.Duration) float64 {
+	x := float64(age) * (1 / float64(reportLife))
+	return 1 / (1 + x*(1+x*(1.0/2+x*(1.0/6+x*(1.0/24)))))
+}
+
 // cost returns the expected time until an answer, in units of one call's
 // service time.
 func (b *Balancer) cost(e *entry, at time.Duration) float64 {
-	slots := float64(max(e.upstream.Slots, 1))
 	load := b.load(e, at)
-	wait := (max(load+1-slots, 0) + partialLoad*load) / slots
-	cost := (1 + wait) * b.slowness(e, at) / e.warmth(at)
+	wait := partialLoad * load
+	if excess := load + 1 - e.slots; excess > 0 {
+		wait += excess
+	}
+	cost := 1 + wait*e.perSlot
+	if len(e.starts) > 0 {
+		cost *= b.slowness(e, at)
+	}
+	if e.phase == phaseWarming {
+		cost /= e.warmth(at)
+	}
 	return cost + e.zoneCost + tieNoise*b.random.Float64()
 }
 
 // slowness multiplies the cost of an upstream that has kept a call of this VM
 // waiting: the older the call, the likelier a slow phase.
 func (b *Balancer) slowness(e *entry, at time.Duration) float64 {
-	if b.typical == 0 || len(e.starts) == 0 {
+	if b.typical == 0 {
 		return 1
 	}
 	return 1 + float64(at-e.starts[0])/float64(b.typical)
--- /dev/null
+++ b/internal/loadbalancer/loadbalancer_test.go
@@ -0,0 +1,244 @@
+package loadbalancer_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/loadbalancer"
+)
+
+func TestLoadbalancer(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "loadbalancer")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+// newBalancer returns a balancer with count upstreams in one zone.
+func newBalancer(vm string, count, subset int) *loadbalancer.Balancer {
+	options := loadbalancer.Options{VM: vm, Zone: "z", SubsetSize: subset}
+	b := loadbalancer.New(options, rand.New(rand.NewPCG(1, 1)))
+	b.SetUpstreams(start, upstreams(count))
+	return b
+}
+
+func upstreams(count int) []loadbalancer.Upstream {
+	all := make([]loadbalancer.Upstream, count)
+	for i := range all {
+		name := fmt.Sprintf("u-%d", i)
+		all[i] = loadbalancer.Upstream{Name: name, Address: name, Zone: "z", Slots: 2}
+	}
+	return all
+}
+
+// serve picks an upstream for one call and ends the call at once with the
+// result that answer gives.
+func serve(b *loadbalancer.Balancer, now time.Time, answer func(name string) loadbalancer.Result) string {
+	choice, ok := b.Pick(now, loadbalancer.Request{})
+	if !ok {
+		return ""
+	}
+	b.Sent(now, choice)
+	result := answer(choice.Name)
+	b.Done(now.Add(result.Latency), choice, result)
+	return choice.Name
+}
+
+func quick(string) loadbalancer.Result {
+	return loadbalancer.Result{Latency: 10 * time.Millisecond, HasReport: true, Report: callheader.Report{Running: 1}}
+}
+
+// count makes calls every 20 ms for a time and counts those of one upstream.
+func count(b *loadbalancer.Balancer, from time.Time, length time.Duration, name string,
+	answer func(name string) loadbalancer.Result,
+) int {
+	found := 0
+	for at := time.Duration(0); at < length; at += 20 * time.Millisecond {
+		if serve(b, from.Add(at), answer) == name {
+			found++
+		}
+	}
+	return found
+}
+
+var _ = Describe("a balancer", func() {
+	It("uses a fixed subset, another one on each VM", func() {
+		seen := make(map[string]bool)
+		for vm := range 40 {
+			b := newBalancer(fmt.Sprintf("vm-%d", vm), 100, 5)
+			own := make(map[string]bool)
+			for i := range 200 {
+				own[serve(b, start.Add(time.Duration(i)*time.Second), quick)] = true
+			}
+			Expect(own).To(HaveLen(5))
+			for name := range own {
+				seen[name] = true
+			}
+		}
+		Expect(len(seen)).To(BeNumerically(">", 80))
+	})
+
+	It("keeps the subset when another upstream goes", func() {
+		b := newBalancer("vm", 100, 5)
+		used := make(map[string]bool)
+		for i := range 200 {
+			used[serve(b, start.Add(time.Duration(i)*time.Second), quick)] = true
+		}
+		var fewer []loadbalancer.Upstream
+		for _, u := range upstreams(100) {
+			if used[u.Name] || len(fewer) < 50 {
+				fewer = append(fewer, u)
+			}
+		}
+		b.SetUpstreams(start.Add(time.Hour), fewer)
+		for i := range 200 {
+			Expect(used).To(HaveKey(serve(b, start.Add(2*time.Hour+time.Duration(i)*time.Second), quick)))
+		}
+	})
+
+	It("replaces a leaving upstream in the subset and believes no early probe", func() {
+		b := newBalancer("vm", 10, 1)
+		leaving := serve(b, start, func(name string) loadbalancer.Result {
+			r := quick(name)
+			r.Draining = true
+			return r
+		})
+		Expect(b.Leaving(nil)).To(ConsistOf(leaving))
+		at := start.Add(30 * time.Second)
+		b.Probed(at, leaving, loadbalancer.ProbeResult{Sent: at, Healthy: true})
+		Expect(count(b, at, 20*time.Second, leaving, quick)).To(BeZero())
+		Expect(count(b, at, 20*time.Second, "", quick)).To(BeZero(), "no upstream was chosen")
+		at = start.Add(61 * time.Second)
+		b.Probed(at, leaving, loadbalancer.ProbeResult{Sent: at, Healthy: true})
+		Expect(count(b, at, time.Minute, leaving, quick)).NotTo(BeZero())
+	})
+
+	It("takes a leaving upstream back once it was gone", func() {
+		b := newBalancer("vm", 2, 0)
+		b.DrainSeen(start, "u-1")
+		Expect(b.Leaving(nil)).To(BeEmpty(), "a sign of others is not passed on")
+		at := start.Add(5 * time.Second)
+		b.Probed(at, "u-1", loadbalancer.ProbeResult{Sent: at})
+		b.Probed(at, "u-1", loadbalancer.ProbeResult{Sent: at, Healthy: true})
+		Expect(count(b, at.Add(10*time.Second), 10*time.Second, "u-1", quick)).NotTo(BeZero())
+	})
+
+	It("starts a new upstream slowly", func() {
+		b := newBalancer("vm", 4, 0)
+		b.SetUpstreams(start.Add(time.Second), upstreams(5))
+		from := start.Add(time.Second)
+		busy := func(name string) loadbalancer.Result {
+			r := quick(name)
+			r.Report = callheader.Report{Running: 2, Queued: 1}
+			return r
+		}
+		early := count(b, from, 2*time.Second, "u-4", busy)
+		late := count(b, from.Add(10*time.Second), 2*time.Second, "u-4", busy)
+		Expect(early).To(BeNumerically("<", late/2))
+	})
+
+	It("does not fall for an upstream that fails fast and looks idle", func() {
+		b := newBalancer("vm", 5, 0)
+		failing := func(name string) loadbalancer.Result {
+			if name == "u-2" {
+				return loadbalancer.Result{Latency: time.Millisecond, Failed: true, HasReport: true}
+			}
+			return quick(name)
+		}
+		Expect(count(b, start, 10*time.Second, "u-2", failing)).To(BeNumerically("<=", 8))
+	})
+
+	It("sends a booking to a suspect only when there is no other upstream", func() {
+		b := newBalancer("vm", 2, 0)
+		failing := func(name string) loadbalancer.Result {
+			r := quick(name)
+			r.Failed = name == "u-0"
+			return r
+		}
+		count(b, start, 2*time.Second, "", failing)
+		for i := range 100 {
+			now := start.Add(time.Minute + time.Duration(i)*time.Second)
+			choice, ok := b.Pick(now, loadbalancer.Request{NoTrial: true})
+			Expect(ok).To(BeTrue())
+			Expect(choice.Name).To(Equal("u-1"))
+		}
+		choice, ok := b.Pick(start.Add(time.Hour), loadbalancer.Request{NoTrial: true, Exclude: []string{"u-1"}})
+		Expect(ok).To(BeTrue())
+		Expect(choice.Name).To(Equal("u-0"))
+	})
+
+	It("does not take a long upload for a slow upstream", func() {
+		b := newBalancer("vm", 2, 0)
+		count(b, start, time.Second, "", quick)
+		upload, _ := b.Pick(start.Add(time.Second), loadbalancer.Request{Bulk: true})
+		b.Sent(start.Add(time.Second), upload)
+		later := start.Add(30 * time.Second)
+		chosen := make(map[string]bool)
+		for range 3 {
+			choice, _ := b.Pick(later, loadbalancer.Request{})
+			b.Sent(later, choice)
+			chosen[choice.Name] = true
+		}
+		Expect(chosen).To(HaveKey(upload.Name))
+	})
+})
+
+// flatRatio bounds the work of a selection among 1,800 upstreams against that
+// among 18.
+const flatRatio = 2
+
+// subsetSize is the number of upstreams that a VM uses of a large service.
+const subsetSize = 18
+
+// TestPickWorkIsFlat counts the upstreams that a selection looks at.
+func TestPickWorkIsFlat(t *testing.T) {
+	work := func(upstreams int) uint64 {
+		b := newBalancer("vm", upstreams, subsetSize)
+		for i := range 1000 {
+			serve(b, start.Add(time.Duration(i)*time.Millisecond), quick)
+		}
+		return b.Examined()
+	}
+	small, large := work(18), work(1800)
+	if large > flatRatio*small {
+		t.Errorf("%d upstreams looked at among 1,800, %d among 18", large, small)
+	}
+}
+
+// TestPickDoesNotAllocate checks the whole selection of a call.
+func TestPickDoesNotAllocate(t *testing.T) {
+	b := newBalancer("vm", 18, 0)
+	now := start
+	exclude := []string{"u-3"}
+	allocations := testing.AllocsPerRun(1000, func() {
+		now = now.Add(time.Millisecond)
+		choice, _ := b.Pick(now, loadbalancer.Request{Exclude: exclude})
+		b.Sent(now, choice)
+		b.Done(now.Add(time.Millisecond), choice, quick(choice.Name))
+	})
+	if allocations != 0 {
+		t.Errorf("%.1f allocations a selection", allocations)
+	}
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, size := range []int{18, 1800} {
+		b.Run(fmt.Sprintf("upstreams=%d", size), func(b *testing.B) {
+			balancer := newBalancer("vm", size, subsetSize)
+			for i := range 1000 {
+				serve(balancer, start.Add(time.Duration(i)*time.Millisecond), quick)
+			}
+			now := start.Add(time.Second)
+			b.ReportAllocs()
+			for b.Loop() {
+				balancer.Pick(now, loadbalancer.Request{})
+			}
+		})
+	}
+}
--- a/internal/loadbalancer/state.go
+++ b/internal/loadbalancer/state.go
@@ -122,18 +122,15 @@
 	return at >= e.trialAt && len(e.starts) == 0
 }
 
-// advance ends a warm-up whose time has passed.
+// advance ends the warm-up of a warming upstream whose time has passed.
 func (e *entry) advance(at time.Duration) {
-	if e.phase == phaseWarming && at >= e.warmFrom+warmUp {
+	if at >= e.warmFrom+warmUp {
 		e.fire(eventWarmedUp, at)
 	}
 }
 
-// warmth is the share of its calls that the upstream gets.
+// warmth is the share of its calls that a warming upstream gets.
 func (e *entry) warmth(at time.Duration) float64 {
-	if e.phase != phaseWarming {
-		return 1
-	}
 	passed := float64(at-e.warmFrom) / float64(warmUp)
 	return minWarmth + (1-minWarmth)*min(max(passed, 0), 1)
 }
