Prove configuration and membership in virtual time

18 VMs with agents, gateways and administration APIs run in a synctest bubble on a fake network; drpc and watermill run in it unchanged.

Found by the tests: two VMs at one address were told apart by the list alone, since a new record took the address over before its owner was declared dead.

--- /dev/null
+++ b/internal/agent/config_test.go
@@ -0,0 +1,329 @@
+package agent_test
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/admin"
+	"github.com/figfront/figfront/internal/config/merge"
+	"github.com/figfront/figfront/internal/exchange"
+	"github.com/figfront/figfront/internal/platformstandin"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// entryVMs is the number of VMs of a deployment.
+const entryVMs = 18
+
+// changes is the number of changes of a measurement, each at another phase of
+// the VMs' intervals.
+const changes = 10
+
+// phase is the time between two changes of a measurement.
+const phase = 3*time.Second + 137*time.Millisecond
+
+// measure makes changes and returns the time until in force of each, sorted.
+func (c *cluster) measure(limit time.Duration, change func(from uint64)) []time.Duration {
+	var times []time.Duration
+	for from := range uint64(changes) {
+		change(from)
+		times = append(times, c.waitInForce("asocrank", from+1, limit, c.vms))
+		time.Sleep(phase)
+	}
+	slices.Sort(times)
+	return times
+}
+
+func logTimes(t *testing.T, way string, times []time.Duration) {
+	t.Logf("in force on %d VMs by %s: median %s, longest %s of %d changes",
+		entryVMs, way, times[len(times)/2], times[len(times)-1], len(times))
+}
+
+func TestPushedChangeIsInForceEverywhere(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		// Without the push it would take a feed interval.
+		times := c.measure(100*time.Millisecond, func(from uint64) {
+			c.vms[int(from)%entryVMs].commit("asocrank", from)
+		})
+		logTimes(t, "push", times)
+	})
+}
+
+func TestChangeWithoutPushComesByTheFeed(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		times := c.measure(inForceTarget, func(from uint64) { c.commitUnpushed("asocrank", from) })
+		logTimes(t, "the feed", times)
+		readers := 0
+		for _, v := range c.vms {
+			status, err := v.agent.Status(context.Background(), nil)
+			c.Expect(err).NotTo(HaveOccurred())
+			if status.GetIsFeedReader() {
+				readers++
+			}
+		}
+		c.Expect(readers).To(Equal(2 * len(zones)))
+	})
+}
+
+func TestChangeKnownToOneVMSpreadsWhileTheTableIsDown(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		times := c.measure(inForceTarget, func(from uint64) {
+			c.table.SetFaults(platformstandin.Faults{})
+			committed := c.commitUnpushed("asocrank", from)
+			c.table.SetFaults(platformstandin.Faults{TableDown: true})
+			c.vms[int(from)%entryVMs].tell(exchange.TopicConfig, committed)
+		})
+		logTimes(t, "anti-entropy", times)
+	})
+}
+
+// tell publishes a configuration to the VM's agent.
+func (v *vm) tell(topic string, committed merge.Config) {
+	m, err := exchange.ConfigMessage(topic, committed)
+	v.cluster.Expect(err).NotTo(HaveOccurred())
+	_, err = v.agent.Publish(context.Background(), &api.PublishRequest{Messages: []*api.Message{m}})
+	v.cluster.Expect(err).NotTo(HaveOccurred())
+}
+
+func TestOwnAgentDownAnotherOneTakesThePush(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[4].stopAgent()
+		c.vms[4].commit("asocrank", 0)
+		others := append(append([]*vm{}, c.vms[:4]...), c.vms[5:]...)
+		c.waitInForce("asocrank", 1, inForceTarget, others)
+		c.vms[4].startAgent()
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+	})
+}
+
+func TestTwoOperatorsAtOnce(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.table.SetFaults(platformstandin.Faults{Delay: 20 * time.Millisecond})
+		answers := make(chan *httptest.ResponseRecorder, 2)
+		for i, v := range []*vm{c.vms[0], c.vms[10]} {
+			go func() { answers <- v.put("asocrank", 0, settings("asocrank", i), v.name) }()
+		}
+		first, second := <-answers, <-answers
+		if first.Code != http.StatusOK {
+			first, second = second, first
+		}
+		c.Expect(first.Code).To(Equal(http.StatusOK))
+		c.Expect(second.Code).To(Equal(http.StatusPreconditionFailed))
+		var won admin.Config
+		var lost admin.Problem
+		c.Expect(json.Unmarshal(first.Body.Bytes(), &won)).To(Succeed())
+		c.Expect(json.Unmarshal(second.Body.Bytes(), &lost)).To(Succeed())
+		c.Expect(lost.Current).To(HaveField("ChangeID", won.ChangeID))
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+		for _, v := range c.vms {
+			c.Expect(v.gateway.Configs()).To(ConsistOf(HaveField("ChangeID", won.ChangeID)))
+		}
+	})
+}
+
+func TestAnswerLostAfterTheCommit(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.table.SetFaults(platformstandin.Faults{LoseAnswers: 1})
+		c.vms[0].commit("asocrank", 0)
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+	})
+}
+
+func TestTableDownForLong(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[0].commit("asocrank", 0)
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+		c.table.SetFaults(platformstandin.Faults{TableDown: true, MembershipDown: true})
+		time.Sleep(2 * time.Minute)
+		refused := c.vms[3].put("asocrank", 1, settings("asocrank", 1), "during")
+		c.Expect(refused.Code).To(Equal(http.StatusServiceUnavailable))
+		c.Expect(refused.Header().Get("Retry-After")).NotTo(BeEmpty())
+		status := c.vms[3].status("asocrank")
+		c.Expect(status).To(HaveLen(entryVMs), "the agent's view replaces the platform's list")
+		for _, v := range c.vms {
+			c.Expect(v.gwLife.IsReady()).To(BeTrue())
+			c.Expect(status[v.name]).To(HaveField("GatewayRevision", BeEquivalentTo(1)))
+			c.Expect(status[v.name]).To(HaveField("CutOff", BeFalse()), "peers answer")
+		}
+		c.table.SetFaults(platformstandin.Faults{})
+		c.vms[3].commit("asocrank", 1)
+		c.waitInForce("asocrank", 2, inForceTarget, c.vms)
+	})
+}
+
+func TestNewVMDuringTheOutageTakesTheHighestRevision(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[0].commit("asocrank", 0)
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+		lagging := c.vms[17]
+		c.isolate(lagging)
+		c.cutPlatform(lagging)
+		c.vms[0].commit("asocrank", 1)
+		c.waitInForce("asocrank", 2, inForceTarget, c.vms[:17])
+		c.table.SetFaults(platformstandin.Faults{TableDown: true})
+		added := c.add(entryVMs)
+		c.list()
+
+		// It reaches none but the lagging VM, which is not enough.
+		alone := map[string]bool{lagging.address: true, added.address: true}
+		c.network.cut(func(from, to string) bool { return alone[from] != alone[to] })
+		added.start()
+		time.Sleep(2 * time.Minute)
+		c.Expect(added.agentLife.IsReady()).To(BeFalse())
+		c.Expect(added.gwLife.IsReady()).To(BeFalse())
+		c.Expect(added.counters.Get(telemetry.GroupPeers, "bootstrap_no_majority")).To(BeNumerically(">", 0))
+
+		// It reaches all but the majority has the highest revision.
+		c.network.cut(func(string, string) bool { return false })
+		waitReady(c, added, 10*time.Second)
+		c.Expect(added.revision("asocrank")).To(BeEquivalentTo(2))
+		c.waitInForce("asocrank", 2, inForceTarget, c.vms)
+	})
+}
+
+// waitReady waits until a VM's gateway is ready.
+func waitReady(c *cluster, v *vm, limit time.Duration) {
+	for started := time.Now(); !v.gwLife.IsReady(); time.Sleep(10 * time.Millisecond) {
+		if time.Since(started) > limit {
+			c.t.Fatalf("%s is not ready after %s", v.name, limit)
+		}
+	}
+}
+
+func TestVMIsReadyOnlyWithEveryTeam(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[0].commit("asocrank", 0)
+		c.vms[0].commit("split", 0)
+		c.waitInForce("split", 1, inForceTarget, c.vms)
+		v := c.vms[5]
+		v.restart()
+		waitReady(c, v, 10*time.Second)
+		c.Expect(v.revision("asocrank")).To(BeEquivalentTo(1))
+		c.Expect(v.revision("split")).To(BeEquivalentTo(1))
+	})
+}
+
+func TestRestartsDuringTheOutage(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[0].commit("asocrank", 0)
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+		c.table.SetFaults(platformstandin.Faults{TableDown: true})
+
+		// An agent that restarts alone leaves its gateway as it is.
+		c.vms[1].stopAgent()
+		time.Sleep(3 * time.Second)
+		c.Expect(c.vms[1].revision("asocrank")).To(BeEquivalentTo(1))
+		c.vms[1].startAgent()
+
+		c.vms[2].restart()
+		waitReady(c, c.vms[2], 10*time.Second)
+		c.Expect(c.vms[2].revision("asocrank")).To(BeEquivalentTo(1))
+		c.table.SetFaults(platformstandin.Faults{})
+		c.vms[2].commit("asocrank", 1)
+		c.waitInForce("asocrank", 2, inForceTarget, c.vms)
+	})
+}
+
+func TestPartitionBetweenZones(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[0].commit("asocrank", 0)
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+		inside, outside := c.inZone("kagoshima", true), c.inZone("kagoshima", false)
+
+		// Cut off from the other zones alone, the zone has the feed.
+		c.isolate(inside...)
+		time.Sleep(time.Minute)
+		c.vms[0].commit("asocrank", 1)
+		took := c.waitInForce("asocrank", 2, inForceTarget, c.vms)
+		t.Logf("in force in a zone that reaches the table alone after %s", took)
+
+		// Cut off from the platform too, it serves on with what it has.
+		c.cutPlatform(inside...)
+		c.vms[0].commit("asocrank", 2)
+		c.waitInForce("asocrank", 3, inForceTarget, outside)
+		time.Sleep(2 * time.Minute)
+		for _, v := range inside {
+			c.Expect(v.revision("asocrank")).To(BeEquivalentTo(2))
+			c.Expect(v.gwLife.IsReady()).To(BeTrue())
+		}
+		c.heal()
+		took = c.waitInForce("asocrank", 3, inForceTarget, c.vms)
+		t.Logf("in force in the zone after %s since the partition healed", took)
+	})
+}
+
+func TestVMCutOffServesOnAndSaysSo(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[0].commit("asocrank", 0)
+		c.waitInForce("asocrank", 1, inForceTarget, c.vms)
+		c.isolate(c.vms[7])
+		c.cutPlatform(c.vms[7])
+		time.Sleep(time.Minute)
+		c.Expect(c.vms[7].gwLife.IsReady()).To(BeTrue())
+		c.Expect(c.vms[7].counters.Get(telemetry.GroupConfig, "cut_off")).To(BeEquivalentTo(1))
+		c.Expect(c.vms[7].status("asocrank")["entry-8"]).To(HaveField("CutOff", BeTrue()))
+		other := c.vms[0].status("asocrank")["entry-8"]
+		c.Expect(other).To(HaveField("Reachable", BeFalse()))
+		c.Expect(other).To(HaveField("Membership", "dead"))
+		c.heal()
+		time.Sleep(30 * time.Second)
+		c.Expect(c.vms[7].counters.Get(telemetry.GroupConfig, "cut_off")).To(BeZero())
+		c.Expect(c.vms[0].status("asocrank")["entry-8"]).To(HaveField("Membership", "alive"))
+	})
+}
+
+func TestUnreadableSettingsLeaveOldOnesAndOtherTeams(t *testing.T) {
+	run(t, entryVMs, func(c *cluster) {
+		c.vms[0].commit("asocrank", 0)
+		c.vms[0].commit("split", 0)
+		c.waitInForce("split", 1, inForceTarget, c.vms)
+
+		// A later version's settings: this version's admin would refuse them.
+		later := c.commitUnpushed("asocrank", 1)
+		later.Settings = "[/teams/asocrank/services/s]\nfrom_a_later_version = 1\n"
+		later.Revision = 3
+		later.ChangeID = "later"
+		c.waitInForce("asocrank", 2, inForceTarget, c.vms)
+		c.vms[0].tell(exchange.TopicCommit, later)
+		time.Sleep(inForceTarget)
+		status := c.vms[2].status("asocrank")
+		for _, v := range c.vms {
+			c.Expect(v.revision("asocrank")).To(BeEquivalentTo(2), "what was in force stays")
+			c.Expect(v.revision("split")).To(BeEquivalentTo(1))
+			c.Expect(status[v.name]).To(HaveField("RejectedRevision", BeEquivalentTo(3)))
+		}
+		c.vms[0].commit("split", 1)
+		c.waitInForce("split", 2, inForceTarget, c.vms)
+
+		// A new VM serves the other team.
+		c.vms[6].restart()
+		waitReady(c, c.vms[6], 10*time.Second)
+		c.Expect(c.vms[6].revision("split")).To(BeEquivalentTo(2))
+	})
+}
+
+func TestCostOfHeartbeatsDoesNotGrowWithTheVMs(t *testing.T) {
+	perSecond := func(n int) float64 {
+		var rate float64
+		run(t, n, func(c *cluster) {
+			const seconds = 30
+			time.Sleep(20 * time.Second)
+			before := c.network.sent(c.vms[0].address)
+			time.Sleep(seconds * time.Second)
+			rate = float64(c.network.sent(c.vms[0].address)-before) / seconds
+		})
+		return rate
+	}
+	g := NewWithT(t)
+	small, large := perSecond(entryVMs), perSecond(2*entryVMs)
+	t.Logf("an agent sends %.0f bytes a second with %d VMs, %.0f with %d", small, entryVMs, large, 2*entryVMs)
+	g.Expect(large).To(BeNumerically("<", 1.3*small))
+	g.Expect(large).To(BeNumerically("<", 12<<10))
+}
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"text/tabwriter"
 	"time"
 
@@ -216,10 +217,23 @@
 		return err
 	}
 	table := tabwriter.NewWriter(s.Out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(table, "VM\tZONE\tREACHABLE\tSTATE\tAGENT\tGATEWAY\tREPORT AGE")
+	_, _ = fmt.Fprintln(table, "VM\tZONE\tREACHABLE\tMEMBER\tSTATE\tSOURCE\tAGENT\tGATEWAY\tREPORT AGE\tNOTE")
 	for _, v := range all {
-		_, _ = fmt.Fprintf(table, "%s\t%s\t%t\t%s\t%d\t%d\t%d ms\n",
-			v.VM, v.Zone, v.Reachable, v.State, v.AgentRevision, v.GatewayRevision, v.GatewayReportAge)
+		_, _ = fmt.Fprintf(table, "%s\t%s\t%t\t%s\t%s\t%s\t%d\t%d\t%d ms\t%s\n",
+			v.VM, v.Zone, v.Reachable, v.Membership, v.State, v.ConfigSource,
+			v.AgentRevision, v.GatewayRevision, v.GatewayReportAge, note(v))
 	}
 	return table.Flush()
 }
+
+// note tells what an operator has to look into on a VM.
+func note(v admin.VMStatus) string {
+	var notes []string
+	if v.CutOff {
+		notes = append(notes, "cut off from the table and the other VMs")
+	}
+	if v.RejectedRevision > 0 {
+		notes = append(notes, fmt.Sprintf("can't read revision %d", v.RejectedRevision))
+	}
+	return strings.Join(notes, "; ")
+}
--- /dev/null
+++ b/internal/membership/membership_test.go
@@ -0,0 +1,276 @@
+package membership_test
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/membership"
+)
+
+func TestMembership(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "membership")
+}
+
+var start = time.Unix(1_700_000_000, 0)
+
+func member(i int) membership.Member {
+	return membership.Member{
+		VM: fmt.Sprintf("vm-%d", i), Zone: fmt.Sprintf("zone-%d", i%3),
+		Address:     fmt.Sprintf("10.0.0.%d:7102", i+1),
+		Incarnation: membership.NewIncarnation(start), State: membership.StateAlive,
+	}
+}
+
+func listed(i int) membership.Listed {
+	m := member(i)
+	return membership.Listed{VM: m.VM, Zone: m.Zone, Address: m.Address}
+}
+
+func newView(i int) *membership.View {
+	v, err := membership.New(membership.Options{Self: member(i)})
+	Expect(err).NotTo(HaveOccurred())
+	return v
+}
+
+// stateOf returns the state of a VM, or "unknown".
+func stateOf(v *membership.View, i int) string {
+	state, ok := v.State(member(i).VM)
+	if !ok {
+		return "unknown"
+	}
+	return string(state)
+}
+
+func later(d time.Duration) time.Time {
+	return start.Add(d)
+}
+
+var _ = Describe("a view of the VMs", func() {
+	var v *membership.View
+
+	BeforeEach(func() {
+		v = newView(0)
+		Expect(v.MergeList(start, []membership.Listed{listed(0), listed(1), listed(2)})).To(BeZero())
+	})
+
+	It("takes a listed VM for alive once it is heard from", func() {
+		Expect(stateOf(v, 1)).To(Equal("listed"))
+		Expect(v.Heard(start, member(1))).To(Succeed())
+		Expect(stateOf(v, 1)).To(Equal("alive"))
+		Expect(v.Live().All).To(Equal(3))
+	})
+
+	It("learns of a VM that the lagging list doesn't hold yet, and keeps it", func() {
+		Expect(v.Heard(start, member(5))).To(Succeed())
+		v.MergeList(later(time.Second), []membership.Listed{listed(1), listed(2)})
+		Expect(stateOf(v, 5)).To(Equal("alive"))
+	})
+
+	It("finds the silent death of a VM that the list still holds", func() {
+		Expect(v.Heard(start, member(1))).To(Succeed())
+		v.Missed(later(time.Second), "vm-1")
+		Expect(stateOf(v, 1)).To(Equal("suspect"))
+		v.Tick(later(time.Second + membership.DefaultSuspicionTimeout - time.Millisecond))
+		Expect(stateOf(v, 1)).To(Equal("suspect"))
+		v.Tick(later(time.Second + membership.DefaultSuspicionTimeout))
+		Expect(stateOf(v, 1)).To(Equal("dead"))
+		v.MergeList(later(time.Minute), []membership.Listed{listed(1), listed(2)})
+		Expect(stateOf(v, 1)).To(Equal("dead"))
+		Expect(v.Live().All).To(Equal(2))
+		Expect(v.Reachable()).To(HaveLen(1))
+	})
+
+	It("takes a listed VM that never answers for dead", func() {
+		v.Missed(later(time.Second), "vm-1")
+		v.Tick(later(time.Second + membership.DefaultSuspicionTimeout))
+		Expect(stateOf(v, 1)).To(Equal("dead"))
+	})
+
+	It("takes a paused VM back when it returns", func() {
+		Expect(v.Heard(start, member(1))).To(Succeed())
+		v.Missed(later(time.Second), "vm-1")
+		v.Tick(later(time.Minute))
+		Expect(stateOf(v, 1)).To(Equal("dead"))
+		Expect(v.Updates("vm-1")).To(ContainElement(HaveField("State", membership.StateDead)),
+			"the VM is told what is thought of it")
+		Expect(v.Heard(later(2*time.Minute), member(1))).To(Succeed())
+		Expect(stateOf(v, 1)).To(Equal("alive"))
+	})
+
+	It("refutes a suspicion with a higher incarnation", func() {
+		before := v.Self().Incarnation
+		doubt := member(0)
+		doubt.State = membership.StateSuspect
+		Expect(v.Gossip(start, []membership.Member{doubt})).To(BeZero())
+		Expect(v.Self().Incarnation).To(Equal(before + 1))
+
+		other := newView(2)
+		Expect(other.Heard(start, member(0))).To(Succeed())
+		Expect(other.Gossip(start, []membership.Member{doubt})).To(BeZero())
+		Expect(stateOf(other, 0)).To(Equal("suspect"))
+		Expect(other.Gossip(start, []membership.Member{v.Self()})).To(BeZero())
+		Expect(stateOf(other, 0)).NotTo(Equal("suspect"))
+	})
+
+	It("knows a new VM at the address of an old one by its incarnation", func() {
+		Expect(v.Heard(start, member(1))).To(Succeed())
+		successor := member(9)
+		successor.Address = member(1).Address
+		successor.Incarnation++
+		Expect(v.Heard(later(time.Second), successor)).To(Succeed())
+		Expect(stateOf(v, 1)).To(Equal("dead"))
+		Expect(stateOf(v, 9)).To(Equal("alive"))
+	})
+
+	It("ignores what an earlier life of a VM still sends", func() {
+		successor := member(1)
+		successor.Incarnation += 5
+		successor.Address = "10.0.0.99:7102"
+		Expect(v.Heard(start, successor)).To(Succeed())
+		Expect(v.Heard(start, member(1))).To(Succeed())
+		Expect(v.Members()).To(ContainElement(HaveField("Address", "10.0.0.99:7102")))
+	})
+
+	It("gives no work of the zone to a leaving VM, and takes it back in its next life", func() {
+		Expect(v.Heard(start, member(3))).To(Succeed())
+		Expect(v.Readers(2)).To(ConsistOf("vm-0", "vm-3"))
+		leaving := member(3)
+		leaving.State = membership.StateLeaving
+		Expect(v.Heard(start, leaving)).To(Succeed())
+		Expect(v.Readers(2)).To(ConsistOf("vm-0"))
+		Expect(v.Heard(start, member(3))).To(Succeed())
+		Expect(stateOf(v, 3)).To(Equal("leaving"))
+		next := member(3)
+		next.Incarnation++
+		Expect(v.Heard(start, next)).To(Succeed())
+		Expect(stateOf(v, 3)).To(Equal("alive"))
+	})
+
+	It("takes itself for leaving and back by the platform's list", func() {
+		self := listed(0)
+		self.Leaving = true
+		v.MergeList(start, []membership.Listed{self})
+		Expect(v.Self().State).To(Equal(membership.StateLeaving))
+		before := v.Self().Incarnation
+		v.MergeList(start, []membership.Listed{listed(0)})
+		Expect(v.Self().State).To(Equal(membership.StateAlive))
+		Expect(v.Self().Incarnation).To(Equal(before + 1))
+	})
+
+	It("forgets the dead that no list holds", func() {
+		Expect(v.Heard(start, member(5))).To(Succeed())
+		v.Missed(start, "vm-5")
+		v.Tick(later(time.Minute))
+		v.Tick(later(time.Hour))
+		Expect(stateOf(v, 5)).To(Equal("unknown"))
+	})
+
+	It("lets a peer's word make a VM suspect but never dead", func() {
+		Expect(v.Heard(start, member(1))).To(Succeed())
+		lie := member(1)
+		lie.State = membership.StateDead
+		Expect(v.Gossip(start, []membership.Member{lie})).To(BeZero())
+		Expect(stateOf(v, 1)).To(Equal("suspect"))
+		Expect(v.Heard(later(time.Second), member(1))).To(Succeed())
+		v.Tick(later(time.Minute))
+		Expect(stateOf(v, 1)).To(Equal("alive"))
+	})
+
+	DescribeTable("refuses nonsense and stays as it is",
+		func(spoil func(m *membership.Member), want error) {
+			before := v.Members()
+			m := member(7)
+			spoil(&m)
+			Expect(v.Heard(start, m)).To(MatchError(want))
+			if !errors.Is(want, membership.ErrOwnName) {
+				Expect(v.Gossip(start, []membership.Member{m})).To(Equal(1))
+			}
+			Expect(v.Members()).To(Equal(before))
+		},
+		Entry("no address", func(m *membership.Member) { m.Address = "" }, membership.ErrMalformed),
+		Entry("a host name", func(m *membership.Member) { m.Address = "vm-7:7102" }, membership.ErrMalformed),
+		Entry("no port", func(m *membership.Member) { m.Address = "10.0.0.8:0" }, membership.ErrMalformed),
+		Entry("any address", func(m *membership.Member) { m.Address = "0.0.0.0:7102" }, membership.ErrMalformed),
+		Entry("multicast", func(m *membership.Member) { m.Address = "224.0.0.1:7102" }, membership.ErrMalformed),
+		Entry("no name", func(m *membership.Member) { m.VM = "" }, membership.ErrMalformed),
+		Entry("a strange name", func(m *membership.Member) { m.VM = "../vm" }, membership.ErrMalformed),
+		Entry("a strange zone", func(m *membership.Member) { m.Zone = "Zone 1" }, membership.ErrMalformed),
+		Entry("an unknown state", func(m *membership.Member) { m.State = "undead" }, membership.ErrMalformed),
+		Entry("an incarnation of the far future",
+			func(m *membership.Member) { m.Incarnation = math.MaxUint64 }, membership.ErrIncarnation),
+		Entry("this VM's own name", func(m *membership.Member) { m.VM = "vm-0" }, membership.ErrOwnName),
+	)
+
+	It("takes no more members of a message than its bound", func() {
+		var many []membership.Member
+		for i := range membership.MaxUpdates + 3 {
+			many = append(many, member(10+i))
+		}
+		Expect(v.Gossip(start, many)).To(Equal(3))
+	})
+
+	It("bounds the VMs that it knows", func() {
+		for i := range 5000 {
+			m := member(0)
+			m.VM = fmt.Sprintf("x-%d", i)
+			m.Address = fmt.Sprintf("10.%d.%d.1:7102", i/200, i%200)
+			v.Gossip(start, []membership.Member{m})
+		}
+		Expect(len(v.Members())).To(BeNumerically("<=", 4096))
+	})
+
+	It("counts for a majority whom the list holds or who was heard from", func() {
+		rumour := member(8)
+		Expect(v.Gossip(start, []membership.Member{rumour})).To(BeZero())
+		Expect(v.Peers()).To(HaveLen(2))
+		v.Missed(start, "vm-1")
+		v.Tick(later(time.Minute))
+		Expect(v.Peers()).To(HaveLen(2), "the dead count as long as they are listed")
+	})
+
+	It("sends to each VM in turn, and to no more at once when there are more", func() {
+		rnd := rand.New(rand.NewPCG(1, 2))
+		for i := 3; i < 40; i++ {
+			Expect(v.Heard(start, member(i))).To(Succeed())
+		}
+		reached := make(map[string]int)
+		for range 13 {
+			targets := v.Targets(3, rnd)
+			Expect(targets).To(HaveLen(3))
+			for _, target := range targets {
+				reached[target.VM]++
+			}
+		}
+		Expect(reached).To(HaveLen(39))
+	})
+
+	It("tries one of the dead at each interval, so that a partition heals", func() {
+		v.Missed(start, "vm-1")
+		v.Missed(start, "vm-2")
+		v.Tick(later(time.Minute))
+		Expect(v.Targets(3, rand.New(rand.NewPCG(1, 2)))).To(HaveLen(1))
+	})
+
+	It("chooses readers that hardly change when a VM comes", func() {
+		moved := 0
+		for i := 3; i < 60; i += 3 {
+			before := v.Readers(2)
+			Expect(v.Heard(start, member(i))).To(Succeed())
+			after := v.Readers(2)
+			for _, reader := range before {
+				if len(before) == 2 && reader != after[0] && reader != after[1] {
+					moved++
+				}
+			}
+		}
+		Expect(moved).To(BeNumerically("<=", 8))
+	})
+})
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -151,7 +151,9 @@
 	}
 	r := &record{member: m, machine: v.chart.NewMachine()}
 	v.records[m.VM] = r
-	v.byPlace[m.Address] = m.VM
+	if _, isTaken := v.byPlace[m.Address]; !isTaken {
+		v.byPlace[m.Address] = m.VM
+	}
 	return r, true
 }
 
--- a/internal/platformstandin/transport.go
+++ b/internal/platformstandin/transport.go
@@ -1,6 +1,7 @@
 package platformstandin
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"net/http/httptest"
@@ -22,12 +23,18 @@
 // RoundTrip serves one call. A handler that aborts cuts the connection off; a
 // call whose context ends goes on at the stand-in.
 func (t transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	// As on a network, the handler sees the end of the call but no values of
+	// the caller's context.
+	ctx, cancel := context.WithCancel(context.Background())
+	stop := context.AfterFunc(r.Context(), cancel)
+	defer stop()
 	answers := make(chan *http.Response, 1)
 	go func() {
+		defer cancel()
 		defer close(answers)
 		defer func() { _ = recover() }()
 		recorder := httptest.NewRecorder()
-		t.handler.ServeHTTP(recorder, r)
+		t.handler.ServeHTTP(recorder, r.Clone(ctx))
 		answers <- recorder.Result()
 	}()
 	select {
