Pass on whole answers and keep uploads that no upstream takes

Ruled out: the answer to a call that was given up is not the cause of mixed answers, net/http closes that connection; cut answers of every kind (7) and the "not run" of a failed send already held and still do. Change: connections to upstreams count what they carried since a send began; bodies and answers have stall limits; uploads are kept in parts of 1 MiB in the object store with a row in the table, and any VM delivers them under a lease. Failed tries, mended here: wrapping the body of net/http's own request broke its handling of Expect; the body's mutex held an early answer back until the caller sent on; an object store's early 503 let the HTTP client read a part's buffer while it was filled again; deleting a part while its storing was being cancelled could leave it behind.

--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -12,6 +12,7 @@
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -30,9 +31,10 @@
 	if err != nil {
 		return errors.Wrap(err, "load charts")
 	}
+	store := platform.NewClient(settings.Platform, nil)
 	g := gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize,
-		Log: log, Counters: counters, IsStopping: life.IsDraining, Seed: uint64(time.Now().UnixNano()),
+		Log: log, Counters: counters, Table: store, Objects: store, IsStopping: life.IsDraining, Seed: uint64(time.Now().UnixNano()),
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
 	if err != nil {
@@ -47,6 +49,7 @@
 	group.Go(func() error { return process.ServeOperators(work, settings.Operators, life) })
 	group.Go(func() error { return g.Follow(work, bus, life.Configured) })
 	group.Go(func() error { return process.Serve(server, listener) })
+	group.Go(func() error { return g.DeliverUploads(ctx) })
 	group.Go(func() error {
 		defer endWork()
 		select {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -2,11 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -21,6 +22,13 @@
 // caller's connection is cut when it ends early.
 const maxBufferedAnswer = 1 << 20
 
+// silenceShare is the part of a lookup's remaining time that a connection may
+// carry nothing before the lookup goes elsewhere, as a divisor.
+const silenceShare = 3
+
+// groupAnswers holds the counters of answers that were not taken.
+const groupAnswers = "answers"
+
 // attemptResult is how one send ended.
 type attemptResult struct {
 	upstream string
@@ -33,6 +41,13 @@
 	body   []byte
 	// rest is what follows body in a large answer; nil when body is whole.
 	rest io.ReadCloser
+	// response holds the answer's trailer once its body has been read.
+	response *http.Response
+	// sentWhole means that the request's body was sent to its end before the
+	// answer came.
+	sentWhole bool
+	// connSilent means that the connection, not the upstream, is suspected.
+	connSilent bool
 }
 
 // isFinal tells whether the result goes to the caller whatever the budget
@@ -47,20 +62,81 @@
 	return traffic != dynamic.Lookup
 }
 
+// requestBody is the body of one send.
+type requestBody struct {
+	// reader is nil when there is no body.
+	reader io.ReadCloser
+	// length is in bytes; -1 means that it is not known.
+	length  int64
+	trailer http.Header
+	// isWhole tells whether the body was read to its end; nil means that it
+	// is in memory.
+	isWhole func() bool
+	// isBroken tells whether the body ended early on its way from the caller;
+	// nil means that it is in memory.
+	isBroken func() bool
+}
+
+// memoryBody returns the request body that was read whole.
+func (c *call) memoryBody() requestBody {
+	isLookup := c.route.rule.settings.Traffic == dynamic.Lookup
+	if len(c.body) == 0 && isLookup {
+		return requestBody{}
+	}
+	return requestBody{reader: opaqueBody{bytes.NewReader(c.body)}, length: int64(len(c.body))}
+}
+
 // attempt sends the call once and reads the answer.
 func (c *call) attempt(sent send) attemptResult {
-	var wrote atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }}
-	ctx := httptrace.WithClientTrace(c.ctx, trace)
-	request := c.upstreamRequest(sent)
-	response, err := sent.transport.http.RoundTrip(request.WithContext(ctx))
+	return c.exchange(c.ctx, sent, c.memoryBody())
+}
+
+// exchange sends the call once with body and reads the answer. ctx ends the
+// send; it is the call's own context or one below it.
+func (c *call) exchange(ctx context.Context, sent send, body requestBody) attemptResult {
+	ctx, cancel := context.WithCancelCause(ctx)
+	trace := &sendTrace{silence: c.silenceLimit(), cancel: cancel, interim: c.passInterim}
+	request := c.upstreamRequest(sent, body)
+	response, err := sent.transport.http.RoundTrip(
+		request.WithContext(httptrace.WithClientTrace(ctx, trace.client())))
+	trace.stop()
 	if err != nil {
-		return c.sendFailed(sent, err, wrote.Load())
+		defer cancel(nil)
+		return c.sendFailed(ctx, sent, trace, body)
+	}
+	sentWhole := body.isWhole == nil || body.isWhole()
+	if c.isForeign(trace, response) {
+		defer cancel(nil)
+		trace.closeConn()
+		_ = response.Body.Close()
+		return c.sendFailed(ctx, sent, trace, body)
+	}
+	result := c.readAnswer(sent, response)
+	result.sentWhole = sentWhole
+	return result
+}
+
+// silenceLimit returns how long a send's connection may carry nothing; 0 means
+// until the deadline.
+func (c *call) silenceLimit() time.Duration {
+	if c.route.rule.settings.Traffic != dynamic.Lookup {
+		return 0
+	}
+	return max(time.Until(c.deadline)/silenceShare, time.Millisecond)
+}
+
+// isForeign tells whether an answer belongs to another call: it was there
+// before this call was sent, or names another call.
+func (c *call) isForeign(trace *sendTrace, response *http.Response) bool {
+	id := response.Header.Get(outcome.HeaderRequestID)
+	if !trace.isStale() && (id == "" || id == c.id) {
+		return false
 	}
-	return c.readAnswer(sent, response)
+	c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
+	return true
 }
 
-func (c *call) upstreamRequest(sent send) *http.Request {
+func (c *call) upstreamRequest(sent send, body requestBody) *http.Request {
 	request := &http.Request{
 		Method:     c.r.Method,
 		URL:        &url.URL{Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery},
@@ -71,10 +147,15 @@
 		ProtoMinor: 1,
 	}
 	request.URL.Path, request.URL.RawPath = splitPath(c.route.path)
-	isLookup := c.route.rule.settings.Traffic == dynamic.Lookup
-	if len(c.body) > 0 || !isLookup {
-		request.Body = opaqueBody{bytes.NewReader(c.body)}
-		request.ContentLength = int64(len(c.body))
+	if body.reader != nil {
+		request.Body = body.reader
+		request.ContentLength = body.length
+		request.Trailer = body.trailer
+	}
+	if c.uploadID != "" {
+		request.Header.Set(callheader.UploadID, c.uploadID)
+		// An upstream that sheds the upload then does so before its body.
+		request.Header.Set("Expect", "100-continue")
 	}
 	return request
 }
@@ -88,30 +169,45 @@
 	return decoded, escaped
 }
 
-// sendFailed turns a failed send into a result. A call whose bytes may have
-// reached the upstream has an unknown outcome.
-func (c *call) sendFailed(sent send, err error, hadConn bool) attemptResult {
+// sendFailed turns a send without an answer into a result. A call of which a
+// byte may have left this VM has an unknown outcome.
+func (c *call) sendFailed(ctx context.Context, sent send, trace *sendTrace, body requestBody) attemptResult {
 	result := attemptResult{upstream: sent.choice.Name, outcome: outcome.NotRun, reason: outcome.ConnectFailed}
-	if hadConn {
+	if trace.mayHaveSent() {
 		result.outcome = outcome.Unknown
 		result.reason = outcome.UpstreamFailed
 	}
-	if c.r.Context().Err() != nil {
+	isSilent := trace.isSilent() && ctx.Err() != nil
+	result.connSilent = isSilent
+	if isSilent {
+		c.gateway.options.Counters.Add(groupAnswers, "connection_silent", 1)
+		sent.transport.http.CloseIdleConnections()
+	}
+	isGivenUp := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errConnSilent)
+	switch {
+	case c.r.Context().Err() != nil:
 		result.reason = outcome.CallerGone
+	case isGivenUp:
+		result.reason = outcome.DeadlinePassed
+	}
+	isLeft := isGivenUp && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+	isBroken := body.isBroken != nil && body.isBroken()
+	if isSilent || isLeft || isBroken {
 		c.route.service.cancelSend(sent)
 		return result
 	}
-	if c.ctx.Err() != nil {
-		result.reason = outcome.DeadlinePassed
-	}
-	_ = err
 	c.route.service.endSend(sent, loadbalancer.Result{Failed: true})
 	return result
 }
 
 // readAnswer reads an upstream's answer.
 func (c *call) readAnswer(sent send, response *http.Response) attemptResult {
-	result := attemptResult{upstream: sent.choice.Name, status: response.StatusCode, header: response.Header}
+	result := attemptResult{
+		upstream: sent.choice.Name,
+		status:   response.StatusCode,
+		header:   response.Header,
+		response: response,
+	}
 	seen := loadbalancer.Result{
 		Draining: callheader.IsDraining(response.Header),
 		Failed:   response.StatusCode >= http.StatusInternalServerError,
@@ -126,7 +222,7 @@
 		return result
 	}
 	result.outcome = outcome.Ran
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedAnswer))
+	body, err := readAnswerBody(response)
 	result.body = body
 	if err != nil {
 		_ = response.Body.Close()
@@ -141,55 +237,12 @@
 	return result
 }
 
-// finish gives the result of the last send to the caller.
-func (c *call) finish(a attemptResult) {
-	if a.reason != "" {
-		c.refuse(a.problem())
-		return
-	}
-	c.log(outcome.Ran, "", a.upstream)
-	c.pass(a)
-}
-
-// problem returns what the caller is told about a send without an answer.
-func (a attemptResult) problem() outcome.Problem {
-	switch a.reason {
-	case outcome.UpstreamTruncated:
-		return outcome.New(http.StatusBadGateway, a.outcome, a.reason, "the upstream's answer ended early")
-	case outcome.DeadlinePassed:
-		return outcome.New(http.StatusGatewayTimeout, a.outcome, a.reason, "no answer came before the deadline").
-			WithRetryAfter(retryAfter)
-	case outcome.UpstreamShed, outcome.ConnectFailed:
-		return outcome.New(http.StatusServiceUnavailable, a.outcome, a.reason, "the upstream did not take the call").
-			WithRetryAfter(retryAfter)
-	default:
-		return outcome.New(http.StatusBadGateway, a.outcome, a.reason, "the upstream did not answer").
-			WithRetryAfter(retryAfter)
-	}
-}
-
-// pass sends an upstream's answer to the caller. It cuts the caller's
-// connection when the answer ends early, so that it never looks whole.
-func (c *call) pass(a attemptResult) {
-	callerHeader(c.w.Header(), a.header)
-	c.w.Header().Set(outcome.HeaderOutcome, string(outcome.Ran))
-	c.w.Header().Set(outcome.HeaderRequestID, c.id)
-	c.w.WriteHeader(a.status)
-	if _, err := c.w.Write(a.body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
-		closeRest(a.rest)
-		return
-	}
-	if a.rest == nil {
-		return
-	}
-	defer closeRest(a.rest)
-	if _, err := io.Copy(c.w, a.rest); err != nil {
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func closeRest(rest io.ReadCloser) {
-	if rest != nil {
-		_ = rest.Close()
-	}
+// readAnswerBody reads the first maxBufferedAnswer bytes of an answer's body.
+func readAnswerBody(response *http.Response) ([]byte, error) {
+	var buffer bytes.Buffer
+	if response.ContentLength > 0 {
+		buffer.Grow(int(min(response.ContentLength, maxBufferedAnswer)) + bytes.MinRead)
+	}
+	_, err := buffer.ReadFrom(io.LimitReader(response.Body, maxBufferedAnswer))
+	return buffer.Bytes(), err
 }
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -44,3 +46,51 @@
 	}
 	return buffer.Bytes(), nil
 }
+
+// readStall is how long a caller may send no byte of its body.
+const readStall = 30 * time.Second
+
+// stallReader reads a caller's body and fails when the caller sends no byte for
+// readStall.
+type stallReader struct {
+	io.ReadCloser
+	controller *http.ResponseController
+	// ended means that the body was read to its end.
+	ended atomic.Bool
+}
+
+// Read reads the next bytes. The deadline is taken away once the body is whole:
+// from then on only the caller's leaving is watched for.
+func (s *stallReader) Read(p []byte) (int, error) {
+	_ = s.controller.SetReadDeadline(time.Now().Add(readStall))
+	n, err := s.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) {
+		s.ended.Store(true)
+		_ = s.controller.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
+
+// leftBodyTime limits the time to read what a refused caller still sends.
+const leftBodyTime = 5 * time.Second
+
+// watchBody makes reads of the caller's body fail when the caller falls silent.
+// net/http looks at the body of its own request, which stays as it is.
+func (c *call) watchBody() {
+	if c.r.Body == nil || c.r.Body == http.NoBody {
+		return
+	}
+	c.incoming = &stallReader{ReadCloser: c.r.Body, controller: http.NewResponseController(c.w)}
+	c.r = c.r.WithContext(c.r.Context())
+	c.r.Body = c.incoming
+}
+
+// leaveBody lets an answer go out at once although its caller still sends:
+// net/http would read a part of the body first.
+func (c *call) leaveBody() {
+	if c.incoming == nil || c.incoming.ended.Load() {
+		return
+	}
+	c.w.Header().Set("Connection", "close")
+	_ = c.incoming.controller.SetReadDeadline(time.Now().Add(leftBodyTime))
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,11 +30,17 @@
 	deadline time.Time
 	// ctx ends at the deadline or when the caller leaves.
 	ctx context.Context
+	// incoming is the caller's body as it comes; nil when there is none.
+	incoming *stallReader
 	// body is the whole request body of a lookup or booking.
 	body []byte
+	// uploadID names an upload across its sends; empty for other traffic.
+	uploadID string
 	// tried names the upstreams that the call was sent to.
 	tried    []string
 	attempts int
+	// informational passes interim answers on.
+	informational informational
 }
 
 func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
@@ -42,7 +48,9 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	return &call{gateway: g, w: w, r: r, id: id, arrived: time.Now()}
+	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now()}
+	c.watchBody()
+	return c
 }
 
 // refuse answers the call with a problem and counts its reason.
@@ -50,6 +58,9 @@
 	p.RequestID = c.id
 	c.gateway.options.Counters.Refuse(p.Reason)
 	c.log(p.Outcome, p.Reason, "")
+	c.informational.end()
+	c.leaveBody()
+	newStallWriter(c.w)
 	p.Write(c.w)
 }
 
--- /dev/null
+++ b/internal/gateway/delivery.go
@@ -0,0 +1,117 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/upload"
+)
+
+// partStore returns where the body of this upload may be stored; nil when it
+// may not be.
+func (c *call) partStore() platform.Objects {
+	if !c.route.rule.settings.Park || c.gateway.uploads == nil {
+		return nil
+	}
+	return c.gateway.options.Objects
+}
+
+// DeliverUploads delivers stored uploads until ctx ends. It returns an error
+// when the chart of an upload is at fault.
+func (g *Gateway) DeliverUploads(ctx context.Context) error {
+	deliverer, err := upload.NewDeliverer(upload.Options{
+		Holder:   g.options.VM,
+		Table:    g.options.Table,
+		Objects:  g.options.Objects,
+		Sender:   g,
+		Log:      g.options.Log,
+		Counters: g.options.Counters,
+		Seed:     g.options.Seed,
+	})
+	if err != nil {
+		return err
+	}
+	g.deliverer.Store(deliverer)
+	return deliverer.Run(ctx)
+}
+
+func (g *Gateway) wakeDeliverer() {
+	if deliverer := g.deliverer.Load(); deliverer != nil {
+		deliverer.Wake()
+	}
+}
+
+// countedBody counts the bytes that were read from a body.
+type countedBody struct {
+	io.Reader
+	read atomic.Int64
+}
+
+// Read reads the next bytes.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	b.read.Add(int64(n))
+	return n, err
+}
+
+// SendUpload sends a stored upload to one upstream.
+func (g *Gateway) SendUpload(ctx context.Context, r upload.Record, body io.Reader) upload.Result {
+	request := storedRequest(r)
+	to, ok := g.routes.Load().find(request)
+	if !ok || to.rule.settings.Traffic != dynamic.Upload {
+		g.options.Counters.Add(telemetry.GroupUploads, "delivery_no_route", 1)
+		return upload.Result{}
+	}
+	c := newCall(g, nil, request)
+	c.informational.end()
+	c.id = r.ID
+	c.uploadID = r.ID
+	c.route = to
+	c.deadline = time.Now().Add(to.rule.settings.Deadline)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	sent, problem := c.startSend()
+	if problem != nil {
+		return upload.Result{}
+	}
+	counted := &countedBody{Reader: body}
+	a := c.exchange(ctx, sent, requestBody{
+		reader:  opaqueBody{counted},
+		length:  r.Body.Size,
+		isWhole: func() bool { return counted.read.Load() == r.Body.Size },
+	})
+	closeRest(a.rest)
+	if a.reason != "" {
+		return upload.Result{}
+	}
+	return upload.Result{Status: a.status, Whole: a.sentWhole}
+}
+
+// storedRequest returns the request that a stored upload came with.
+func storedRequest(r upload.Record) *http.Request {
+	path, rawPath := splitPath("/" + r.Team + "/" + r.Service + r.Call.Path)
+	header := r.Call.Header.Clone()
+	if header == nil {
+		header = http.Header{}
+	}
+	return &http.Request{
+		Method: r.Call.Method,
+		Host:   r.Call.Host,
+		URL:    &url.URL{Path: path, RawPath: rawPath, RawQuery: r.Call.Query},
+		Header: header,
+	}
+}
+
+// UploadMemory returns the bytes that uploads hold in memory now and at most so
+// far.
+func (g *Gateway) UploadMemory() (now, peak int64) {
+	return g.spools.Held()
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,7 +11,9 @@
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/upload"
 )
 
 // retryAfter is the time after which a refused caller may come back.
@@ -26,6 +28,10 @@
 	SubsetSize int
 	Log        hclog.Logger
 	Counters   *telemetry.Counters
+	// Table and Objects keep uploads that no upstream took; nil means that none
+	// are kept.
+	Table   platform.Table
+	Objects platform.Objects
 	// Dial opens connections to upstreams; nil stands for the network.
 	Dial DialFunc
 	// Seed seeds the random choices.
@@ -39,6 +45,11 @@
 	options Options
 	configs *merge.Store
 
+	// uploads is nil when no uploads are kept.
+	uploads   *upload.Store
+	spools    *upload.Pool
+	deliverer atomic.Pointer[upload.Deliverer]
+
 	mu    sync.Mutex
 	teams map[string]*team
 	// routes is what calls read; it is replaced as a whole.
@@ -55,7 +66,15 @@
 	if options.IsStopping == nil {
 		options.IsStopping = func() bool { return false }
 	}
-	g := &Gateway{options: options, configs: merge.NewStore(), teams: make(map[string]*team)}
+	g := &Gateway{
+		options: options,
+		configs: merge.NewStore(),
+		spools:  upload.NewPool(maxSpools),
+		teams:   make(map[string]*team),
+	}
+	if options.Table != nil && options.Objects != nil {
+		g.uploads = upload.NewStore(options.Table)
+	}
 	g.routes.Store(&routeTable{})
 	return g
 }
@@ -122,6 +141,10 @@
 			"this VM is stopping").WithRetryAfter(retryAfter))
 		return
 	}
+	if g.isUploadStatus(r) {
+		c.serveUploadStatus()
+		return
+	}
 	route, ok := g.routes.Load().find(r)
 	if !ok {
 		c.refuse(outcome.New(http.StatusNotFound, outcome.NotRun, outcome.NoRoute,
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -36,10 +36,26 @@
 	}
 }
 
+// hasToken tells whether a list header holds a token.
+func hasToken(values []string, token string) bool {
+	for _, value := range values {
+		for item := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(strings.TrimSpace(item), token) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // upstreamHeader returns the header that an upstream gets for a call.
 func upstreamHeader(r *http.Request, id string, attempt int, deadline time.Time) http.Header {
 	h := r.Header.Clone()
+	takesTrailer := hasToken(h.Values("Te"), "trailers")
 	removeConnectionHeaders(h)
+	if takesTrailer {
+		h.Set("Te", "trailers")
+	}
 	h.Del("Expect")
 	for _, name := range ownHeaders {
 		h.Del(name)
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 
+	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -20,6 +21,9 @@
 		if a.isFinal(c.route.rule.settings.Traffic) || !c.mayRetry(a) {
 			return a, nil
 		}
+		if a.connSilent {
+			c.tried = c.tried[:len(c.tried)-1]
+		}
 		c.gateway.options.Counters.Retry(a.reason)
 	}
 }
@@ -43,7 +47,9 @@
 	return send{}, &p
 }
 
-// mayRetry tells whether there is time for another send.
+// mayRetry tells whether there is time for another send and whether it does no
+// harm: a lookup whose outcome is unknown may run twice.
 func (c *call) mayRetry(a attemptResult) bool {
-	return c.ctx.Err() == nil && a.outcome != outcome.Unknown
+	isSafe := a.outcome != outcome.Unknown || c.route.rule.settings.Traffic == dynamic.Lookup
+	return c.ctx.Err() == nil && isSafe
 }
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -12,8 +12,16 @@
 
 // Timeouts of connections to upstreams.
 const (
-	dialTimeout     = 500 * time.Millisecond
-	idleConnTimeout = 30 * time.Second
+	dialTimeout = 500 * time.Millisecond
+	// idleConnTimeout closes a connection that carried nothing. It is short,
+	// so that a call goes only over a connection that carried bytes lately or
+	// over a new one: an older one may have gone silent.
+	idleConnTimeout = 2 * time.Second
+	// continueTimeout is how long an upload waits for the upstream's consent
+	// before its body is sent.
+	continueTimeout = 300 * time.Millisecond
+	// upstreamStall is how long an upstream may take no byte of a request.
+	upstreamStall = 10 * time.Second
 )
 
 // maxAnswerHeaderBytes limits the header of an upstream's answer.
@@ -34,11 +42,12 @@
 		address:        address,
 		maxConnections: maxConnections,
 		http: &http.Transport{
-			DialContext:            dial,
+			DialContext:            trackDial(dial),
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    maxConnections,
 			MaxConnsPerHost:        maxConnections,
 			IdleConnTimeout:        idleConnTimeout,
+			ExpectContinueTimeout:  continueTimeout,
 			MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 			Proxy:                  nil,
 		},
--- /dev/null
+++ b/internal/gateway/uploadstatus.go
@@ -0,0 +1,90 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/upload"
+)
+
+// uploadStatusPath starts the paths at which any VM tells what became of an
+// upload.
+const uploadStatusPath = "/figfront/uploads/"
+
+// uploadStatus is what a caller is told about an accepted upload.
+type uploadStatus struct {
+	ID string `json:"id"`
+	// State is pending, delivered or failed.
+	State    string     `json:"state"`
+	Bytes    int64      `json:"bytes"`
+	SHA256   string     `json:"sha256"`
+	Accepted time.Time  `json:"accepted"`
+	Finished *time.Time `json:"finished,omitempty"`
+	Attempts int        `json:"attempts"`
+	// UpstreamStatus is the status of the upstream's last answer.
+	UpstreamStatus int `json:"upstream_status,omitempty"`
+}
+
+func newUploadStatus(r upload.Record) uploadStatus {
+	status := uploadStatus{
+		ID:             r.ID,
+		State:          string(upload.StatePending),
+		Bytes:          r.Body.Size,
+		SHA256:         r.Body.SHA256,
+		Accepted:       r.Accepted,
+		Attempts:       r.Attempts,
+		UpstreamStatus: r.Status,
+	}
+	if r.IsFinal() {
+		status.State = string(r.State)
+		status.Finished = &r.Finished
+	}
+	return status
+}
+
+func writeStatus(w http.ResponseWriter, status int, r upload.Record) {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Cache-Control", "no-store")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(newUploadStatus(r))
+}
+
+// isUploadStatus tells whether a call asks for the status of an upload.
+func (g *Gateway) isUploadStatus(r *http.Request) bool {
+	return g.uploads != nil && strings.HasPrefix(r.URL.Path, uploadStatusPath)
+}
+
+// serveUploadStatus tells what became of an accepted upload.
+func (c *call) serveUploadStatus() {
+	if c.r.Method != http.MethodGet && c.r.Method != http.MethodHead {
+		c.w.Header().Set("Allow", "GET, HEAD")
+		c.refuse(outcome.New(http.StatusMethodNotAllowed, outcome.NotRun, outcome.NoRoute,
+			"the status of an upload can only be read"))
+		return
+	}
+	id := strings.TrimPrefix(c.r.URL.Path, uploadStatusPath)
+	if !upload.IsID(id) {
+		c.refuseUnknownUpload()
+		return
+	}
+	found, err := c.gateway.uploads.Get(c.r.Context(), id)
+	switch {
+	case errors.Is(err, upload.ErrNotFound):
+		c.refuseUnknownUpload()
+	case err != nil:
+		c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.StoreUnavailable,
+			"the status can't be read now").WithRetryAfter(retryAfter))
+	default:
+		newStallWriter(c.w)
+		writeStatus(c.w, http.StatusOK, found.Record)
+	}
+}
+
+func (c *call) refuseUnknownUpload() {
+	c.refuse(outcome.New(http.StatusNotFound, outcome.NotRun, outcome.NoRoute, "there is no such upload"))
+}
--- /dev/null
+++ b/internal/gateway/vms_test.go
@@ -0,0 +1,289 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/config/merge"
+	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/platformstandin"
+	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/upstreamstandin"
+)
+
+var errNoListener = errors.New("connection refused")
+
+// memoryNet connects HTTP clients and servers of a bubble by pipes.
+type memoryNet struct {
+	mu    sync.Mutex
+	hosts map[string]*memoryListener
+	conns map[string][]net.Conn
+}
+
+type memoryListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (l *memoryListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *memoryListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *memoryListener) Addr() net.Addr { return &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)} }
+
+func newMemoryNet() *memoryNet {
+	return &memoryNet{hosts: map[string]*memoryListener{}, conns: map[string][]net.Conn{}}
+}
+
+func (n *memoryNet) listen(address string) *memoryListener {
+	l := &memoryListener{conns: make(chan net.Conn), closed: make(chan struct{})}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hosts[address] = l
+	return l
+}
+
+func (n *memoryNet) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	l, ok := n.hosts[address]
+	n.mu.Unlock()
+	if !ok {
+		return nil, errNoListener
+	}
+	near, far := net.Pipe()
+	select {
+	case l.conns <- far:
+	case <-l.closed:
+		return nil, errNoListener
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.conns[address] = append(n.conns[address], near)
+	return near, nil
+}
+
+// kill closes every connection to an address and refuses new ones.
+func (n *memoryNet) kill(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if l, ok := n.hosts[address]; ok {
+		_ = l.Close()
+	}
+	for _, conn := range n.conns[address] {
+		_ = conn.Close()
+	}
+	n.conns[address] = nil
+}
+
+// dials returns the number of connections that were opened to an address.
+func (n *memoryNet) dials(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.conns[address])
+}
+
+func (n *memoryNet) serve(address string, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler}
+	listener := n.listen(address)
+	go func() { _ = server.Serve(listener) }()
+	return server
+}
+
+// script serves each connection of an address by hand.
+func (n *memoryNet) script(address string, run func(conn net.Conn, in *bufio.Reader)) {
+	listener := n.listen(address)
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				run(conn, bufio.NewReader(conn))
+			}()
+		}
+	}()
+}
+
+func (n *memoryNet) client() *http.Client {
+	return &http.Client{Transport: &http.Transport{DialContext: n.dial, DisableCompression: true}}
+}
+
+const (
+	teamText = `
+[/teams/t/services/s]
+[/teams/t/services/s/traffic/lookup]
+deadline = 900ms
+[/teams/t/services/s/traffic/booking]
+deadline = 2s
+methods = POST
+[/teams/t/services/s/traffic/upload]
+deadline = 60s
+max_body = 200000000
+[/teams/t/services/s/upstreams/u1]
+address = 10.0.0.1:1
+zone = a
+`
+	secondUpstream = `
+[/teams/t/services/s/upstreams/u2]
+address = 10.0.0.2:1
+zone = a
+`
+	upstream1  = "10.0.0.1:1"
+	upstream2  = "10.0.0.2:1"
+	platformAt = "10.0.0.9:1"
+)
+
+// bench is a platform, upstreams and VMs in a bubble.
+type bench struct {
+	t        *testing.T
+	net      *memoryNet
+	platform *platformstandin.Server
+	servers  []*http.Server
+	cancel   []context.CancelFunc
+}
+
+// vm is one VM's gateway.
+type vm struct {
+	gateway  *gateway.Gateway
+	address  string
+	counters *telemetry.Counters
+	// stop ends the VM's deliverer.
+	stop context.CancelFunc
+}
+
+func newBench(t *testing.T) *bench {
+	b := &bench{t: t, net: newMemoryNet(), platform: platformstandin.New(nil)}
+	b.serve(platformAt, b.platform.Handler())
+	return b
+}
+
+func (b *bench) serve(address string, handler http.Handler) {
+	b.servers = append(b.servers, b.net.serve(address, handler))
+}
+
+// upstream runs an upstream's stand-in.
+func (b *bench) upstream(name, address string, switches upstreamstandin.Switches) *upstreamstandin.Server {
+	s := upstreamstandin.New(name, 8, 64, switches)
+	b.serve(address, s.Handler())
+	return s
+}
+
+// vm runs a gateway with its deliverer.
+func (b *bench) vm(name, settings string) *vm {
+	client := platform.NewClient(platformAt, &http.Transport{DialContext: b.net.dial})
+	counters := telemetry.NewCounters()
+	g := gateway.New(gateway.Options{
+		VM: name, Zone: "a", Log: hclog.NewNullLogger(), Counters: counters,
+		Dial: b.net.dial, Seed: 1, Table: client, Objects: client,
+	})
+	if !g.Apply(merge.Config{Team: "t", Revision: 1, Settings: settings}) {
+		b.t.Fatal("settings not applied")
+	}
+	v := &vm{gateway: g, address: name + ":1", counters: counters}
+	b.serve(v.address, g)
+	return v
+}
+
+// deliver runs the VM's deliverer.
+func (b *bench) deliver(v *vm) {
+	ctx, cancel := context.WithCancel(context.Background())
+	b.cancel = append(b.cancel, cancel)
+	v.stop = cancel
+	go func() { _ = v.gateway.DeliverUploads(ctx) }()
+}
+
+func (b *bench) close() {
+	for _, cancel := range b.cancel {
+		cancel()
+	}
+	for _, server := range b.servers {
+		_ = server.Close()
+	}
+	b.net.mu.Lock()
+	hosts := b.net.hosts
+	b.net.mu.Unlock()
+	for address := range hosts {
+		b.net.kill(address)
+	}
+	time.Sleep(2 * time.Hour)
+	synctest.Wait()
+}
+
+// inBench runs a test with a bench in a bubble.
+func inBench(t *testing.T, run func(g *WithT, b *bench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t)
+		defer b.close()
+		run(NewWithT(t), b)
+	})
+}
+
+// answer is a whole answer of a caller.
+type answer struct {
+	status  int
+	header  http.Header
+	body    []byte
+	trailer http.Header
+	err     error
+}
+
+// send sends a request and reads its answer to the end.
+func (b *bench) send(r *http.Request) answer {
+	client := b.net.client()
+	defer client.CloseIdleConnections()
+	return sendWith(client, r)
+}
+
+func sendWith(client *http.Client, r *http.Request) answer {
+	response, err := client.Do(r)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return answer{response.StatusCode, response.Header, body, response.Trailer, err}
+}
+
+func request(method string, v *vm, path string, body io.Reader) *http.Request {
+	r, err := http.NewRequest(method, "http://"+v.address+path, body)
+	if err != nil {
+		panic(err)
+	}
+	return r
+}
+
+// TestMain keeps net/http's lines about surplus bytes out of the output.
+func TestMain(m *testing.M) {
+	log.SetOutput(io.Discard)
+	os.Exit(m.Run())
+}
--- a/internal/platformstandin/faults.go
+++ b/internal/platformstandin/faults.go
@@ -11,6 +11,11 @@
 	TableDown bool `json:"table_down"`
 	// ObjectsDown refuses every call of the object store with 503.
 	ObjectsDown bool `json:"objects_down"`
+	// ObjectDelay holds each call of the object store this long.
+	ObjectDelay time.Duration `json:"object_delay"`
+	// CutObjects cuts off the next reads of objects, this many of them, in the
+	// middle.
+	CutObjects int `json:"cut_objects"`
 	// MembershipDown refuses every call of the list with 503.
 	MembershipDown bool `json:"membership_down"`
 	// Delay holds each call of the table this long before it takes effect.
--- a/internal/platformstandin/server.go
+++ b/internal/platformstandin/server.go
@@ -189,9 +189,42 @@
 	writeJSON(w, s.table.list(page))
 }
 
-func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
-	if s.currentFaults().ObjectsDown {
+// admitObject applies the faults that hold for every call of the object store.
+// It returns false when the call has been answered.
+func (s *Server) admitObject(w http.ResponseWriter, r *http.Request) bool {
+	faults := s.currentFaults()
+	select {
+	case <-time.After(faults.ObjectDelay):
+	case <-r.Context().Done():
+		return false
+	}
+	if faults.ObjectsDown {
 		w.WriteHeader(http.StatusServiceUnavailable)
+		return false
+	}
+	return true
+}
+
+// isObjectCut tells whether this read of an object is to be cut off.
+func (s *Server) isObjectCut() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.CutObjects == 0 {
+		return false
+	}
+	s.faults.CutObjects--
+	return true
+}
+
+// Objects returns the number of objects.
+func (s *Server) Objects() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.objects)
+}
+
+func (s *Server) putObject(w http.ResponseWriter, r *http.Request) {
+	if !s.admitObject(w, r) {
 		return
 	}
 	body, err := io.ReadAll(r.Body)
@@ -206,8 +239,7 @@
 }
 
 func (s *Server) getObject(w http.ResponseWriter, r *http.Request) {
-	if s.currentFaults().ObjectsDown {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if !s.admitObject(w, r) {
 		return
 	}
 	s.mu.Lock()
@@ -218,12 +250,16 @@
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	if s.isObjectCut() {
+		_, _ = w.Write(body[:len(body)/2])
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
 	_, _ = w.Write(body)
 }
 
 func (s *Server) deleteObject(w http.ResponseWriter, r *http.Request) {
-	if s.currentFaults().ObjectsDown {
-		w.WriteHeader(http.StatusServiceUnavailable)
+	if !s.admitObject(w, r) {
 		return
 	}
 	s.mu.Lock()
