--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -22,6 +22,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/platformstandin"
 	"github.com/figfront/figfront/internal/upload"
 	"github.com/figfront/figfront/internal/upstreamstandin"
@@ -205,24 +206,34 @@
 }
 
 // TestUploadAnsweredEarlyIsNotAcknowledged: a 2xx that comes before the body was
-// sent is not passed on.
+// sent is not passed on, whether the upload may be stored or not.
 func TestUploadAnsweredEarlyIsNotAcknowledged(t *testing.T) {
-	inBench(t, func(g *WithT, b *bench) {
-		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
-			r, err := http.ReadRequest(in)
-			if err != nil {
-				return
-			}
-			_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
-			_, _ = io.CopyN(io.Discard, r.Body, 1000)
-			_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n")
-			_, _ = io.Copy(io.Discard, r.Body)
+	for _, park := range []string{"true", "false"} {
+		t.Run("park "+park, func(t *testing.T) {
+			inBench(t, func(g *WithT, b *bench) {
+				b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
+					r, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+					_, _ = io.CopyN(io.Discard, r.Body, 1000)
+					_, _ = io.WriteString(conn, "HTTP/1.1 201 Created\r\nContent-Length: 0\r\n\r\n")
+					_, _ = io.Copy(io.Discard, r.Body)
+				})
+				v := b.vm("vm1", strings.Replace(teamText, "max_body", "park = "+park+"\nmax_body", 1))
+				body := io.MultiReader(bytes.NewReader(content(100_000, 1)), &slowReader{left: 10},
+					bytes.NewReader(content(100_000, 2)))
+				a := b.send(request("PUT", v, "/t/s/x", body))
+				if park == "true" {
+					g.Expect(a.status).To(Equal(http.StatusAccepted))
+					return
+				}
+				g.Expect(a.status).To(Equal(http.StatusBadGateway))
+				g.Expect(a.header.Get("Figfront-Outcome")).To(Equal("unknown"))
+			})
 		})
-		v := b.vm("vm1", teamText)
-		body := io.MultiReader(bytes.NewReader(content(100_000, 1)), &slowReader{left: 10}, bytes.NewReader(content(100_000, 2)))
-		a := b.send(request("PUT", v, "/t/s/x", body))
-		g.Expect(a.status).To(Equal(http.StatusAccepted))
-	})
+	}
 }
 
 // slowReader gives a byte each 100 ms.
@@ -398,6 +409,28 @@
 	})
 }
 
+// TestChangedPartIsNotDelivered: a part whose bytes differ from the accepted ones
+// never arrives as a whole upload.
+func TestChangedPartIsNotDelivered(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		v := b.vm("vm1", teamText)
+		a := b.put(v, content(1_500_000, 1), "")
+		client := platform.NewClient(platformAt, &http.Transport{DialContext: b.net.dial})
+		id := b.statusOf(g, v, a).ID
+		found, err := upload.NewStore(client).Get(context.Background(), id)
+		g.Expect(err).NotTo(HaveOccurred())
+		body := found.Record.Body
+		other := content(body.Parts[1], 2)
+		err = client.Put(context.Background(), body.PartKey(1), bytes.NewReader(other), int64(len(other)))
+		g.Expect(err).NotTo(HaveOccurred())
+		u := b.upstream("u1", upstream1, upstreamstandin.Switches{})
+		b.deliver(v)
+		time.Sleep(5 * time.Minute)
+		g.Expect(b.statusOf(g, v, a).State).To(Equal("pending"))
+		g.Expect(u.Counts().Ran).To(BeZero())
+	})
+}
+
 // TestRejectedUploadFails: an upstream that rejects a stored upload ends its
 // delivery, and the body stays for the operators.
 func TestRejectedUploadFails(t *testing.T) {
