--- a/internal/gateway/caller_test.go
+++ b/internal/gateway/caller_test.go
@@ -187,9 +187,9 @@
 	})
 }
 
-// TestRefusalDoesNotWaitForTheBody has a caller whose body is slow and whose
+// TestUnroutedCallDoesNotWaitForItsBody has a caller whose body is slow and whose
 // call is refused for another reason: the answer comes at once.
-func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+func TestUnroutedCallDoesNotWaitForItsBody(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
 		f := newFront(t)
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/figfront/figfront/internal/callheader"
@@ -46,6 +47,9 @@
 	if !c.mayRetry(a) {
 		return send{}, false
 	}
+	if a.connSilent {
+		c.forgetTried(a.upstream)
+	}
 	sent, problem := c.startSend()
 	if problem != nil {
 		c.keep(string(problem.Reason))
@@ -56,6 +60,12 @@
 	return sent, true
 }
 
+// forgetTried lets the call go to an upstream again: not the upstream but the
+// connection to it was at fault.
+func (c *call) forgetTried(upstream string) {
+	c.tried = slices.DeleteFunc(c.tried, func(name string) bool { return name == upstream })
+}
+
 // isFailure tells whether the send failed or was answered with an error of the
 // upstream.
 func (a attemptResult) isFailure() bool {
