--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -132,7 +132,7 @@
 // startSend chooses the upstream of the next send.
 func (c *call) startSend() (send, *outcome.Problem) {
 	isExtra := c.attempts > 0
-	sent, err := c.route.service.startSend(c.tried, isExtra)
+	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.tried, isExtra)
 	if err == sendOK {
 		c.attempts++
 		c.tried = append(c.tried, sent.choice.Name)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -4,6 +4,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/loadbalancer"
 )
 
@@ -30,11 +31,11 @@
 
 // startSend chooses an upstream and records the send. extra marks a hedge or a
 // retry, which the budget has to pay for.
-func (s *service) startSend(exclude []string, extra bool) (send, sendError) {
+func (s *service) startSend(traffic dynamic.Traffic, exclude []string, extra bool) (send, sendError) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, ok := s.pickLocked(now, exclude, extra)
+	choice, ok := s.pickLocked(now, pickRequest(traffic, exclude), extra)
 	if !ok {
 		return send{}, sendErrNoUpstream
 	}
@@ -49,6 +50,16 @@
 	return send{choice: choice, transport: s.transports[choice.Address], started: now}, sendOK
 }
 
+// pickRequest describes a call to the balancer. Only a lookup may try out a
+// suspect; the time of an upload tells of its size.
+func pickRequest(traffic dynamic.Traffic, exclude []string) loadbalancer.Request {
+	return loadbalancer.Request{
+		Exclude: exclude,
+		NoTrial: traffic != dynamic.Lookup,
+		Bulk:    traffic == dynamic.Upload,
+	}
+}
+
 // sendError tells why no send was started.
 type sendError int
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -105,12 +105,15 @@
 // pickLocked chooses an upstream below its limit. A first send, which was
 // admitted, goes to a full one rather than nowhere; hedges may have taken its
 // place.
-func (s *service) pickLocked(now time.Time, tried []string, extra bool) (loadbalancer.Choice, bool) {
-	choice, ok := s.balancer.Pick(now, loadbalancer.Request{Exclude: s.limits.exclude(tried)})
+func (s *service) pickLocked(now time.Time, request loadbalancer.Request, extra bool) (loadbalancer.Choice, bool) {
+	tried := request.Exclude
+	request.Exclude = s.limits.exclude(tried)
+	choice, ok := s.balancer.Pick(now, request)
 	if ok || extra {
 		return choice, ok
 	}
-	return s.balancer.Pick(now, loadbalancer.Request{Exclude: tried})
+	request.Exclude = tried
+	return s.balancer.Pick(now, request)
 }
 
 // recordLocked records the result of a send for the limits and the budget.
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -138,8 +138,9 @@
 	return best.choice(request), true
 }
 
-// Candidates returns the upstreams of lowest cost, at most count and without
-// suspects, for a caller that asks them for their load before it picks.
+// Candidates returns the upstreams of lowest cost in the VM's zone, at most count
+// and without suspects, for a caller that asks them for their load before it
+// picks. To ask another zone would take longer than the answer is worth.
 func (b *Balancer) Candidates(now time.Time, request Request, count int) []Choice {
 	at := b.since(now)
 	request.NoTrial = true
@@ -150,7 +151,9 @@
 		if best == nil {
 			break
 		}
-		choices = append(choices, best.choice(request))
+		if best.zoneCost == 0 {
+			choices = append(choices, best.choice(request))
+		}
 		request.Exclude = append(request.Exclude, best.upstream.Name)
 	}
 	return choices
