--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -13,6 +13,8 @@
 	choice    loadbalancer.Choice
 	transport *transport
 	started   time.Time
+	// traffic is the kind of traffic of the call.
+	traffic dynamic.Traffic
 	// isGivenUp tells that another send of the call has won; nil when the call
 	// is sent to one upstream at a time.
 	isGivenUp *atomic.Bool
@@ -80,7 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, sent.choice, result)
-	s.recordLocked(now, sent.choice.Name, result)
+	s.recordLocked(now, sent, result)
 }
 
 // cancelSend records that a send was given up.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -14,6 +14,10 @@
 	"github.com/figfront/figfront/internal/retry"
 )
 
+// capacityInterval is the least time between two sums of the limits of a
+// service's upstreams.
+const capacityInterval = 5 * time.Millisecond
+
 // service is the running state of one service on this VM.
 type service struct {
 	team string
@@ -25,9 +29,12 @@
 
 	admission *admission
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	limits     *upstreamLimits
+	mu     sync.Mutex
+	random *rand.Rand
+	limits *upstreamLimits
+	watch  *upstreamWatch
+	// sharedAt is when the admission was last told the capacity.
+	sharedAt   time.Time
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
 	hedges     *hedge.Trigger
@@ -49,6 +56,7 @@
 		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
 		random:    random,
 		limits:    newUpstreamLimits(),
+		watch:     newUpstreamWatch(),
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
 		}, random),
@@ -67,6 +75,7 @@
 	s.budget.SetShare(settings.RetryShare)
 	s.configureRules(settings.Rules)
 	s.configureUpstreams(settings.Upstreams)
+	s.watch.configure(time.Now(), settings)
 }
 
 func (s *service) configureRules(settings []dynamic.Rule) {
@@ -99,7 +108,7 @@
 	s.transports = transports
 	s.balancer.SetUpstreams(time.Now(), upstreams)
 	s.limits.configure(settings)
-	s.admission.setCapacity(time.Now(), s.limits.capacity)
+	s.shareCapacityLocked(time.Now())
 }
 
 // pickLocked chooses an upstream below its limit. A first send, which was
@@ -116,16 +125,28 @@
 	return s.balancer.Pick(now, request)
 }
 
-// recordLocked records the result of a send for the limits and the budget.
-func (s *service) recordLocked(now time.Time, upstream string, result loadbalancer.Result) {
+// recordLocked records the result of a send for the limits and the budget. The
+// time of an upload says more of its size than of the upstream.
+func (s *service) recordLocked(now time.Time, sent send, result loadbalancer.Result) {
 	s.budget.Answered(!result.Failed && !result.Shed)
-	before := s.limits.capacity
-	s.limits.ended(now, upstream, result)
-	if s.limits.capacity != before {
-		s.admission.setCapacity(now, s.limits.capacity)
+	s.watch.ended(now, sent.choice.Name, result)
+	isUploaded := sent.traffic == dynamic.Upload && !result.Failed && !result.Shed
+	if isUploaded {
+		s.limits.cancelled(sent.choice.Name)
+	} else {
+		s.limits.ended(now, sent.choice.Name, result)
+	}
+	if now.Sub(s.sharedAt) >= capacityInterval {
+		s.shareCapacityLocked(now)
 	}
 }
 
+// shareCapacityLocked tells the admission how many calls may run at once.
+func (s *service) shareCapacityLocked(now time.Time) {
+	s.sharedAt = now
+	s.admission.setCapacity(now, s.limits.places(s.balancer.InUse()))
+}
+
 // backoff returns the wait before the given send of a call.
 func (s *service) backoff(send int) time.Duration {
 	s.mu.Lock()
