Let an upstream come back by the answers to uploads, and pay before a silent connection is given up

TestHedgeTakesWholeAnswers got 502: a lookup over a connection that carried nothing for a third of its time was cancelled although the budget did not pay for another send. TestUploadsBeyondTheMemoryAreRefused now has 30 upstreams, because the limit of one upstream lets 4 uploads in at once; its assertion stays. Conclusion: a bulk answer clears a suspect that failed; failures in a row cost among suspects; a silent connection is given up only once the other send is paid.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,6 +48,8 @@
 	sentWhole bool
 	// connSilent means that the connection, not the upstream, is suspected.
 	connSilent bool
+	// resendPaid means that the budget has paid for another send.
+	resendPaid bool
 }
 
 // requestBody is the body of one send.
@@ -87,7 +89,9 @@
 // send; it is the call's own context or one below it.
 func (c *call) exchange(ctx context.Context, sent send, body requestBody) attemptResult {
 	ctx, cancel := context.WithCancelCause(ctx)
-	trace := &sendTrace{silence: c.silenceLimit(), cancel: cancel, interim: c.passInterim}
+	trace := &sendTrace{
+		silence: c.silenceLimit(), payResend: c.route.service.payExtra, cancel: cancel, interim: c.passInterim,
+	}
 	request := c.upstreamRequest(sent, body)
 	response, err := sent.transport.http.RoundTrip(
 		request.WithContext(httptrace.WithClientTrace(ctx, trace.client())))
@@ -171,6 +175,7 @@
 	}
 	isSilent := trace.isSilent() && ctx.Err() != nil
 	result.connSilent = isSilent
+	result.resendPaid = trace.isResendPaid()
 	if isSilent {
 		c.gateway.options.Counters.Add(groupAnswers, "connection_silent", 1)
 		sent.transport.http.CloseIdleConnections()
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -82,7 +82,10 @@
 type sendTrace struct {
 	// silence is how long the connection may carry nothing; 0 means no limit.
 	silence time.Duration
-	cancel  context.CancelCauseFunc
+	// payResend pays for another send in place of one over a silent connection;
+	// without it the send goes on.
+	payResend func() bool
+	cancel    context.CancelCauseFunc
 	// interim receives interim answers (1xx).
 	interim func(status int, header http.Header)
 
@@ -93,6 +96,8 @@
 	// the send, or that the connection isn't tracked.
 	wroteBefore bool
 	timer       *time.Timer
+	// paid means that another send has been paid for.
+	paid bool
 }
 
 func (t *sendTrace) client() *httptrace.ClientTrace {
@@ -116,10 +121,29 @@
 	conn.beginSend()
 	t.conn = conn
 	if t.silence > 0 && t.timer == nil {
-		t.timer = time.AfterFunc(t.silence, func() { t.cancel(errConnSilent) })
+		t.timer = time.AfterFunc(t.silence, t.endSilent)
 	}
 }
 
+// endSilent ends the send in favour of another one, unless the connection was
+// opened for it or the other one can't be paid for.
+func (t *sendTrace) endSilent() {
+	if !t.isSilent() || !t.payResend() {
+		return
+	}
+	t.mu.Lock()
+	t.paid = true
+	t.mu.Unlock()
+	t.cancel(errConnSilent)
+}
+
+// isResendPaid tells whether another send has been paid for.
+func (t *sendTrace) isResendPaid() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.paid
+}
+
 // got1xx passes an interim answer on.
 func (t *sendTrace) got1xx(status int, header textproto.MIMEHeader) error {
 	t.interim(status, http.Header(header))
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -50,7 +50,7 @@
 	if a.connSilent {
 		c.forgetTried(a.upstream)
 	}
-	sent, problem := c.startSend()
+	sent, problem := c.startSendPaid(a.resendPaid)
 	if problem != nil {
 		c.keep(string(problem.Reason))
 		return send{}, false
@@ -141,8 +141,20 @@
 
 // startSend chooses the upstream of the next send.
 func (c *call) startSend() (send, *outcome.Problem) {
-	isExtra := c.attempts > 0
-	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.tried, isExtra)
+	return c.startSendPaid(false)
+}
+
+// startSendPaid chooses the upstream of the next send. isPaid tells that the
+// budget has paid for it.
+func (c *call) startSendPaid(isPaid bool) (send, *outcome.Problem) {
+	kind := firstSend
+	switch {
+	case isPaid:
+		kind = paidSend
+	case c.attempts > 0:
+		kind = extraSend
+	}
+	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.tried, kind)
 	if err == sendOK {
 		sent.traffic = c.route.rule.settings.Traffic
 		c.attempts++
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -31,20 +31,31 @@
 	s.isGivenUp.Store(true)
 }
 
-// startSend chooses an upstream and records the send. extra marks a hedge or a
-// retry, which the budget has to pay for.
-func (s *service) startSend(traffic dynamic.Traffic, exclude []string, extra bool) (send, sendError) {
+// sendKind tells how the budget treats a send.
+type sendKind int
+
+const (
+	// firstSend earns a share of an extra one.
+	firstSend sendKind = iota
+	// extraSend is a hedge or a retry, which the budget has to pay for.
+	extraSend
+	// paidSend is a retry for which payExtra has paid.
+	paidSend
+)
+
+// startSend chooses an upstream and records the send.
+func (s *service) startSend(traffic dynamic.Traffic, exclude []string, kind sendKind) (send, sendError) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, ok := s.pickLocked(now, pickRequest(traffic, exclude), extra)
+	choice, ok := s.pickLocked(now, pickRequest(traffic, exclude), kind != firstSend)
 	if !ok {
 		return send{}, sendErrNoUpstream
 	}
-	if extra && !s.budget.Take(now) {
+	if kind == extraSend && !s.budget.Take(now) {
 		return send{}, sendErrBudget
 	}
-	if !extra {
+	if kind == firstSend {
 		s.budget.FirstSend(now)
 	}
 	s.balancer.Sent(now, choice)
@@ -52,6 +63,13 @@
 	return send{choice: choice, transport: s.transports[choice.Address], started: now}, sendOK
 }
 
+// payExtra pays for one extra send ahead of it.
+func (s *service) payExtra() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Take(time.Now())
+}
+
 // pickRequest describes a call to the balancer. Only a lookup may try out a
 // suspect; the time of an upload tells of its size.
 func pickRequest(traffic dynamic.Traffic, exclude []string) loadbalancer.Request {
--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -369,12 +369,22 @@
 	}
 }
 
+// moreUpstreams returns settings of further upstreams at the first one's
+// address, so that the limits of the upstreams let more calls in.
+func moreUpstreams(count int) string {
+	text := "max_connections = 200\n"
+	for i := range count {
+		text += fmt.Sprintf("[/teams/t/services/s/upstreams/more-%d]\naddress = %s\nzone = a\nmax_connections = 200\n", i, upstream1)
+	}
+	return text
+}
+
 // TestUploadsBeyondTheMemoryAreRefused: the VM's bound on the uploads at once
 // holds.
 func TestUploadsBeyondTheMemoryAreRefused(t *testing.T) {
 	inBench(t, func(g *WithT, b *bench) {
 		b.upstream("u1", upstream1, upstreamstandin.Switches{ServiceTime: time.Second})
-		v := b.vm("vm1", teamText+"max_connections = 200\n")
+		v := b.vm("vm1", teamText+moreUpstreams(29))
 		statuses := make(chan int, 100)
 		for range 100 {
 			go func() { statuses <- b.put(v, make([]byte, 2000), "").status }()
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -164,7 +164,8 @@
 }
 
 // lowest returns the upstream of lowest cost. A suspect gets a call only when
-// its trial is due, or when isLast tells that there is no other upstream.
+// its trial is due, or when isLast tells that there is no other upstream; each
+// failure in a row then costs as much as a call's service time.
 func (b *Balancer) lowest(at time.Duration, request Request, isLast bool) *entry {
 	var best *entry
 	var bestCost float64
@@ -183,6 +184,9 @@
 			continue
 		}
 		cost := b.cost(e, at)
+		if isLast {
+			cost += float64(e.failures)
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -224,11 +228,11 @@
 		e.addError(at)
 	case result.Failed:
 		e.failed(at)
+	case choice.Bulk:
+		e.answeredBulk(at)
 	default:
 		e.failures = 0
-		if !choice.Bulk {
-			b.learnLatency(e, at, result.Latency)
-		}
+		b.learnLatency(e, at, result.Latency)
 	}
 }
 
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -107,6 +107,15 @@
 	}
 }
 
+// answeredBulk records an answer whose latency tells of its size. It clears an
+// upstream that failures made a suspect, but not one that was slow.
+func (e *entry) answeredBulk(at time.Duration) {
+	e.failures = 0
+	if e.phase == phaseSuspect && !e.isSlow {
+		e.fire(eventAnswered, at)
+	}
+}
+
 // errorLoad returns what is left of the load that failures stand for.
 func (e *entry) errorLoad(at time.Duration) float64 {
 	if e.errors == 0 {
--- a/internal/loadbalancer/loadbalancer_test.go
+++ b/internal/loadbalancer/loadbalancer_test.go
@@ -236,3 +236,43 @@
 		})
 	}
 }
+
+var _ = Describe("a balancer whose upstreams are all suspects", func() {
+	const deliveryInterval = 30 * time.Second
+	failed := loadbalancer.Result{Failed: true, Latency: time.Millisecond}
+	upload := loadbalancer.Request{NoTrial: true, Bulk: true}
+
+	// deliver sends one upload and returns where it went.
+	deliver := func(b *loadbalancer.Balancer, now time.Time, answer func(name string) loadbalancer.Result) string {
+		choice, ok := b.Pick(now, upload)
+		Expect(ok).To(BeTrue())
+		b.Sent(now, choice)
+		b.Done(now.Add(time.Millisecond), choice, answer(choice.Name))
+		return choice.Name
+	}
+
+	It("tries the one that failed less in a row, and keeps to it once it answers", func() {
+		for seed := range uint64(20) {
+			b := loadbalancer.New(loadbalancer.Options{VM: "vm", Zone: "z"}, rand.New(rand.NewPCG(seed, 1)))
+			b.SetUpstreams(start, upstreams(2))
+			now := start
+			for range 8 {
+				now = now.Add(deliveryInterval)
+				deliver(b, now, func(string) loadbalancer.Result { return failed })
+			}
+			recovers := func(name string) loadbalancer.Result {
+				if name == "u-0" {
+					return failed
+				}
+				return loadbalancer.Result{Latency: time.Millisecond}
+			}
+			first := deliver(b, now.Add(deliveryInterval), recovers)
+			second := deliver(b, now.Add(2*deliveryInterval), recovers)
+			Expect([]string{first, second}).To(ContainElement("u-1"))
+			for i := range 10 {
+				at := now.Add(time.Duration(3+i) * deliveryInterval)
+				Expect(deliver(b, at, recovers)).To(Equal("u-1"), "seed %d", seed)
+			}
+		}
+	})
+})
