Tell all VMs of a leaving upstream

Cause: a VM learns of a leaving upstream by an answer. One that had sent it no call lately sent it one more than 3 s after the first sign; a health path that lags tells it nothing.

Change: a gateway publishes the upstreams that it itself saw leaving for 3 s at its report interval, its agent pushes them to the agents of all VMs, and their gateways take the upstream out of use. What a VM heard of others it does not pass on.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -111,6 +111,7 @@
 	router.AddConsumerHandler("config", exchange.TopicConfig, a.bus, a.handleConfig)
 	router.AddConsumerHandler("commit", exchange.TopicCommit, a.bus, a.handleCommit)
 	router.AddConsumerHandler("gateway", exchange.TopicGateway, a.bus, a.handleGateway)
+	router.AddConsumerHandler("leaving", exchange.TopicLeaving, a.bus, a.handleLeaving)
 	router.AddConsumerHandler("probe_needs", exchange.TopicProbeNeeds, a.bus, a.handleProbeNeeds)
 	for _, loop := range []func(context.Context){a.followFeed, a.followList, a.heartbeatLoop, a.probeLoop} {
 		a.background.Go(func() {
--- a/internal/agent/cluster_test.go
+++ b/internal/agent/cluster_test.go
@@ -26,6 +26,7 @@
 	"github.com/figfront/figfront/internal/configstore"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/pipenet"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/platformstandin"
 	"github.com/figfront/figfront/internal/process"
@@ -56,6 +57,8 @@
 	mu sync.Mutex
 	// cutVMs are cut off from the platform.
 	cutVMs map[string]bool
+	// upstreams is the network behind the gateways.
+	upstreams *pipenet.Network
 }
 
 // vm is one VM.
@@ -84,7 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			Gomega: NewWithT(t), t: t, network: newNetwork(), table: platformstandin.New(nil),
-			cutVMs: make(map[string]bool),
+			cutVMs: make(map[string]bool), upstreams: pipenet.New(),
 		}
 		for i := range n {
 			c.add(i)
@@ -249,6 +252,7 @@
 	v.gwLife = life
 	v.gateway = gateway.New(gateway.Options{
 		VM: v.name, Zone: v.zone, Log: v.log(), Counters: telemetry.NewCounters(),
+		Dial: v.cluster.upstreams.Dial,
 	})
 	client := exchange.NewClient(v.address, dialer{network: v.cluster.network, from: v.address})
 	bus := exchange.NewPubSub(client, v.name)
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -100,6 +100,11 @@
 	if err != nil {
 		return
 	}
+	a.pushMessage(ctx, m, targets)
+}
+
+// pushMessage sends a message to other VMs in the background.
+func (a *Agent) pushMessage(ctx context.Context, m *api.Message, targets []membership.Member) {
 	ctx = context.WithoutCancel(ctx)
 	slots := make(chan struct{}, maxPushes)
 	a.background.Go(func() {
--- /dev/null
+++ b/internal/agent/leaving_test.go
@@ -0,0 +1,61 @@
+package agent_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/upstreamstandin"
+)
+
+// leavingSettings has two upstreams.
+const leavingSettings = `
+[/teams/asocrank/services/s/traffic/lookup]
+[/teams/asocrank/services/s/upstreams/u-1]
+address = 10.9.0.1:80
+zone = fukuoka
+[/teams/asocrank/services/s/upstreams/u-2]
+address = 10.9.0.2:80
+zone = fukuoka
+`
+
+// call makes a lookup through the VM's gateway.
+func (v *vm) call() {
+	v.gateway.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, "/asocrank/s/x", nil))
+}
+
+// TestLeavingUpstreamIsToldToAllVMs has one VM see that an upstream leaves: 3 s
+// later no VM sends it a call.
+func TestLeavingUpstreamIsToldToAllVMs(t *testing.T) {
+	run(t, 6, func(c *cluster) {
+		ordinary := upstreamstandin.Switches{ServiceTime: time.Millisecond}
+		leaving := upstreamstandin.New("u-1", 2, 10, ordinary)
+		staying := upstreamstandin.New("u-2", 2, 10, ordinary)
+		for address, upstream := range map[string]*upstreamstandin.Server{
+			"10.9.0.1:80": leaving, "10.9.0.2:80": staying,
+		} {
+			server := c.upstreams.Serve(address, upstream.Handler())
+			defer func() { _ = server.Close() }()
+		}
+		answer := c.vms[0].put("asocrank", 0, leavingSettings, "change-1")
+		c.Expect(answer.Code).To(Equal(http.StatusOK), answer.Body.String())
+		time.Sleep(4 * time.Second)
+
+		leaving.Set(upstreamstandin.Switches{ServiceTime: time.Millisecond, Draining: true, HealthLies: true})
+		for received := leaving.Counts().Received; leaving.Counts().Received == received; {
+			c.vms[0].call()
+		}
+		time.Sleep(3 * time.Second)
+		received := leaving.Counts().Received
+		for range 50 {
+			for _, v := range c.vms {
+				v.call()
+			}
+		}
+		c.Expect(leaving.Counts().Received).To(Equal(received))
+		c.Expect(staying.Counts().Ran).To(BeNumerically(">=", 300))
+	})
+}
--- a/internal/agent/rpc.go
+++ b/internal/agent/rpc.go
@@ -47,7 +47,10 @@
 }
 
 func isTaken(m *api.Message) bool {
-	topics := []string{exchange.TopicConfig, exchange.TopicCommit, exchange.TopicGateway, exchange.TopicProbeNeeds}
+	topics := []string{
+		exchange.TopicConfig, exchange.TopicCommit, exchange.TopicGateway, exchange.TopicProbeNeeds,
+		exchange.TopicLeaving,
+	}
 	return slices.Contains(topics, m.GetTopic()) && len(m.GetKey()) <= maxKeyBytes
 }
 
--- a/internal/decisionbench/policy_test.go
+++ b/internal/decisionbench/policy_test.go
@@ -108,7 +108,7 @@
 // scheduleShare tells the other VMs which upstreams this one saw leaving.
 func (f *figfront) scheduleShare() {
 	f.sim.After(shareInterval, func() {
-		for _, name := range f.balancer.Leaving(nil) {
+		for _, name := range f.balancer.Leaving(f.sim.Now()) {
 			f.sim.After(shareDelay, func() { f.tellOthers(name) })
 		}
 		f.scheduleShare()
--- a/internal/exchange/topics.go
+++ b/internal/exchange/topics.go
@@ -21,6 +21,9 @@
 	// TopicUpstream carries the agent's observations of upstreams, keyed by
 	// address.
 	TopicUpstream = "upstream"
+	// TopicLeaving carries the upstreams that a VM saw leaving, keyed by VM; the
+	// agent hands those of its own VM on to the agents of all VMs.
+	TopicLeaving = "leaving"
 )
 
 // Metadata keys of a bus message.
--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -40,6 +40,10 @@
 		g.receiveObservation(m)
 		return nil
 	})
+	router.AddConsumerHandler("leaving", exchange.TopicLeaving, bus, func(m *message.Message) error {
+		g.receiveLeaving(m)
+		return nil
+	})
 	go g.reportLoop(ctx, bus)
 	return router.Run(ctx)
 }
@@ -164,5 +168,8 @@
 	if err := bus.Publish(exchange.TopicGateway, exchange.NewBusMessage(g.options.VM, sequence, payload)); err != nil {
 		return err
 	}
+	if err := g.publishLeaving(bus); err != nil {
+		return err
+	}
 	return g.publishProbeNeeds(bus)
 }
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -275,11 +275,13 @@
 	b.selectSubset()
 }
 
-// Leaving appends the names of the upstreams that this VM itself saw leaving,
-// which it tells the other VMs.
-func (b *Balancer) Leaving(names []string) []string {
+// Leaving returns the names of the upstreams that this VM itself lately saw
+// leaving, which it tells the other VMs.
+func (b *Balancer) Leaving(now time.Time) []string {
+	at := b.since(now)
+	var names []string
 	for _, e := range b.ranked {
-		if e.phase == phaseLeaving && e.isSignOwn {
+		if e.phase == phaseLeaving && e.isSignOwn && at < e.leftAt+signLife {
 			names = append(names, e.upstream.Name)
 		}
 	}
--- a/internal/loadbalancer/loadbalancer_test.go
+++ b/internal/loadbalancer/loadbalancer_test.go
@@ -109,7 +109,7 @@
 			r.Draining = true
 			return r
 		})
-		Expect(b.Leaving(nil)).To(ConsistOf(leaving))
+		Expect(b.Leaving(start)).To(ConsistOf(leaving))
 		at := start.Add(30 * time.Second)
 		b.Probed(at, leaving, loadbalancer.ProbeResult{Sent: at, Healthy: true})
 		Expect(count(b, at, 20*time.Second, leaving, quick)).To(BeZero())
@@ -122,7 +122,7 @@
 	It("takes a leaving upstream back once it was gone", func() {
 		b := newBalancer("vm", 2, 0)
 		b.DrainSeen(start, "u-1")
-		Expect(b.Leaving(nil)).To(BeEmpty(), "a sign of others is not passed on")
+		Expect(b.Leaving(start)).To(BeEmpty(), "a sign of others is not passed on")
 		at := start.Add(5 * time.Second)
 		b.Probed(at, "u-1", loadbalancer.ProbeResult{Sent: at})
 		b.Probed(at, "u-1", loadbalancer.ProbeResult{Sent: at, Healthy: true})
--- a/internal/loadbalancer/options.go
+++ b/internal/loadbalancer/options.go
@@ -79,4 +79,7 @@
 	// drainHold is longer than a health path may lag behind a draining
 	// upstream; probes sent earlier don't bring the upstream back.
 	drainHold = 60 * time.Second
+	// signLife is the time for which the VM tells the others of a leaving
+	// upstream.
+	signLife = 3 * time.Second
 )
