Take out the backoff, let refusals cut limits below one, and document limits

A resend goes to another upstream, so waiting gains nothing.

TestOverload is stricter: a late admitted call, and a call that an upstream refused after more than 1 ms, count against it.

--- a/internal/decisionbench/overload_test.go
+++ b/internal/decisionbench/overload_test.go
@@ -97,9 +97,12 @@
 func (l *limited) Done(upstream int, latency time.Duration, a answer) {
 	l.Policy.Done(upstream, latency, a)
 	l.sim.VMs[l.vm].budget.Answered(!a.failed && !a.shed)
-	if a.failed || a.shed {
-		l.adaptive[upstream].Refused(l.sim.Now())
-	} else {
+	switch {
+	case a.shed:
+		l.adaptive[upstream].Shed(l.sim.Now())
+	case a.failed:
+		l.adaptive[upstream].Failed(l.sim.Now())
+	default:
 		l.adaptive[upstream].Answered(l.sim.Now(), latency, a.report.Queued)
 	}
 	l.changed()
@@ -166,7 +169,8 @@
 // overloadRun is what an overload scenario counts beside the Result.
 type overloadRun struct {
 	*Result
-	// lateRefusals counts the refusals later than refusalLimit after arrival.
+	// lateRefusals counts the calls that were refused, by the VM or by the
+	// upstreams, later than refusalLimit after their arrival.
 	lateRefusals int
 	// longestOver is the longest time past its deadline that a call ended.
 	longestOver time.Duration
@@ -193,7 +197,8 @@
 		if !c.measured {
 			return
 		}
-		if c.End == Refused && c.Ended-c.Arrived > refusalLimit {
+		isUnserved := c.End == Refused || c.End == Failed
+		if isUnserved && c.Ended-c.Arrived > refusalLimit {
 			run.lateRefusals++
 		}
 		run.longestOver = max(run.longestOver, c.Ended-c.Deadline())
@@ -209,12 +214,11 @@
 	roundTrip     = 3 * time.Millisecond
 )
 
-func TestOverload(t *testing.T) {
-	config := StartBoard(overload)
-	config.Deadline = lookupDeadline
-	runs := runOverload(withLimits(config))
+// checkOverload runs a configuration at overload and checks the targets.
+func checkOverload(t *testing.T, config Config) {
+	t.Helper()
 	var goodputs []float64
-	for i, r := range runs {
+	for i, r := range runOverload(withLimits(config)) {
 		goodputs = append(goodputs, r.Goodput/config.Capacity())
 		t.Logf("seed %d: goodput %.3f of capacity, late %d, failed %d, refused %d of %d %v, p50 %.1f ms, p99 %.1f ms, sends/call %.3f",
 			seeds[i], goodputs[i], r.Late, r.Failed, r.Refused, r.Calls, r.Refusals,
@@ -222,11 +226,26 @@
 		if r.lateRefusals > 0 {
 			t.Errorf("seed %d: %d calls refused later than %s", seeds[i], r.lateRefusals, refusalLimit)
 		}
-		if r.longestOver > roundTrip {
-			t.Errorf("seed %d: a call ended %s past its deadline", seeds[i], r.longestOver)
+		if r.Late > 0 || r.longestOver > roundTrip {
+			t.Errorf("seed %d: %d calls not answered by their deadline, one %s past it", seeds[i], r.Late, r.longestOver)
 		}
 	}
 	if goodput := middle(goodputs); goodput < goodputTarget {
 		t.Errorf("goodput is %.3f of the capacity, want %.2f", goodput, goodputTarget)
 	}
 }
+
+func TestOverload(t *testing.T) {
+	config := StartBoard(overload)
+	config.Deadline = lookupDeadline
+	checkOverload(t, config)
+}
+
+// TestOverloadWithShortUpstreamQueues has upstreams that refuse calls by
+// themselves when four wait.
+func TestOverloadWithShortUpstreamQueues(t *testing.T) {
+	config := StartBoard(overload)
+	config.Deadline = lookupDeadline
+	config.QueueLimit = 4
+	checkOverload(t, config)
+}
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"time"
 
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/dynamic"
@@ -90,10 +89,10 @@
 	return c.policyCall().Mark(c.attempts)
 }
 
-// mayRetry tells whether a failed send may be sent again, after the backoff.
+// mayRetry tells whether a failed send may be sent again.
 func (c *call) mayRetry(a attemptResult) bool {
 	verdict := retry.Decide(c.policyCall(), a.failure())
-	if verdict == retry.Resend && !c.waitBackoff() {
+	if verdict == retry.Resend && !c.isInTime() {
 		verdict = retry.KeepTooLate
 	}
 	if verdict == retry.Resend {
@@ -108,21 +107,6 @@
 	c.gateway.options.Counters.Add(telemetry.GroupRetries, keptPrefix+reason, 1)
 }
 
-// waitBackoff waits before the next send. It returns false when the call ended
-// meanwhile.
-func (c *call) waitBackoff() bool {
-	wait := c.route.service.backoff(c.attempts + 1)
-	if wait == 0 {
-		return c.isInTime()
-	}
-	select {
-	case <-time.After(wait):
-		return c.isInTime()
-	case <-c.ctx.Done():
-		return false
-	}
-}
-
 // isInTime tells whether the caller is still there and the deadline has not
 // passed, also by the wall clock.
 func (c *call) isInTime() bool {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -30,7 +30,6 @@
 	admission *admission
 
 	mu     sync.Mutex
-	random *rand.Rand
 	limits *upstreamLimits
 	watch  *upstreamWatch
 	// sharedAt is when the admission was last told the capacity.
@@ -54,7 +53,6 @@
 		name:      name,
 		dial:      options.Dial,
 		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
-		random:    random,
 		limits:    newUpstreamLimits(),
 		watch:     newUpstreamWatch(),
 		balancer: loadbalancer.New(loadbalancer.Options{
@@ -144,13 +142,6 @@
 	s.admission.setCapacity(now, s.limits.places(s.balancer.InUse()))
 }
 
-// backoff returns the wait before the given send of a call.
-func (s *service) backoff(send int) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return retry.Backoff(send, s.random)
-}
-
 func (s *service) currentRules() []*rule {
 	return *s.rules.Load()
 }
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -71,11 +71,14 @@
 		queued = result.Report.Queued
 	}
 	l.change(name, func(adaptive *limit.Adaptive) {
-		if result.Failed || result.Shed {
-			adaptive.Refused(now)
-			return
+		switch {
+		case result.Shed:
+			adaptive.Shed(now)
+		case result.Failed:
+			adaptive.Failed(now)
+		default:
+			adaptive.Answered(now, result.Latency, queued)
 		}
-		adaptive.Answered(now, result.Latency, queued)
 	})
 }
 
--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -19,8 +19,8 @@
 	// raise is added to the limit by an answer in time, and to a limit below
 	// one in proportion.
 	raise = 0.1
-	// minLimit is the lowest limit of an upstream that reports a queue, and
-	// minLimitUnreported that of any other.
+	// minLimit is the lowest limit of an upstream that reports a queue or
+	// refuses calls, and minLimitUnreported that of any other.
 	minLimit           = 0.1
 	minLimitUnreported = 1.0
 	// latencyWeight is the weight of one answer in the smoothed latency.
@@ -87,7 +87,7 @@
 	a.learn(latency, queued)
 	isSlow := float64(a.smoothed) > tolerance*float64(a.baseline)
 	if isSlow && queued != 0 {
-		a.cut(now, slowCut, queued)
+		a.cut(now, slowCut, lowestFor(queued))
 		return
 	}
 	if isUsed {
@@ -95,10 +95,17 @@
 	}
 }
 
-// Refused records that the upstream refused or failed a call.
-func (a *Adaptive) Refused(now time.Time) {
+// Shed records that the upstream refused a call, which proves that it is full.
+func (a *Adaptive) Shed(now time.Time) {
 	a.end()
-	a.cut(now, shedCut, NoQueueReport)
+	a.cut(now, shedCut, minLimit)
+}
+
+// Failed records that the upstream failed a call. The limit stays at one, so
+// that the upstream's capacity is there when it recovers.
+func (a *Adaptive) Failed(now time.Time) {
+	a.end()
+	a.cut(now, shedCut, minLimitUnreported)
 }
 
 // Cancelled records that a call was given up; it says nothing of the upstream.
@@ -129,15 +136,19 @@
 	}
 }
 
-// cut lowers the limit, at most once in the time of an answer.
-func (a *Adaptive) cut(now time.Time, factor float64, queued int) {
+// lowestFor returns the limit below which slow answers don't cut.
+func lowestFor(queued int) float64 {
+	if queued > 0 {
+		return minLimit
+	}
+	return minLimitUnreported
+}
+
+// cut lowers the limit down to lowest, at most once in the time of an answer.
+func (a *Adaptive) cut(now time.Time, factor, lowest float64) {
 	if now.Sub(a.cutAt) < max(a.smoothed, minCutInterval) {
 		return
 	}
 	a.cutAt = now
-	lowest := minLimitUnreported
-	if queued > 0 {
-		lowest = minLimit
-	}
 	a.limit = min(max(a.limit*factor, lowest), a.limit)
 }
--- a/internal/limit/adaptive_test.go
+++ b/internal/limit/adaptive_test.go
@@ -37,13 +37,13 @@
 		Expect(a.Limit()).To(BeNumerically("~", 4, 0.01))
 	})
 
-	It("falls to one, and not below, when the upstream refuses calls", func() {
+	It("falls to one, and not below, when the upstream fails calls", func() {
 		a := limit.NewAdaptive(8)
 		now := epoch
 		for range 50 {
 			now = now.Add(20 * time.Millisecond)
 			a.Start()
-			a.Refused(now)
+			a.Failed(now)
 		}
 		Expect(a.Limit()).To(BeNumerically("~", 1, 0.01))
 		Expect(a.IsFull()).To(BeFalse())
@@ -51,13 +51,25 @@
 		Expect(a.IsFull()).To(BeTrue())
 	})
 
+	It("falls below one when the upstream refuses calls", func() {
+		a := limit.NewAdaptive(8)
+		now := epoch
+		for range 50 {
+			now = now.Add(20 * time.Millisecond)
+			a.Start()
+			a.Shed(now)
+		}
+		Expect(a.Limit()).To(BeNumerically("~", 0.1, 0.01))
+		Expect(a.IsFull()).To(BeFalse())
+	})
+
 	It("cuts once for a burst of refusals", func() {
 		a := limit.NewAdaptive(100)
 		answer(a, epoch, 5000, 100, 8*time.Millisecond, 0)
 		high := a.Limit()
 		for range 20 {
 			a.Start()
-			a.Refused(after(time.Hour))
+			a.Shed(after(time.Hour))
 		}
 		Expect(a.Limit()).To(BeNumerically(">=", 0.6*high))
 	})
--- a/internal/retry/doc.go
+++ b/internal/retry/doc.go
@@ -8,6 +8,6 @@
 // sends again: a call that arrives as sent again, and an answer that a figfront
 // further down has already given up on, are passed on as they are.
 //
-// The package takes the time and the random source as arguments, does no I/O
-// and starts no goroutine.
+// A resend goes to another upstream at once. The package takes the time as an
+// argument, does no I/O and starts no goroutine.
 package retry
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -1,19 +1,9 @@
 package retry
 
 import (
-	"math/rand/v2"
-	"time"
-
 	"github.com/figfront/figfront/internal/outcome"
 )
 
-// Backoff before the second and later resends of a call. The first goes to
-// another upstream at once.
-const (
-	minBackoff = 2 * time.Millisecond
-	maxBackoff = 50 * time.Millisecond
-)
-
 // Call is what the policy knows of a call.
 type Call struct {
 	// IsIdempotent tells that running the call twice does no harm.
@@ -69,16 +59,3 @@
 func (c Call) Mark(send int) int {
 	return max(c.Attempt, 1) + send - 1
 }
-
-// Backoff returns the wait before the given send of a call: none before the
-// first two, then a random time up to a limit that doubles.
-func Backoff(send int, random *rand.Rand) time.Duration {
-	if send <= 2 {
-		return 0
-	}
-	limit := maxBackoff
-	if doublings := send - 3; doublings < 4 {
-		limit = min(minBackoff<<doublings*2, maxBackoff)
-	}
-	return minBackoff + time.Duration(random.Int64N(int64(limit-minBackoff)))
-}
--- a/internal/retry/policy_test.go
+++ b/internal/retry/policy_test.go
@@ -1,9 +1,6 @@
 package retry_test
 
 import (
-	"math/rand/v2"
-	"time"
-
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -49,19 +46,3 @@
 		Expect(retry.Call{}.Mark(1)).To(Equal(1))
 	})
 })
-
-var _ = Describe("Backoff", func() {
-	It("is absent before the first resend, then random and bounded", func() {
-		random := rand.New(rand.NewPCG(1, 2))
-		Expect(retry.Backoff(1, random)).To(BeZero())
-		Expect(retry.Backoff(2, random)).To(BeZero())
-		seen := map[time.Duration]bool{}
-		for send := 3; send < 40; send++ {
-			wait := retry.Backoff(send, random)
-			Expect(wait).To(BeNumerically(">", 0))
-			Expect(wait).To(BeNumerically("<=", 50*time.Millisecond))
-			seen[wait] = true
-		}
-		Expect(len(seen)).To(BeNumerically(">", 30))
-	})
-})
