--- a/internal/decisionbench/overload_failfast_test.go
+++ b/internal/decisionbench/overload_failfast_test.go
@@ -99,13 +99,8 @@
 }
 
 func runHalfFail(config Config, seed uint64) halfFailRun {
-	config.Seed = seed
-	config.Deadline = lookupDeadline
-	config.Length = runEnd - config.Warmup
 	config.Script = []Step{{faultStart, failHalf(true)}, {faultEnd, failHalf(false)}}
-	lines := newTimeline(runEnd + time.Second)
-	lines.observe(&config)
-	Run(config)
+	lines := runTimeline(config, seed)
 	return halfFailRun{
 		success:     float64(sum(lines.ok, faultStart, faultEnd)) / lines.room(config),
 		worstSends:  lines.worstSends(),
