--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/dynamic"
@@ -45,6 +46,9 @@
 	if !c.mayRetry(a) {
 		return send{}, false
 	}
+	if a.connSilent {
+		c.forgetTried(a.upstream)
+	}
 	sent, problem := c.startSend()
 	if problem != nil {
 		c.keep(string(problem.Reason))
@@ -55,6 +59,12 @@
 	return sent, true
 }
 
+// forgetTried lets the call go to an upstream again: not the upstream but the
+// connection to it was at fault.
+func (c *call) forgetTried(upstream string) {
+	c.tried = slices.DeleteFunc(c.tried, func(name string) bool { return name == upstream })
+}
+
 // isFailure tells whether the send failed or was answered with an error of the
 // upstream.
 func (a attemptResult) isFailure() bool {
@@ -116,7 +126,7 @@
 // startSend chooses the upstream of the next send.
 func (c *call) startSend() (send, *outcome.Problem) {
 	isExtra := c.attempts > 0
-	sent, err := c.route.service.startSend(c.tried, isExtra)
+	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.tried, isExtra)
 	if err == sendOK {
 		sent.traffic = c.route.rule.settings.Traffic
 		c.attempts++
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -105,11 +105,7 @@
 		if !ok || e.upstream.Address != upstream.Address {
 			e = newEntry(b, at, len(known) == 0)
 		}
-		e.upstream = upstream
-		e.zoneCost = 0
-		if upstream.Zone != b.options.Zone {
-			e.zoneCost = b.options.RemoteZoneCost
-		}
+		b.describe(e, upstream)
 		b.byName[upstream.Name] = e
 		b.ranked = append(b.ranked, e)
 	}
@@ -117,6 +113,17 @@
 	b.selectSubset()
 }
 
+// describe takes over the settings of an upstream.
+func (b *Balancer) describe(e *entry, upstream Upstream) {
+	e.upstream = upstream
+	e.slots = float64(max(upstream.Slots, 1))
+	e.perSlot = 1 / e.slots
+	e.zoneCost = 0
+	if upstream.Zone != b.options.Zone {
+		e.zoneCost = b.options.RemoteZoneCost
+	}
+}
+
 // Pick chooses an upstream. It returns false when there is none that may get
 // the call.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
@@ -131,8 +138,9 @@
 	return best.choice(request), true
 }
 
-// Candidates returns the upstreams of lowest cost, at most count and without
-// suspects, for a caller that asks them for their load before it picks.
+// Candidates returns the upstreams of lowest cost in the VM's zone, at most count
+// and without suspects, for a caller that asks them for their load before it
+// picks. To ask another zone would take longer than the answer is worth.
 func (b *Balancer) Candidates(now time.Time, request Request, count int) []Choice {
 	at := b.since(now)
 	request.NoTrial = true
@@ -143,7 +151,9 @@
 		if best == nil {
 			break
 		}
-		choices = append(choices, best.choice(request))
+		if best.zoneCost == 0 {
+			choices = append(choices, best.choice(request))
+		}
 		request.Exclude = append(request.Exclude, best.upstream.Name)
 	}
 	return choices
@@ -160,10 +170,12 @@
 	var bestCost float64
 	for _, e := range b.entries {
 		b.examined++
-		if slices.Contains(request.Exclude, e.upstream.Name) {
+		if len(request.Exclude) > 0 && slices.Contains(request.Exclude, e.upstream.Name) {
 			continue
 		}
-		e.advance(at)
+		if e.phase == phaseWarming {
+			e.advance(at)
+		}
 		if e.phase == phaseSuspect && !isLast {
 			if !request.NoTrial && e.isTrialDue(at) {
 				return e
