Try a leaving upstream again when nothing was heard of it for two minutes

Cause: only a healthy probe brings back an upstream that was seen leaving, and a service without health_path is not probed: such an upstream got no call until the gateway was started again. Ruled out: ending the leave by itself after a time (a call would go to an upstream that still leaves although probes say so). Before: 0 calls in the fifth minute after it came back. After: more than 100 of 3000; one that still leaves gets at most 10 calls in 20 minutes, and none while probes say that it is not healthy.

--- a/internal/gateway/resend_test.go
+++ b/internal/gateway/resend_test.go
@@ -51,6 +51,7 @@
 		if body != nil {
 			booking.Body = body()
 			booking.GetBody = nil
+			booking.ContentLength = opaqueLength(booking.Body)
 		}
 		response, err = client.RoundTrip(booking)
 		if err == nil {
@@ -63,6 +64,11 @@
 	return runs
 }
 
+// opaqueLength returns the length of the reader in an opaque body, in bytes.
+func opaqueLength(body io.ReadCloser) int64 {
+	return int64(body.(opaqueBody).Reader.(*bytes.Reader).Len())
+}
+
 func plainTransport(network *pipenet.Network) *http.Transport {
 	return &http.Transport{DialContext: network.Dial}
 }
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -220,7 +220,8 @@
 				}
 				seconds, err := strconv.Atoi(response.Header.Get("Retry-After"))
 				if err != nil || seconds < 1 || time.Since(start) > time.Millisecond {
-					t.Errorf("refused after %s, Retry-After %q", time.Since(start), response.Header.Get("Retry-After"))
+					t.Errorf("refused after %s, Retry-After %q, reason %s", time.Since(start),
+						response.Header.Get("Retry-After"), response.Header.Get(outcome.HeaderReason))
 				}
 			})
 		}
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -77,7 +77,9 @@
 	typical time.Duration
 	// background is the mean load of an upstream by other VMs' calls.
 	background float64
-	examined   uint64
+	// unheardAt is when tryUnheard looks next.
+	unheardAt time.Duration
+	examined  uint64
 }
 
 // New returns a Balancer without upstreams.
@@ -128,6 +130,9 @@
 // the call.
 func (b *Balancer) Pick(now time.Time, request Request) (Choice, bool) {
 	at := b.since(now)
+	if at >= b.unheardAt {
+		b.tryUnheard(at)
+	}
 	best := b.lowest(at, request, false)
 	if best == nil {
 		best = b.lowest(at, request, true)
--- a/internal/loadbalancer/entry.go
+++ b/internal/loadbalancer/entry.go
@@ -49,7 +49,9 @@
 	trialAfter time.Duration
 	// leftAt is when the upstream was first seen leaving; isSignOwn tells that
 	// this VM itself saw it.
-	leftAt    time.Duration
+	leftAt time.Duration
+	// heardAt is when the last sign or probe of a leaving upstream came.
+	heardAt   time.Duration
 	isSignOwn bool
 }
 
--- a/internal/loadbalancer/loadbalancer_test.go
+++ b/internal/loadbalancer/loadbalancer_test.go
@@ -276,3 +276,34 @@
 		}
 	})
 })
+
+var _ = Describe("a balancer without probes", func() {
+	drains := func(name string) loadbalancer.Result {
+		r := quick(name)
+		r.Draining = name == "u-0"
+		return r
+	}
+
+	It("tries a leaving upstream again after two minutes without a sign", func() {
+		b := newBalancer("vm", 2, 0)
+		count(b, start, time.Second, "u-0", drains)
+		Expect(count(b, start.Add(time.Second), time.Minute, "u-0", quick)).To(BeZero())
+		Expect(count(b, start.Add(4*time.Minute), time.Minute, "u-0", quick)).To(BeNumerically(">", 100))
+	})
+
+	It("gives one that still leaves one call in two minutes", func() {
+		b := newBalancer("vm", 2, 0)
+		count(b, start, time.Second, "u-0", drains)
+		Expect(count(b, start.Add(time.Second), 20*time.Minute, "u-0", drains)).To(BeNumerically("<=", 10))
+	})
+
+	It("leaves it alone while probes say that it is not healthy", func() {
+		b := newBalancer("vm", 2, 0)
+		count(b, start, time.Second, "u-0", drains)
+		for minute := range 10 {
+			now := start.Add(time.Duration(minute) * time.Minute)
+			b.Probed(now, "u-0", loadbalancer.ProbeResult{Sent: now, Healthy: false})
+			Expect(count(b, now, time.Minute, "u-0", quick)).To(BeZero())
+		}
+	})
+})
--- a/internal/loadbalancer/options.go
+++ b/internal/loadbalancer/options.go
@@ -76,6 +76,10 @@
 	// trial call; it doubles with each failed trial.
 	firstTrialAfter = time.Second
 	lastTrialAfter  = 4 * time.Second
+	// unheardAfter is the time without a sign or a probe of a leaving upstream
+	// after which a call tries it; unheardCheck is the time between two looks.
+	unheardAfter = 2 * time.Minute
+	unheardCheck = time.Second
 	// drainHold is longer than a health path may lag behind a draining
 	// upstream; probes sent earlier don't bring the upstream back.
 	drainHold = 60 * time.Second
--- a/internal/loadbalancer/state.go
+++ b/internal/loadbalancer/state.go
@@ -17,6 +17,7 @@
 	eventWarmedUp      chart.Event = "warmed_up"
 	eventProbeAnswered chart.Event = "probe_answered"
 	eventSuspected     chart.Event = "suspected"
+	eventUnheard       chart.Event = "unheard"
 
 	stateWarming chart.State = "warming"
 	stateReady   chart.State = "ready"
@@ -89,6 +90,23 @@
 		e.startWarmUp(at)
 	case e.phase == phaseLeaving && was != phaseLeaving:
 		e.leftAt = at
+		e.heardAt = at
+	}
+}
+
+// tryUnheard makes suspects of the upstreams that are out and of which nothing
+// was heard for unheardAfter: without probes nothing else brings them back.
+func (b *Balancer) tryUnheard(at time.Duration) {
+	b.unheardAt = at + unheardCheck
+	isChanged := false
+	for _, e := range b.ranked {
+		if e.isOut() && at-e.heardAt >= unheardAfter {
+			e.fire(eventUnheard, at)
+			isChanged = true
+		}
+	}
+	if isChanged {
+		b.selectSubset()
 	}
 }
 
@@ -142,6 +160,7 @@
 
 // probed records the answer to a probe that was sent at the given time.
 func (e *entry) probed(at, sentAt time.Duration, healthy bool) {
+	e.heardAt = at
 	if !healthy {
 		e.fire(eventFailed, at)
 		return
