Tell a stale answer while its connection still belongs to its send

Cause: net/http gives the connection of an answer without a body to the next send before the first one sees its answer. The next send forgot what the connection had carried, so that the first one took its own answer for another call's, closed the connection under both and told its caller 502: calls with empty answers (204, HEAD) failed under concurrency, and a booking would have been told unknown. Found by TestRushOfOneTeamLeavesTheOthersAlone, which failed now and then. Ruled out: the limits and the budget (the failures carried upstream_failed, and the counter answers.foreign rose with them). Whether an answer is stale is now noted at its first byte.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -98,12 +98,16 @@
 	timer       *time.Timer
 	// paid means that another send has been paid for.
 	paid bool
+	// firstByte means that an answer began; stale means that its first byte was
+	// there before the send's.
+	firstByte bool
+	stale     bool
 }
 
 func (t *sendTrace) client() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
 		GotConn:              t.gotConn,
-		GotFirstResponseByte: t.stop,
+		GotFirstResponseByte: t.gotFirstByte,
 		Got1xxResponse:       t.got1xx,
 	}
 }
@@ -150,6 +154,17 @@
 	return nil
 }
 
+// gotFirstByte ends the watch for silence and notes whether the answer is
+// stale. It runs while the connection still belongs to this send; as soon as an
+// answer without a body is read, the next send may have the connection.
+func (t *sendTrace) gotFirstByte() {
+	t.stop()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.stale = t.isStaleLocked()
+	t.firstByte = true
+}
+
 // stop ends the watch for silence.
 func (t *sendTrace) stop() {
 	t.mu.Lock()
@@ -191,6 +206,13 @@
 func (t *sendTrace) isStale() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.firstByte {
+		return t.stale
+	}
+	return t.isStaleLocked()
+}
+
+func (t *sendTrace) isStaleLocked() bool {
 	if t.conn == nil {
 		return false
 	}
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -237,3 +237,30 @@
 		g.Expect(refused).To(Equal(int64(188)), "the rush gets its quarter and the common half")
 	})
 }
+
+// TestEmptyAnswersAreNotForeign makes calls that share few connections and get
+// answers without a body: net/http gives the connection to the next call before
+// the first one sees its answer.
+func TestEmptyAnswersAreNotForeign(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		settings := map[string]string{"t": "[/teams/t/services/s/traffic/lookup]\nhedge = false\n"}
+		s := newSends(t, gateway.Options{}, settings, func(w http.ResponseWriter, _ *http.Request, _ int) {
+			time.Sleep(time.Millisecond)
+			w.WriteHeader(http.StatusNoContent)
+		})
+		defer s.close()
+		var done sync.WaitGroup
+		for range 30 {
+			for range 30 {
+				done.Go(func() {
+					if status := s.ask(t, http.MethodGet, "t", nil).StatusCode; status != http.StatusNoContent {
+						t.Errorf("got %d", status)
+					}
+				})
+			}
+			done.Wait()
+		}
+		g.Expect(s.counters.Get("answers", "foreign")).To(BeZero())
+	})
+}
