--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -32,15 +32,15 @@
 	if err != nil {
 		return errors.Wrap(err, "load charts")
 	}
-	claims, err := claim.NewStore(claim.Options{
-		Table: platform.NewClient(settings.Platform, nil), Counters: counters, VM: settings.VM.Name,
-	})
+	store := platform.NewClient(settings.Platform, nil)
+	claims, err := claim.NewStore(claim.Options{Table: store, Counters: counters, VM: settings.VM.Name})
 	if err != nil {
 		return err
 	}
 	g := gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize,
-		Log: log, Counters: counters, IsStopping: life.IsDraining, Claims: claims, Seed: uint64(time.Now().UnixNano()),
+		Log: log, Counters: counters, Claims: claims, Table: store, Objects: store,
+		IsStopping: life.IsDraining, Seed: uint64(time.Now().UnixNano()),
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
 	if err != nil {
@@ -56,6 +56,7 @@
 	group.Go(func() error { return process.ServeOperators(work, settings.Operators, life) })
 	group.Go(func() error { return g.Follow(work, bus, life.Configured) })
 	group.Go(func() error { return process.Serve(server, listener) })
+	group.Go(func() error { return g.DeliverUploads(ctx) })
 	group.Go(func() error {
 		defer endWork()
 		select {
--- a/internal/exchange/topics.go
+++ b/internal/exchange/topics.go
@@ -15,9 +15,15 @@
 	// TopicGateway carries what gateways report of themselves, keyed by
 	// gateway.
 	TopicGateway = "gateway"
+	// TopicProbeNeeds carries the upstreams that a gateway wants to be asked,
+	// keyed by gateway.
+	TopicProbeNeeds = "probe_needs"
 	// TopicUpstream carries the agent's observations of upstreams, keyed by
 	// address.
 	TopicUpstream = "upstream"
+	// TopicLeaving carries the upstreams that a VM saw leaving, keyed by VM; the
+	// agent hands those of its own VM on to the agents of all VMs.
+	TopicLeaving = "leaving"
 )
 
 // Metadata keys of a bus message.
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -2,7 +2,7 @@
 
 import (
 	"net/http"
-	"time"
+	"slices"
 
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/dynamic"
@@ -46,7 +46,10 @@
 	if !c.mayRetry(a) {
 		return send{}, false
 	}
-	sent, problem := c.startSend()
+	if a.connSilent {
+		c.forgetTried(a.upstream)
+	}
+	sent, problem := c.startSendPaid(a.resendPaid)
 	if problem != nil {
 		c.keep(string(problem.Reason))
 		return send{}, false
@@ -56,6 +59,12 @@
 	return sent, true
 }
 
+// forgetTried lets the call go to an upstream again: not the upstream but the
+// connection to it was at fault.
+func (c *call) forgetTried(upstream string) {
+	c.tried = slices.DeleteFunc(c.tried, func(name string) bool { return name == upstream })
+}
+
 // isFailure tells whether the send failed or was answered with an error of the
 // upstream.
 func (a attemptResult) isFailure() bool {
@@ -90,10 +99,10 @@
 	return c.policyCall().Mark(c.attempts)
 }
 
-// mayRetry tells whether a failed send may be sent again, after the backoff.
+// mayRetry tells whether a failed send may be sent again.
 func (c *call) mayRetry(a attemptResult) bool {
 	verdict := retry.Decide(c.policyCall(), a.failure())
-	if verdict == retry.Resend && !c.waitBackoff() {
+	if verdict == retry.Resend && !c.isInTime() {
 		verdict = retry.KeepTooLate
 	}
 	if verdict == retry.Resend {
@@ -108,21 +117,6 @@
 	c.gateway.options.Counters.Add(telemetry.GroupRetries, keptPrefix+reason, 1)
 }
 
-// waitBackoff waits before the next send. It returns false when the call ended
-// meanwhile.
-func (c *call) waitBackoff() bool {
-	wait := c.route.service.backoff(c.attempts + 1)
-	if wait == 0 {
-		return c.isInTime()
-	}
-	select {
-	case <-time.After(wait):
-		return c.isInTime()
-	case <-c.ctx.Done():
-		return false
-	}
-}
-
 // isInTime tells whether the caller is still there and the deadline has not
 // passed, also by the wall clock.
 func (c *call) isInTime() bool {
@@ -131,12 +125,25 @@
 
 // startSend chooses the upstream of the next send.
 func (c *call) startSend() (send, *outcome.Problem) {
-	isExtra := c.attempts > 0
-	sent, err := c.route.service.startSend(c.tried, isExtra)
+	return c.startSendPaid(false)
+}
+
+// startSendPaid chooses the upstream of the next send. isPaid tells that the
+// budget has paid for it.
+func (c *call) startSendPaid(isPaid bool) (send, *outcome.Problem) {
+	kind := firstSend
+	switch {
+	case isPaid:
+		kind = paidSend
+	case c.attempts > 0:
+		kind = extraSend
+	}
+	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.tried, kind)
 	if err == sendOK {
+		sent.traffic = c.route.rule.settings.Traffic
 		c.attempts++
 		c.tried = append(c.tried, sent.choice.Name)
-		c.gateway.options.Counters.Add(telemetry.GroupAttempts, string(c.route.rule.settings.Traffic), 1)
+		c.gateway.options.Counters.Add(telemetry.GroupAttempts, string(sent.traffic), 1)
 		return sent, nil
 	}
 	reason := outcome.NoUpstream
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,10 +9,15 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/hedge"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/retry"
 )
 
+// capacityInterval is the least time between two sums of the limits of a
+// service's upstreams.
+const capacityInterval = 5 * time.Millisecond
+
 // service is the running state of one service on this VM.
 type service struct {
 	team string
@@ -24,11 +29,14 @@
 
 	admission *admission
 
-	mu         sync.Mutex
-	random     *rand.Rand
-	limits     *upstreamLimits
+	mu     sync.Mutex
+	limits *upstreamLimits
+	watch  *upstreamWatch
+	// sharedAt is when the admission was last told the capacity.
+	sharedAt   time.Time
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
+	hedges     *hedge.Trigger
 	transports map[string]*transport
 }
 
@@ -41,13 +49,16 @@
 	id := xxhash.Sum64String(teamName + "/" + name)
 	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
-		team:       teamName,
-		name:       name,
-		dial:       options.Dial,
-		admission:  newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
-		random:     random,
-		limits:     newUpstreamLimits(),
-		balancer:   loadbalancer.New(loadbalancer.Options{Zone: options.Zone, RemoteZoneCost: 0.2}, random),
+		team:      teamName,
+		name:      name,
+		dial:      options.Dial,
+		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		limits:    newUpstreamLimits(),
+		watch:     newUpstreamWatch(),
+		balancer: loadbalancer.New(loadbalancer.Options{
+			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
+		}, random),
+		hedges:     hedge.NewTrigger(hedge.Options{}),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
 	}
@@ -62,6 +73,7 @@
 	s.budget.SetShare(settings.RetryShare)
 	s.configureRules(settings.Rules)
 	s.configureUpstreams(settings.Upstreams)
+	s.watch.configure(time.Now(), settings)
 }
 
 func (s *service) configureRules(settings []dynamic.Rule) {
@@ -94,35 +106,43 @@
 	s.transports = transports
 	s.balancer.SetUpstreams(time.Now(), upstreams)
 	s.limits.configure(settings)
-	s.admission.setCapacity(time.Now(), s.limits.capacity)
+	s.shareCapacityLocked(time.Now())
 }
 
 // pickLocked chooses an upstream below its limit. A first send, which was
 // admitted, goes to a full one rather than nowhere; hedges may have taken its
 // place.
-func (s *service) pickLocked(now time.Time, tried []string, extra bool) (loadbalancer.Choice, bool) {
-	choice, ok := s.balancer.Pick(now, loadbalancer.Request{Exclude: s.limits.exclude(tried)})
+func (s *service) pickLocked(now time.Time, request loadbalancer.Request, extra bool) (loadbalancer.Choice, bool) {
+	tried := request.Exclude
+	request.Exclude = s.limits.exclude(tried)
+	choice, ok := s.balancer.Pick(now, request)
 	if ok || extra {
 		return choice, ok
 	}
-	return s.balancer.Pick(now, loadbalancer.Request{Exclude: tried})
+	request.Exclude = tried
+	return s.balancer.Pick(now, request)
 }
 
-// recordLocked records the result of a send for the limits and the budget.
-func (s *service) recordLocked(now time.Time, upstream string, result loadbalancer.Result) {
+// recordLocked records the result of a send for the limits and the budget. The
+// time of an upload says more of its size than of the upstream.
+func (s *service) recordLocked(now time.Time, sent send, result loadbalancer.Result) {
 	s.budget.Answered(!result.Failed && !result.Shed)
-	before := s.limits.capacity
-	s.limits.ended(now, upstream, result)
-	if s.limits.capacity != before {
-		s.admission.setCapacity(now, s.limits.capacity)
+	s.watch.ended(now, sent.choice.Name, result)
+	isUploaded := sent.traffic == dynamic.Upload && !result.Failed && !result.Shed
+	if isUploaded {
+		s.limits.cancelled(sent.choice.Name)
+	} else {
+		s.limits.ended(now, sent.choice.Name, result)
+	}
+	if now.Sub(s.sharedAt) >= capacityInterval {
+		s.shareCapacityLocked(now)
 	}
 }
 
-// backoff returns the wait before the given send of a call.
-func (s *service) backoff(send int) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return retry.Backoff(send, s.random)
+// shareCapacityLocked tells the admission how many calls may run at once.
+func (s *service) shareCapacityLocked(now time.Time) {
+	s.sharedAt = now
+	s.admission.setCapacity(now, s.limits.places(s.balancer.InUse()))
 }
 
 func (s *service) currentRules() []*rule {
