--- a/internal/agent/cluster_test.go
+++ b/internal/agent/cluster_test.go
@@ -79,6 +79,8 @@
 
 	mu    sync.Mutex
 	lines []string
+	// readyWith is the number of teams in force when the gateway became ready.
+	readyWith int
 }
 
 // run runs f with a cluster of n VMs that are ready, in virtual time, and
@@ -258,7 +260,7 @@
 	bus := exchange.NewPubSub(client, v.name)
 	g := v.gateway
 	var done sync.WaitGroup
-	done.Go(func() { _ = g.Follow(ctx, bus, life.Configured) })
+	done.Go(func() { _ = g.Follow(ctx, bus, func() { v.becomeReady(life, g) }) })
 	v.stopGW = func() {
 		cancel()
 		_ = bus.Close()
@@ -266,6 +268,15 @@
 	}
 }
 
+func (v *vm) becomeReady(life *process.Life, g *gateway.Gateway) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !life.IsReady() {
+		v.readyWith = len(g.Configs())
+	}
+	life.Configured()
+}
+
 func (v *vm) revision(team string) uint64 {
 	for _, c := range v.gateway.Configs() {
 		if c.Team == team {
--- a/internal/agent/config_test.go
+++ b/internal/agent/config_test.go
@@ -205,6 +205,7 @@
 		v := c.vms[5]
 		v.restart()
 		waitReady(c, v, 10*time.Second)
+		c.Expect(v.readyWith).To(Equal(2))
 		c.Expect(v.revision("asocrank")).To(BeEquivalentTo(1))
 		c.Expect(v.revision("split")).To(BeEquivalentTo(1))
 	})
