--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/gateway"
@@ -32,9 +33,14 @@
 		return errors.Wrap(err, "load charts")
 	}
 	store := platform.NewClient(settings.Platform, nil)
+	claims, err := claim.NewStore(claim.Options{Table: store, Counters: counters, VM: settings.VM.Name})
+	if err != nil {
+		return err
+	}
 	g := gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize,
-		Log: log, Counters: counters, Table: store, Objects: store, IsStopping: life.IsDraining, Seed: uint64(time.Now().UnixNano()),
+		Log: log, Counters: counters, Table: store, Objects: store, Claims: claims,
+		Seed: uint64(time.Now().UnixNano()),
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
 	if err != nil {
@@ -46,6 +52,7 @@
 	// The operators' page and the bus outlive ctx until every call is finished.
 	work, endWork := context.WithCancel(context.Background())
 	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return claims.Run(work) })
 	group.Go(func() error { return process.ServeOperators(work, settings.Operators, life) })
 	group.Go(func() error { return g.Follow(work, bus, life.Configured) })
 	group.Go(func() error { return process.Serve(server, listener) })
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"time"
 
 	"github.com/go-faster/errors"
 
@@ -22,10 +21,6 @@
 // caller's connection is cut when it ends early.
 const maxBufferedAnswer = 1 << 20
 
-// silenceShare is the part of a lookup's remaining time that a connection may
-// carry nothing before the lookup goes elsewhere, as a divisor.
-const silenceShare = 3
-
 // groupAnswers holds the counters of answers that were not taken.
 const groupAnswers = "answers"
 
@@ -46,20 +41,6 @@
 	// sentWhole means that the request's body was sent to its end before the
 	// answer came.
 	sentWhole bool
-	// connSilent means that the connection, not the upstream, is suspected.
-	connSilent bool
-}
-
-// isFinal tells whether the result goes to the caller whatever the budget
-// holds.
-func (a attemptResult) isFinal(traffic dynamic.Traffic) bool {
-	if a.reason == "" {
-		return true
-	}
-	if a.outcome == outcome.NotRun {
-		return false
-	}
-	return traffic != dynamic.Lookup
 }
 
 // requestBody is the body of one send.
@@ -88,25 +69,25 @@
 
 // attempt sends the call once and reads the answer.
 func (c *call) attempt(sent send) attemptResult {
+	if c.isPastDeadline() {
+		c.route.service.cancelSend(sent)
+		return attemptResult{upstream: sent.choice.Name, outcome: outcome.NotRun, reason: outcome.DeadlinePassed}
+	}
 	return c.exchange(c.ctx, sent, c.memoryBody())
 }
 
 // exchange sends the call once with body and reads the answer. ctx ends the
 // send; it is the call's own context or one below it.
 func (c *call) exchange(ctx context.Context, sent send, body requestBody) attemptResult {
-	ctx, cancel := context.WithCancelCause(ctx)
-	trace := &sendTrace{silence: c.silenceLimit(), cancel: cancel, interim: c.passInterim}
+	trace := &sendTrace{interim: c.passInterim}
 	request := c.upstreamRequest(sent, body)
 	response, err := sent.transport.http.RoundTrip(
 		request.WithContext(httptrace.WithClientTrace(ctx, trace.client())))
-	trace.stop()
 	if err != nil {
-		defer cancel(nil)
 		return c.sendFailed(ctx, sent, trace, body)
 	}
 	sentWhole := body.isWhole == nil || body.isWhole()
 	if c.isForeign(trace, response) {
-		defer cancel(nil)
 		trace.closeConn()
 		_ = response.Body.Close()
 		return c.sendFailed(ctx, sent, trace, body)
@@ -116,15 +97,6 @@
 	return result
 }
 
-// silenceLimit returns how long a send's connection may carry nothing; 0 means
-// until the deadline.
-func (c *call) silenceLimit() time.Duration {
-	if c.route.rule.settings.Traffic != dynamic.Lookup {
-		return 0
-	}
-	return max(time.Until(c.deadline)/silenceShare, time.Millisecond)
-}
-
 // isForeign tells whether an answer belongs to another call: it was there
 // before this call was sent, or names another call.
 func (c *call) isForeign(trace *sendTrace, response *http.Response) bool {
@@ -141,7 +113,7 @@
 		Method:     c.r.Method,
 		URL:        &url.URL{Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery},
 		Host:       c.r.Host,
-		Header:     upstreamHeader(c.r, c.id, c.attempts, c.deadline),
+		Header:     upstreamHeader(c.r, c.id, c.mark(), c.deadline),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
@@ -177,20 +149,19 @@
 		result.outcome = outcome.Unknown
 		result.reason = outcome.UpstreamFailed
 	}
-	isSilent := trace.isSilent() && ctx.Err() != nil
-	result.connSilent = isSilent
+	isLate := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	isSilent := isLate && trace.isSilent()
 	if isSilent {
 		c.gateway.options.Counters.Add(groupAnswers, "connection_silent", 1)
 		sent.transport.http.CloseIdleConnections()
 	}
-	isGivenUp := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errConnSilent)
 	switch {
 	case c.r.Context().Err() != nil:
 		result.reason = outcome.CallerGone
-	case isGivenUp:
+	case ctx.Err() != nil:
 		result.reason = outcome.DeadlinePassed
 	}
-	isLeft := isGivenUp && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+	isLeft := ctx.Err() != nil && !isLate
 	isBroken := body.isBroken != nil && body.isBroken()
 	if isSilent || isLeft || isBroken {
 		c.route.service.cancelSend(sent)
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -71,10 +71,7 @@
 	return n, err
 }
 
-// leftBodyTime limits the time to read what a refused caller still sends.
-const leftBodyTime = 5 * time.Second
-
-// watchBody makes reads of the caller's body fail when the caller falls silent.
+// watchBody makes reads of an upload's body fail when the caller falls silent.
 // net/http looks at the body of its own request, which stays as it is.
 func (c *call) watchBody() {
 	if c.r.Body == nil || c.r.Body == http.NoBody {
@@ -84,13 +81,3 @@
 	c.r = c.r.WithContext(c.r.Context())
 	c.r.Body = c.incoming
 }
-
-// leaveBody lets an answer go out at once although its caller still sends:
-// net/http would read a part of the body first.
-func (c *call) leaveBody() {
-	if c.incoming == nil || c.incoming.ended.Load() {
-		return
-	}
-	c.w.Header().Set("Connection", "close")
-	_ = c.incoming.controller.SetReadDeadline(time.Now().Add(leftBodyTime))
-}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -8,14 +8,8 @@
 	"net/textproto"
 	"sync"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
-// errConnSilent ends a send whose connection carried no byte of an answer in
-// the time that it was given.
-var errConnSilent = errors.New("gateway: connection silent")
-
 // trackedConn is a connection to an upstream that knows what it carried since
 // the send that uses it began.
 type trackedConn struct {
@@ -80,9 +74,6 @@
 // sendTrace follows one send over its connection. It is safe for concurrent
 // use.
 type sendTrace struct {
-	// silence is how long the connection may carry nothing; 0 means no limit.
-	silence time.Duration
-	cancel  context.CancelCauseFunc
 	// interim receives interim answers (1xx).
 	interim func(status int, header http.Header)
 
@@ -92,14 +83,12 @@
 	// wroteBefore means that an earlier connection may have carried a byte of
 	// the send, or that the connection isn't tracked.
 	wroteBefore bool
-	timer       *time.Timer
 }
 
 func (t *sendTrace) client() *httptrace.ClientTrace {
 	return &httptrace.ClientTrace{
-		GotConn:              t.gotConn,
-		GotFirstResponseByte: t.stop,
-		Got1xxResponse:       t.got1xx,
+		GotConn:        t.gotConn,
+		Got1xxResponse: t.got1xx,
 	}
 }
 
@@ -115,9 +104,6 @@
 	}
 	conn.beginSend()
 	t.conn = conn
-	if t.silence > 0 && t.timer == nil {
-		t.timer = time.AfterFunc(t.silence, func() { t.cancel(errConnSilent) })
-	}
 }
 
 // got1xx passes an interim answer on.
@@ -126,15 +112,6 @@
 	return nil
 }
 
-// stop ends the watch for silence.
-func (t *sendTrace) stop() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.timer != nil {
-		t.timer.Stop()
-	}
-}
-
 func (t *sendTrace) mayHaveSentLocked() bool {
 	if t.conn == nil {
 		return t.wroteBefore
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -8,6 +8,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/outcome"
@@ -19,6 +20,9 @@
 // retryAfter is the time after which a refused caller may come back.
 const retryAfter = time.Second
 
+// defaultMaxCalls limits the calls of all teams at once on one VM.
+const defaultMaxCalls = 4096
+
 // Options are what a Gateway is built from.
 type Options struct {
 	VM   string
@@ -36,14 +40,23 @@
 	Dial DialFunc
 	// Seed seeds the random choices.
 	Seed uint64
-	// IsStopping tells whether new calls are refused; nil means never.
-	IsStopping func() bool
+	// MaxCalls limits the calls of all teams at once; 0 stands for
+	// defaultMaxCalls.
+	MaxCalls int
+	// Claims records the claims of bookings with an idempotency key; nil
+	// refuses such bookings.
+	Claims *claim.Store
+	// Now returns the wall clock time; nil stands for time.Now.
+	Now func() time.Time
 }
 
 // Gateway serves callers. It is an http.Handler.
 type Gateway struct {
-	options Options
-	configs *merge.Store
+	options   Options
+	configs   *merge.Store
+	rejected  *rejections
+	readiness readiness
+	shares    *teamShares
 
 	// uploads is nil when no uploads are kept.
 	uploads   *upload.Store
@@ -63,14 +76,19 @@
 
 // New returns a Gateway without configuration.
 func New(options Options) *Gateway {
-	if options.IsStopping == nil {
-		options.IsStopping = func() bool { return false }
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.MaxCalls == 0 {
+		options.MaxCalls = defaultMaxCalls
 	}
 	g := &Gateway{
-		options: options,
-		configs: merge.NewStore(),
-		spools:  upload.NewPool(maxSpools),
-		teams:   make(map[string]*team),
+		options:  options,
+		configs:  merge.NewStore(),
+		rejected: newRejections(),
+		shares:   newTeamShares(options.MaxCalls),
+		spools:   upload.NewPool(maxSpools),
+		teams:    make(map[string]*team),
 	}
 	if options.Table != nil && options.Objects != nil {
 		g.uploads = upload.NewStore(options.Table)
@@ -84,6 +102,7 @@
 func (g *Gateway) Apply(c merge.Config) bool {
 	settings, err := dynamic.Parse(c.Team, c.Team, []byte(c.Settings))
 	if err != nil {
+		g.rejected.add(c.Team, c.Revision)
 		g.options.Counters.Add(telemetry.GroupConfig, "unreadable", 1)
 		g.options.Log.Error("team configuration is not readable",
 			telemetry.FieldTeam, c.Team, telemetry.FieldRevision, c.Revision, telemetry.FieldError, err)
@@ -115,6 +134,7 @@
 	running, ok := g.teams[settings.Name]
 	if !ok {
 		running = &team{}
+		g.shares.add(settings.Name)
 	}
 	services := make(map[string]*service, len(settings.Services))
 	for _, s := range settings.Services {
@@ -136,11 +156,6 @@
 // ServeHTTP serves one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(g, w, r)
-	if g.options.IsStopping() {
-		c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.Stopping,
-			"this VM is stopping").WithRetryAfter(retryAfter))
-		return
-	}
 	if g.isUploadStatus(r) {
 		c.serveUploadStatus()
 		return
@@ -153,3 +168,14 @@
 	}
 	c.serve(route)
 }
+
+// Close closes the idle connections to all upstreams.
+func (g *Gateway) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, t := range g.teams {
+		for _, s := range t.services {
+			s.close()
+		}
+	}
+}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -54,6 +54,7 @@
 			"the upload is above the limit"))
 		return
 	}
+	c.watchBody()
 	spool, ok := upload.NewSpool(c.ctx, c.gateway.spools, c.partStore())
 	if !ok {
 		c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.ConcurrencyLimit,
@@ -267,7 +268,6 @@
 	u.gateway.options.Counters.Add(telemetry.GroupUploads, "accepted", 1)
 	u.log(outcomeAccepted, "", "")
 	u.informational.end()
-	newStallWriter(u.w)
 	u.w.Header().Set("Location", uploadStatusPath+record.ID)
 	u.w.Header().Set(callheader.UploadID, record.ID)
 	u.w.Header().Set(outcome.HeaderOutcome, string(outcomeAccepted))
--- a/internal/gateway/vms_test.go
+++ b/internal/gateway/vms_test.go
@@ -17,6 +17,7 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 
+	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/gateway"
 	"github.com/figfront/figfront/internal/platform"
@@ -168,6 +169,7 @@
 	net      *memoryNet
 	platform *platformstandin.Server
 	servers  []*http.Server
+	gateways []*gateway.Gateway
 	cancel   []context.CancelFunc
 }
 
@@ -201,13 +203,19 @@
 func (b *bench) vm(name, settings string) *vm {
 	client := platform.NewClient(platformAt, &http.Transport{DialContext: b.net.dial})
 	counters := telemetry.NewCounters()
+	claims, err := claim.NewStore(claim.Options{Table: client, Counters: counters, VM: name})
+	if err != nil {
+		b.t.Fatal(err)
+	}
 	g := gateway.New(gateway.Options{
-		VM: name, Zone: "a", Log: hclog.NewNullLogger(), Counters: counters,
+		Claims: claims,
+		VM:     name, Zone: "a", Log: hclog.NewNullLogger(), Counters: counters,
 		Dial: b.net.dial, Seed: 1, Table: client, Objects: client,
 	})
 	if !g.Apply(merge.Config{Team: "t", Revision: 1, Settings: settings}) {
 		b.t.Fatal("settings not applied")
 	}
+	b.gateways = append(b.gateways, g)
 	v := &vm{gateway: g, address: name + ":1", counters: counters}
 	b.serve(v.address, g)
 	return v
@@ -225,6 +233,9 @@
 	for _, cancel := range b.cancel {
 		cancel()
 	}
+	for _, g := range b.gateways {
+		g.Close()
+	}
 	for _, server := range b.servers {
 		_ = server.Close()
 	}
