--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -2,17 +2,13 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
-	"time"
 
 	"github.com/figfront/figfront/internal/outcome"
 )
 
-// writeStall is how long a caller may take no byte of an answer before its
-// connection is closed.
-const writeStall = 30 * time.Second
-
 // finish gives the result of the last send to the caller.
 func (c *call) finish(a attemptResult) {
 	if a.reason != "" {
@@ -48,27 +44,26 @@
 	callerHeader(c.w.Header(), a.header)
 	c.w.Header().Set(outcome.HeaderOutcome, string(outcome.Ran))
 	c.w.Header().Set(outcome.HeaderRequestID, c.id)
-	c.leaveBody()
+	c.abandonBody()
 	if a.rest == nil {
 		setTrailer(c.w.Header(), a.response)
 	}
-	writer := newStallWriter(c.w)
 	c.w.WriteHeader(a.status)
 	defer closeRest(a.rest)
 	if len(a.body) == 0 {
 		return
 	}
-	if _, err := writer.Write(a.body); err != nil {
+	if _, err := c.w.Write(a.body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
 	if a.rest != nil {
-		c.passRest(writer, a)
+		c.passRest(a)
 	}
 }
 
 // passRest passes on what follows the buffered part of a large answer.
-func (c *call) passRest(writer io.Writer, a attemptResult) {
-	if _, err := io.Copy(writer, a.rest); err != nil {
+func (c *call) passRest(a attemptResult) {
+	if _, err := io.Copy(c.w, a.rest); err != nil {
 		c.gateway.options.Counters.Add(groupAnswers, "cut", 1)
 		panic(http.ErrAbortHandler)
 	}
@@ -97,42 +92,6 @@
 	}
 }
 
-// stallWriter writes to a caller and fails when the caller takes no byte for
-// writeStall.
-type stallWriter struct {
-	w          http.ResponseWriter
-	controller *http.ResponseController
-}
-
-func newStallWriter(w http.ResponseWriter) stallWriter {
-	s := stallWriter{w: w, controller: http.NewResponseController(w)}
-	s.extend()
-	return s
-}
-
-// extend gives the caller another writeStall. A writer without deadlines, as
-// in a test, is written to without them.
-func (s stallWriter) extend() {
-	_ = s.controller.SetWriteDeadline(time.Now().Add(writeStall))
-}
-
-// Write sends p in steps that each have their own deadline.
-func (s stallWriter) Write(p []byte) (int, error) {
-	written := 0
-	for written < len(p) {
-		s.extend()
-		n, err := s.w.Write(p[written:min(len(p), written+writeStep)])
-		written += n
-		if err != nil {
-			return written, err
-		}
-	}
-	return written, nil
-}
-
-// writeStep is the number of bytes that one write deadline covers.
-const writeStep = 64 << 10
-
 // passInterim passes an upstream's interim answer on to the caller.
 func (c *call) passInterim(status int, header http.Header) {
 	c.informational.pass(c.w, status, header)
@@ -163,7 +122,10 @@
 	if i.ended {
 		return
 	}
+	final := w.Header().Clone()
+	clear(w.Header())
 	callerHeader(w.Header(), header)
 	w.WriteHeader(status)
 	clear(w.Header())
+	maps.Copy(w.Header(), final)
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -30,12 +30,14 @@
 	deadline time.Time
 	// ctx ends at the deadline or when the caller leaves.
 	ctx context.Context
-	// incoming is the caller's body as it comes; nil when there is none.
+	// incoming is an upload's body as it comes; nil for other traffic.
 	incoming *stallReader
 	// body is the whole request body of a lookup or booking.
 	body []byte
 	// uploadID names an upload across its sends; empty for other traffic.
 	uploadID string
+	// isBodyRead tells whether the request body has been read to its end.
+	isBodyRead bool
 	// tried names the upstreams that the call was sent to.
 	tried    []string
 	attempts int
@@ -48,9 +50,14 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), informational: &informational{}}
-	c.watchBody()
-	return c
+	return &call{
+		gateway:       g,
+		w:             newCallerWriter(w),
+		r:             r,
+		id:            id,
+		arrived:       time.Now(),
+		informational: &informational{},
+	}
 }
 
 // refuse answers the call with a problem and counts its reason.
@@ -62,8 +69,7 @@
 	c.gateway.options.Counters.Refuse(p.Reason)
 	c.log(p.Outcome, p.Reason, "")
 	c.informational.end()
-	c.leaveBody()
-	newStallWriter(c.w)
+	c.abandonBody()
 	p.Write(c.w)
 }
 
@@ -151,7 +157,7 @@
 // readBody reads the whole request body. It returns false when the call has
 // been answered.
 func (c *call) readBody() bool {
-	c.limitBody()
+	c.limitBodyRead()
 	body, err := readBody(c.r, c.route.rule.settings.MaxBody)
 	if errors.Is(err, errBodyTooLarge) {
 		c.refuse(outcome.New(http.StatusRequestEntityTooLarge, outcome.NotRun, outcome.BodyTooLarge,
@@ -163,6 +169,8 @@
 			"the request body ended early"))
 		return false
 	}
+	c.unlimitBodyRead()
+	c.isBodyRead = true
 	c.body = body
 	return true
 }
--- a/internal/process/server.go
+++ b/internal/process/server.go
@@ -14,13 +14,24 @@
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
+// Server is an HTTP server that can be drained.
+type Server struct {
+	*http.Server
+	conns *connTracker
+}
+
 // NewServer returns an HTTP server that serves handler within limits.
-func NewServer(handler http.Handler, limits static.Limits) *http.Server {
-	return &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: limits.HeaderTimeout,
-		IdleTimeout:       limits.IdleTimeout,
-		MaxHeaderBytes:    limits.MaxHeaderBytes,
+func NewServer(handler http.Handler, limits static.Limits) *Server {
+	conns := newConnTracker()
+	return &Server{
+		Server: &http.Server{
+			Handler:           conns.handler(handler),
+			ReadHeaderTimeout: limits.HeaderTimeout,
+			IdleTimeout:       limits.IdleTimeout,
+			MaxHeaderBytes:    limits.MaxHeaderBytes,
+			ConnState:         conns.setState,
+		},
+		conns: conns,
 	}
 }
 
@@ -50,18 +61,23 @@
 	return r
 }
 
-// Stop runs a planned stop of the server: it waits lag after the process said
-// that it is not ready, refuses new connections and waits at most timeout for
-// the calls. It returns an error when calls were cut off.
-func (l *Life) Stop(server *http.Server, lag, timeout time.Duration) error {
+// Stop runs a planned stop of the server. The process says that it is not ready
+// and serves on for lag, until the balancer has seen that; from then on it takes
+// no new connection, serves what comes over the open ones and closes each as
+// soon as it is quiet. It returns an error when calls were still running after
+// timeout and were cut off.
+func (l *Life) Stop(server *Server, lag, timeout time.Duration) error {
 	l.fire(eventStopAsked)
+	server.conns.closeAfterAnswers()
 	time.Sleep(lag)
 	l.fire(eventLagPassed)
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
-	defer cancel()
-	if err := server.Shutdown(ctx); err != nil {
+	if open := server.conns.drain(timeout); open > 0 {
 		l.fire(eventStopTimeout)
-		return errors.Wrap(err, "calls were still running")
+		_ = server.Close()
+		return errors.Errorf("%d connections were still in use and were cut off", open)
+	}
+	if err := server.Close(); err != nil {
+		return errors.Wrap(err, "close server")
 	}
 	l.fire(eventCallsFinished)
 	return nil
@@ -82,12 +98,13 @@
 	return Serve(server, listener)
 }
 
-// Serve runs a server on its listener until it is shut down.
-func Serve(server *http.Server, listener net.Listener) error {
-	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-		return errors.Wrapf(err, "serve at %s", listener.Addr())
+// Serve runs a server on its listener until it is closed or drained.
+func Serve(server *Server, listener net.Listener) error {
+	err := server.Serve(server.conns.listen(listener))
+	if errors.Is(err, http.ErrServerClosed) || server.conns.isDraining() {
+		return nil
 	}
-	return nil
+	return errors.Wrapf(err, "serve at %s", listener.Addr())
 }
 
 // Limits of the operators' page.
--- a/internal/upload/state.go
+++ b/internal/upload/state.go
@@ -124,6 +124,8 @@
 	Status int
 	// Whole means that the upstream was sent the whole body before it answered.
 	Whole bool
+	// Upstream is the upstream that was sent to; empty means none.
+	Upstream string
 }
 
 // Event returns what an upstream's answer to an upload means.
@@ -166,6 +168,7 @@
 		r.Finished = now
 		return r, nil
 	}
+	r.Avoid = result.Upstream
 	r.NotBefore = now.Add(backoff(r.Attempts, random))
 	return r, nil
 }
