--- a/internal/claim/export_test.go
+++ b/internal/claim/export_test.go
@@ -1,5 +1,26 @@
 package claim
 
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// Seed and size of the property tests, unless the command line says otherwise.
+const (
+	propertySeed   = "4"
+	propertyChecks = "5000"
+)
+
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": propertySeed, "rapid.checks": propertyChecks} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
 // Encode returns a record as the value of its row.
 func Encode(r Record) []byte {
 	value, err := r.encode()
