--- a/cmd/figfront-admin/main.go
+++ b/cmd/figfront-admin/main.go
@@ -18,6 +18,9 @@
 
 const name = "figfront-admin"
 
+// requestTimeout ends the reading of a request and the writing of its answer.
+const requestTimeout = 20 * time.Second
+
 // stopTimeout is the longest time that a planned stop waits for requests.
 const stopTimeout = 20 * time.Second
 
@@ -34,9 +37,9 @@
 		return errors.Wrap(err, "load charts")
 	}
 	client := platform.NewClient(settings.Platform, nil)
-	agents := admin.NewAgents(settings.VM.Name, settings.Agent)
+	agents := admin.NewAgents(settings.VM.Name, nil)
 	a := admin.New(admin.Options{
-		Tokens: settings.Tokens, Table: client, Membership: client,
+		Tokens: settings.Tokens, Agent: settings.Agent, Table: client, Membership: client,
 		Pusher: agents, Status: agents, Log: log, Counters: counters,
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
@@ -44,6 +47,8 @@
 		return err
 	}
 	server := process.NewServer(a.Handler(), settings.Limits)
+	server.ReadTimeout = requestTimeout
+	server.WriteTimeout = requestTimeout
 	life.Configured()
 
 	work, endWork := context.WithCancel(context.Background())
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -9,11 +9,15 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
-	"github.com/figfront/figfront/internal/limit"
+	"github.com/figfront/figfront/internal/hedge"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/retry"
 )
 
+// capacityInterval is the least time between two sums of the limits of a
+// service's upstreams.
+const capacityInterval = 5 * time.Millisecond
+
 // service is the running state of one service on this VM.
 type service struct {
 	team string
@@ -23,25 +27,38 @@
 	// rules is read by calls and replaced as a whole.
 	rules atomic.Pointer[[]*rule]
 
-	mu         sync.Mutex
+	admission *admission
+
+	mu     sync.Mutex
+	limits *upstreamLimits
+	watch  *upstreamWatch
+	// sharedAt is when the admission was last told the capacity.
+	sharedAt   time.Time
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
+	hedges     *hedge.Trigger
 	transports map[string]*transport
 }
 
 // rule is the running state of one kind of traffic.
 type rule struct {
 	settings dynamic.Rule
-	limiter  *limit.Limiter
 }
 
 func newService(teamName, name string, options Options) *service {
-	random := rand.New(rand.NewPCG(options.Seed, xxhash.Sum64String(teamName+"/"+name)))
+	id := xxhash.Sum64String(teamName + "/" + name)
+	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
-		team:       teamName,
-		name:       name,
-		dial:       options.Dial,
-		balancer:   loadbalancer.New(loadbalancer.Options{Zone: options.Zone, RemoteZoneCost: 0.2}, random),
+		team:      teamName,
+		name:      name,
+		dial:      options.Dial,
+		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		limits:    newUpstreamLimits(),
+		watch:     newUpstreamWatch(),
+		balancer: loadbalancer.New(loadbalancer.Options{
+			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
+		}, random),
+		hedges:     hedge.NewTrigger(hedge.Options{}),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
 	}
@@ -56,23 +73,16 @@
 	s.budget.SetShare(settings.RetryShare)
 	s.configureRules(settings.Rules)
 	s.configureUpstreams(settings.Upstreams)
+	s.watch.configure(time.Now(), settings)
 }
 
 func (s *service) configureRules(settings []dynamic.Rule) {
-	known := make(map[dynamic.Traffic]*limit.Limiter)
-	for _, r := range s.currentRules() {
-		known[r.settings.Traffic] = r.limiter
-	}
 	rules := make([]*rule, 0, len(settings))
 	for _, r := range settings {
-		limiter, ok := known[r.Traffic]
-		if !ok {
-			limiter = limit.New(r.Concurrency, r.Queue)
-		}
-		limiter.SetLimits(r.Concurrency, r.Queue)
-		rules = append(rules, &rule{settings: r, limiter: limiter})
+		rules = append(rules, &rule{settings: r})
 	}
 	s.rules.Store(&rules)
+	s.admission.configure(settings)
 }
 
 func (s *service) configureUpstreams(settings []dynamic.Upstream) {
@@ -95,6 +105,44 @@
 	}
 	s.transports = transports
 	s.balancer.SetUpstreams(time.Now(), upstreams)
+	s.limits.configure(settings)
+	s.shareCapacityLocked(time.Now())
+}
+
+// pickLocked chooses an upstream below its limit. A first send, which was
+// admitted, goes to a full one rather than nowhere; hedges may have taken its
+// place.
+func (s *service) pickLocked(now time.Time, request loadbalancer.Request, extra bool) (loadbalancer.Choice, bool) {
+	tried := request.Exclude
+	request.Exclude = s.limits.exclude(tried)
+	choice, ok := s.balancer.Pick(now, request)
+	if ok || extra {
+		return choice, ok
+	}
+	request.Exclude = tried
+	return s.balancer.Pick(now, request)
+}
+
+// recordLocked records the result of a send for the limits and the budget. The
+// time of an upload says more of its size than of the upstream.
+func (s *service) recordLocked(now time.Time, sent send, result loadbalancer.Result) {
+	s.budget.Answered(!result.Failed && !result.Shed)
+	s.watch.ended(now, sent.choice.Name, result)
+	isUploaded := sent.traffic == dynamic.Upload && !result.Failed && !result.Shed
+	if isUploaded {
+		s.limits.cancelled(sent.choice.Name)
+	} else {
+		s.limits.ended(now, sent.choice.Name, result)
+	}
+	if now.Sub(s.sharedAt) >= capacityInterval {
+		s.shareCapacityLocked(now)
+	}
+}
+
+// shareCapacityLocked tells the admission how many calls may run at once.
+func (s *service) shareCapacityLocked(now time.Time) {
+	s.sharedAt = now
+	s.admission.setCapacity(now, s.limits.places(s.balancer.InUse()))
 }
 
 func (s *service) currentRules() []*rule {
