--- a/internal/admin/config.go
+++ b/internal/admin/config.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -195,17 +196,22 @@
 	a.refuseWith(w, "revision_race", p)
 }
 
+// getHistory answers with the revisions above the parameter after or, without
+// it, with the latest ones.
 func (a *Admin) getHistory(w http.ResponseWriter, r *http.Request) {
-	var after uint64
-	if text := r.URL.Query().Get("after"); text != "" {
-		parsed, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			a.refuse(w, http.StatusBadRequest, "revision_invalid", "after is a whole number")
-			return
-		}
-		after = parsed
-	}
-	configs, err := a.store.History(r.Context(), chi.URLParam(r, "team"), after, maxHistory)
+	team := chi.URLParam(r, "team")
+	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	if err != nil && r.URL.Query().Has("after") {
+		a.refuse(w, http.StatusBadRequest, "revision_invalid", "after is a whole number")
+		return
+	}
+	if err != nil {
+		after, err = a.beforeLatest(r.Context(), team)
+	}
+	var configs []merge.Config
+	if err == nil {
+		configs, err = a.store.History(r.Context(), team, after, maxHistory)
+	}
 	if err != nil {
 		a.refuseStore(w, err)
 		return
@@ -216,3 +222,15 @@
 	}
 	writeJSON(w, history)
 }
+
+// beforeLatest returns the revision behind which the latest ones begin.
+func (a *Admin) beforeLatest(ctx context.Context, team string) (uint64, error) {
+	head, err := a.store.Head(ctx, team)
+	if errors.Is(err, configstore.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, err
+	}
+	return head.Revision - min(head.Revision, maxHistory), nil
+}
--- a/internal/agent/cluster_test.go
+++ b/internal/agent/cluster_test.go
@@ -57,6 +57,8 @@
 	mu sync.Mutex
 	// cutVMs are cut off from the platform.
 	cutVMs map[string]bool
+	// failingReads is the number of readings of settings that fail next.
+	failingReads int
 	// upstreams is the network behind the gateways.
 	upstreams *pipenet.Network
 }
@@ -147,9 +149,28 @@
 		<-r.Context().Done()
 		return nil, errCut
 	}
+	if strings.Contains(r.URL.RawQuery, "history") && v.cluster.takeFailingRead() {
+		return nil, errCut
+	}
 	return v.cluster.table.Transport().RoundTrip(r)
 }
 
+func (c *cluster) takeFailingRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failingReads == 0 {
+		return false
+	}
+	c.failingReads--
+	return true
+}
+
+func (c *cluster) failReads(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failingReads = n
+}
+
 // cutPlatform cuts the VMs off from the platform; none heals all.
 func (c *cluster) cutPlatform(vms ...*vm) {
 	c.mu.Lock()
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -119,10 +119,14 @@
 	return config, err
 }
 
-// History returns the team's revisions above after, oldest first.
+// History returns the team's revisions above after, oldest first; 0 stands for
+// the latest ones.
 func (c *Client) History(ctx context.Context, after uint64) ([]admin.Config, error) {
 	var history []admin.Config
-	path := "/history?after=" + strconv.FormatUint(after, 10)
+	path := "/history"
+	if after > 0 {
+		path += "?after=" + strconv.FormatUint(after, 10)
+	}
 	err := c.do(ctx, request{method: http.MethodGet, path: path}, &history)
 	return history, err
 }
--- a/internal/ctl/commands.go
+++ b/internal/ctl/commands.go
@@ -137,6 +137,9 @@
 	defer cancel()
 	for {
 		all, err := s.Client.Status(ctx)
+		if vm, ok := rejecting(all, revision); ok {
+			return fmt.Errorf("revision %d is accepted, but %s can't read it; what was in force there stays", revision, vm)
+		}
 		if err == nil && isInForce(all, revision) {
 			_, _ = fmt.Fprintf(s.Out, "revision %d in force on %d VMs after %d ms\n",
 				revision, countReachable(all), time.Since(started).Milliseconds())
@@ -171,7 +174,7 @@
 
 // HistoryCommand lists the team's revisions.
 type HistoryCommand struct {
-	After uint64 `help:"List only revisions above this one."`
+	After uint64 `help:"List the revisions above this one instead of the latest."`
 }
 
 // Run runs the command.
--- a/internal/ctl/diff.go
+++ b/internal/ctl/diff.go
@@ -35,6 +35,16 @@
 	return countReachable(all) > 0
 }
 
+// rejecting returns a VM whose gateway can't read the revision.
+func rejecting(all []admin.VMStatus, revision uint64) (string, bool) {
+	for _, v := range all {
+		if v.RejectedRevision == revision {
+			return v.VM, true
+		}
+	}
+	return "", false
+}
+
 func countReachable(all []admin.VMStatus) int {
 	n := 0
 	for _, v := range all {
