Report a received configuration to the agent at once

The gateway reported its revisions every 500 ms, so that apply saw a change in force that much later than it was.

--- a/internal/gateway/feed.go
+++ b/internal/gateway/feed.go
@@ -15,8 +15,14 @@
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
-// reportInterval is the time between two reports of the gateway to its agent.
-const reportInterval = 500 * time.Millisecond
+const (
+	// reportInterval is the time between two reports of the gateway to its
+	// agent.
+	reportInterval = 500 * time.Millisecond
+	// minReportInterval is the time between two reports when a configuration
+	// arrived meanwhile.
+	minReportInterval = 50 * time.Millisecond
+)
 
 // Follow applies the configurations that arrive on the bus and reports the
 // revisions in force, until ctx ends. onReady runs once every revision was
@@ -26,9 +32,14 @@
 	if err != nil {
 		return errors.Wrap(err, "build router")
 	}
+	received := make(chan struct{}, 1)
 	router.AddConsumerHandler("config", exchange.TopicConfig, bus, func(m *message.Message) error {
 		g.receive(m)
 		g.readiness.check(g, onReady)
+		select {
+		case received <- struct{}{}:
+		default:
+		}
 		return nil
 	})
 	router.AddConsumerHandler("bootstrap", exchange.TopicBootstrap, bus, func(m *message.Message) error {
@@ -44,7 +55,7 @@
 		g.receiveLeaving(m)
 		return nil
 	})
-	go g.reportLoop(ctx, bus)
+	go g.reportLoop(ctx, bus, received)
 	return router.Run(ctx)
 }
 
@@ -141,13 +152,21 @@
 	return above
 }
 
-func (g *Gateway) reportLoop(ctx context.Context, bus message.Publisher) {
+// reportLoop reports at each interval, and soon after a configuration was
+// received, until ctx ends.
+func (g *Gateway) reportLoop(ctx context.Context, bus message.Publisher, received <-chan struct{}) {
 	for ctx.Err() == nil {
 		if err := g.report(bus); err != nil {
 			g.options.Counters.Add(telemetry.GroupPeers, "agent_unreachable", 1)
 		}
 		select {
-		case <-time.After(reportInterval):
+		case <-time.After(minReportInterval):
+		case <-ctx.Done():
+			return
+		}
+		select {
+		case <-received:
+		case <-time.After(reportInterval - minReportInterval):
 		case <-ctx.Done():
 		}
 	}
