--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -404,10 +404,41 @@
 	}
 }
 
-// TestSilentConnectionBesideAWorkingOne: a lookup over a connection that went
+// TestSilentConnectionBesideAWorkingOne: a connection to an upstream goes silent
+// among working ones. Lookups get their answers elsewhere within their deadline,
+// and the upstream stays in use.
+func TestSilentConnectionBesideAWorkingOne(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var conns, answered atomic.Int64
+		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
+			isFirst := conns.Add(1) == 1
+			for i := 0; ; i++ {
+				if _, err := readRequest(in); err != nil {
+					return
+				}
+				if isFirst && i == 50 {
+					time.Sleep(time.Hour)
+				}
+				time.Sleep(5 * time.Millisecond)
+				answered.Add(1)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			}
+		})
+		b.upstream("u2", upstream2, upstreamstandin.Switches{ServiceTime: 5 * time.Millisecond})
+		v := b.vm("vm1", teamText+secondUpstream)
+		for range 400 {
+			a := b.send(request("GET", v, "/t/s/x", nil))
+			g.Expect(a.status).To(Equal(http.StatusOK))
+		}
+		g.Expect(conns.Load()).To(BeNumerically(">=", 2))
+		g.Expect(answered.Load()).To(BeNumerically(">=", 100))
+	})
+}
+
+// TestSilentConnectionToTheOnlyUpstream: a lookup over a connection that went
 // silent is answered over another one within its deadline, and the upstream
 // stays in use.
-func TestSilentConnectionBesideAWorkingOne(t *testing.T) {
+func TestSilentConnectionToTheOnlyUpstream(t *testing.T) {
 	inBench(t, func(g *WithT, b *bench) {
 		var conns atomic.Int64
 		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
@@ -433,6 +464,33 @@
 	})
 }
 
+// TestSilentConnectionIsNotItsUpstream: a booking whose connection went silent
+// ends at its deadline as unknown; the other connections to the upstream are
+// closed and the upstream takes the next booking.
+func TestSilentConnectionIsNotItsUpstream(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var conns atomic.Int64
+		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
+			isFirst := conns.Add(1) == 1
+			for i := 0; ; i++ {
+				if _, err := readRequest(in); err != nil {
+					return
+				}
+				if isFirst && i == 1 {
+					time.Sleep(time.Hour)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			}
+		})
+		v := b.vm("vm1", teamText)
+		g.Expect(b.send(request("POST", v, "/t/s/x", strings.NewReader("b"))).status).To(Equal(http.StatusOK))
+		a := b.send(request("POST", v, "/t/s/x", strings.NewReader("b")))
+		g.Expect(a.header.Get(outcome.HeaderOutcome)).To(Equal("unknown"))
+		g.Expect(v.counters.Get("answers", "connection_silent")).To(BeEquivalentTo(1))
+		g.Expect(b.send(request("POST", v, "/t/s/x", strings.NewReader("b"))).status).To(Equal(http.StatusOK))
+	})
+}
+
 // TestBookingAvoidsOldConnections: a booking never goes over a connection that
 // carried nothing for a while, because such a one may be silent.
 func TestBookingAvoidsOldConnections(t *testing.T) {
@@ -511,6 +569,31 @@
 	})
 }
 
+// TestSlowCallerGetsTheWholeAnswer: a caller that reads 16 KiB a second, steadily,
+// gets all of an answer of 1 MiB.
+func TestSlowCallerGetsTheWholeAnswer(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		const size = 1<<20 - 1
+		b.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, size))
+		}))
+		v := b.vm("vm1", teamText)
+		conn, err := b.net.dial(context.Background(), "", v.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "GET /t/s/x HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		received := 0
+		for received < size {
+			n, err := io.ReadFull(response.Body, make([]byte, min(16<<10, size-received)))
+			received += n
+			g.Expect(err).NotTo(HaveOccurred(), "after %d bytes", received)
+			time.Sleep(time.Second)
+		}
+	})
+}
+
 // TestNotRunIsToldOnlyWhenNothingWasSent: refused connections prove that a
 // booking was not run; one byte of it on its way makes the outcome unknown.
 func TestNotRunIsToldOnlyWhenNothingWasSent(t *testing.T) {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -55,8 +55,6 @@
 type stallReader struct {
 	io.ReadCloser
 	controller *http.ResponseController
-	// limit is the latest time at which a byte is read; zero means none.
-	limit time.Time
 	// ended means that the body was read to its end.
 	ended atomic.Bool
 }
@@ -64,7 +62,7 @@
 // Read reads the next bytes. The deadline is taken away once the body is whole:
 // from then on only the caller's leaving is watched for.
 func (s *stallReader) Read(p []byte) (int, error) {
-	_ = s.controller.SetReadDeadline(s.nextDeadline())
+	_ = s.controller.SetReadDeadline(time.Now().Add(readStall))
 	n, err := s.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		s.ended.Store(true)
@@ -73,25 +71,7 @@
 	return n, err
 }
 
-func (s *stallReader) nextDeadline() time.Time {
-	stalled := time.Now().Add(readStall)
-	if !s.limit.IsZero() && s.limit.Before(stalled) {
-		return s.limit
-	}
-	return stalled
-}
-
-// limitBody ends the reading of the request body at the call's deadline.
-func (c *call) limitBody() {
-	if c.incoming != nil {
-		c.incoming.limit = c.deadline
-	}
-}
-
-// leftBodyTime limits the time to read what a refused caller still sends.
-const leftBodyTime = 5 * time.Second
-
-// watchBody makes reads of the caller's body fail when the caller falls silent.
+// watchBody makes reads of an upload's body fail when the caller falls silent.
 // net/http looks at the body of its own request, which stays as it is.
 func (c *call) watchBody() {
 	if c.r.Body == nil || c.r.Body == http.NoBody {
@@ -101,13 +81,3 @@
 	c.r = c.r.WithContext(c.r.Context())
 	c.r.Body = c.incoming
 }
-
-// leaveBody lets an answer go out at once although its caller still sends:
-// net/http would read a part of the body first.
-func (c *call) leaveBody() {
-	if c.incoming == nil || c.incoming.ended.Load() {
-		return
-	}
-	c.w.Header().Set("Connection", "close")
-	_ = c.incoming.controller.SetReadDeadline(time.Now().Add(leftBodyTime))
-}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -43,8 +43,6 @@
 	// MaxCalls limits the calls of all teams at once; 0 stands for
 	// defaultMaxCalls.
 	MaxCalls int
-	// IsStopping tells whether new calls are refused; nil means never.
-	IsStopping func() bool
 	// Claims records the claims of bookings with an idempotency key; nil
 	// refuses such bookings.
 	Claims *claim.Store
@@ -78,9 +76,6 @@
 
 // New returns a Gateway without configuration.
 func New(options Options) *Gateway {
-	if options.IsStopping == nil {
-		options.IsStopping = func() bool { return false }
-	}
 	if options.Now == nil {
 		options.Now = time.Now
 	}
@@ -161,11 +156,6 @@
 // ServeHTTP serves one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(g, w, r)
-	if g.options.IsStopping() {
-		c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.Stopping,
-			"this VM is stopping").WithRetryAfter(retryAfter))
-		return
-	}
 	if g.isUploadStatus(r) {
 		c.serveUploadStatus()
 		return
--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -399,6 +399,26 @@
 	})
 }
 
+// TestManyUploadsAtOnce: the bytes that a VM holds stay within its bound however
+// many uploads come at once, and each is answered.
+func TestManyUploadsAtOnce(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		b.platform.SetFaults(platformstandin.Faults{ObjectDelay: time.Second})
+		v := b.vm("vm1", teamText)
+		answers := make(chan answer, 100)
+		for range 100 {
+			go func() { answers <- b.put(v, make([]byte, 1_200_000), "") }()
+		}
+		for range 100 {
+			a := <-answers
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(Or(Equal(http.StatusAccepted), Equal(http.StatusServiceUnavailable)))
+		}
+		_, peak := v.gateway.UploadMemory()
+		g.Expect(peak).To(BeNumerically("<=", 64*2*upload.PartSize))
+	})
+}
+
 // TestDamagedPartIsNotDelivered: an object that is cut off on its way is read
 // again later; no upstream sees a short body as whole.
 func TestDamagedPartIsNotDelivered(t *testing.T) {
@@ -557,7 +577,7 @@
 	time.Sleep(3 * time.Minute)
 	for id, want := range sent {
 		hash, ok := u.UploadHash(id)
-		g.Expect(ok).To(BeTrue(), "seed %d", seed)
+		g.Expect(ok).To(BeTrue(), "seed %d %s", seed, id)
 		g.Expect(hash).To(Equal(want), "seed %d", seed)
 	}
 	for _, a := range answers {
--- a/internal/gateway/uploadstatus.go
+++ b/internal/gateway/uploadstatus.go
@@ -80,7 +80,6 @@
 		c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.StoreUnavailable,
 			"the status can't be read now").WithRetryAfter(retryAfter))
 	default:
-		newStallWriter(c.w)
 		writeStatus(c.w, http.StatusOK, found.Record)
 	}
 }
