--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -375,6 +375,24 @@
 	})
 }
 
+// TestUploadWithTrailer: the trailer of an upload of unknown length reaches the
+// upstream.
+func TestUploadWithTrailer(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var got http.Header
+		b.serve(upstream1, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			got = r.Trailer.Clone()
+		}))
+		v := b.vm("vm1", teamText)
+		r := request("PUT", v, "/t/s/x", io.MultiReader(strings.NewReader("body")))
+		r.Trailer = http.Header{"X-Sum": {"42"}}
+		a := b.send(r)
+		g.Expect(a.status).To(Equal(http.StatusOK))
+		g.Expect(got.Get("X-Sum")).To(Equal("42"))
+	})
+}
+
 // TestUpstreamIsCancelledWhenTheCallerLeaves: the upstream sees the caller
 // leave at once.
 func TestUpstreamIsCancelledWhenTheCallerLeaves(t *testing.T) {
