--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -502,6 +502,30 @@
 	})
 }
 
+// TestDeliveryAvoidsTheUpstreamThatFailed: the delivery after a failed one goes to
+// another upstream.
+func TestDeliveryAvoidsTheUpstreamThatFailed(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		v := b.vm("vm1", teamText+secondUpstream)
+		var accepted []answer
+		for i := range 10 {
+			accepted = append(accepted, b.put(v, content(20_000, uint64(i)), ""))
+		}
+		b.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.WriteHeader(http.StatusRequestTimeout)
+		}))
+		b.upstream("u2", upstream2, upstreamstandin.Switches{})
+		b.deliver(v)
+		time.Sleep(5 * time.Minute)
+		for _, a := range accepted {
+			s := b.statusOf(g, v, a)
+			g.Expect(s.State).To(Equal("delivered"))
+			g.Expect(s.Attempts).To(BeNumerically("<=", 2))
+		}
+	})
+}
+
 // TestStopHandsDeliveryOver: a VM that stops gives its lease back, so that
 // another VM delivers without waiting for the lease to lapse.
 func TestStopHandsDeliveryOver(t *testing.T) {
