Let the limit of an upstream rise by answers to uploads

Cause: the time of an upload is not learned from, and neither was its success, so that the limit of an upstream that takes uploads alone could only fall: after a few failures it stayed at one call a VM for good. Before: a limit cut to 1 stays at 1 after 1600 successes (the new spec with Cancelled in place of Succeeded). After: it rises to the highest.

--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -130,7 +130,7 @@
 	s.watch.ended(now, sent.choice.Name, result)
 	isUploaded := sent.traffic == dynamic.Upload && !result.Failed && !result.Shed
 	if isUploaded {
-		s.limits.cancelled(sent.choice.Name)
+		s.limits.succeeded(sent.choice.Name)
 	} else {
 		s.limits.ended(now, sent.choice.Name, result)
 	}
--- a/internal/gateway/upstreamlimit.go
+++ b/internal/gateway/upstreamlimit.go
@@ -82,6 +82,11 @@
 	})
 }
 
+// succeeded records an answer whose time says nothing of the upstream.
+func (l *upstreamLimits) succeeded(name string) {
+	l.change(name, (*limit.Adaptive).Succeeded)
+}
+
 // cancelled records that a send was given up.
 func (l *upstreamLimits) cancelled(name string) {
 	l.change(name, (*limit.Adaptive).Cancelled)
--- a/internal/limit/adaptive.go
+++ b/internal/limit/adaptive.go
@@ -82,7 +82,7 @@
 // reported as waiting, or NoQueueReport. An upstream without a queue is slow for
 // another reason than this VM's calls, so that fewer of them would not help it.
 func (a *Adaptive) Answered(now time.Time, latency time.Duration, queued int) {
-	isUsed := 2*float64(a.inFlight) >= a.limit
+	isUsed := a.isUsed()
 	a.end()
 	a.learn(latency, queued)
 	isSlow := float64(a.smoothed) > tolerance*float64(a.baseline)
@@ -91,10 +91,29 @@
 		return
 	}
 	if isUsed {
-		a.limit = min(a.limit+raise*min(a.limit, 1), a.highest)
+		a.rise()
 	}
 }
 
+// Succeeded records an answer whose time says nothing of the upstream, such as
+// that to an upload.
+func (a *Adaptive) Succeeded() {
+	isUsed := a.isUsed()
+	a.end()
+	if isUsed {
+		a.rise()
+	}
+}
+
+// isUsed tells whether at least half of the limit is in flight.
+func (a *Adaptive) isUsed() bool {
+	return 2*float64(a.inFlight) >= a.limit
+}
+
+func (a *Adaptive) rise() {
+	a.limit = min(a.limit+raise*min(a.limit, 1), a.highest)
+}
+
 // Shed records that the upstream refused a call, which proves that it is full.
 func (a *Adaptive) Shed(now time.Time) {
 	a.end()
--- a/internal/limit/adaptive_test.go
+++ b/internal/limit/adaptive_test.go
@@ -63,6 +63,25 @@
 		Expect(a.IsFull()).To(BeFalse())
 	})
 
+	It("rises again by answers whose time says nothing", func() {
+		a := limit.NewAdaptive(8)
+		now := epoch
+		for range 50 {
+			now = now.Add(20 * time.Millisecond)
+			a.Start()
+			a.Failed(now)
+		}
+		for range 200 {
+			for range 8 {
+				a.Start()
+			}
+			for range 8 {
+				a.Succeeded()
+			}
+		}
+		Expect(a.Limit()).To(BeNumerically("~", 8, 0.01))
+	})
+
 	It("cuts once for a burst of refusals", func() {
 		a := limit.NewAdaptive(100)
 		answer(a, epoch, 5000, 100, 8*time.Millisecond, 0)
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -31,9 +31,8 @@
 // together. It earns a share of each first send, pays for each extra send and
 // keeps the extra sends of each Window that ends in one at or below MaxShare of
 // its first sends, or at floorSends, also right after the start and after an idle
-// time. While
-// nearly every answer is a failure it pays for nothing. It is not safe for
-// concurrent use.
+// time. While nearly every answer is a failure it pays for nothing. It is not
+// safe for concurrent use.
 type Budget struct {
 	share  float64
 	tokens float64
