--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -14,7 +14,7 @@
 func tracedPipe() (*trackedConn, net.Conn, *sendTrace) {
 	near, far := net.Pipe()
 	conn := &trackedConn{Conn: near}
-	return conn, far, &sendTrace{cancel: func(error) {}}
+	return conn, far, &sendTrace{}
 }
 
 // carry passes one byte from one end to the other.
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -78,8 +78,8 @@
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
 	c.ctx = ctx
-	sent, problem := c.startSend()
-	if problem != nil {
+	sent, ok := c.startDelivery(r.Avoid)
+	if !ok {
 		return upload.Result{}
 	}
 	counted := &countedBody{Reader: body}
@@ -90,9 +90,22 @@
 	})
 	closeRest(a.rest)
 	if a.reason != "" {
-		return upload.Result{}
+		return upload.Result{Upstream: a.upstream}
+	}
+	return upload.Result{Status: a.status, Whole: a.sentWhole, Upstream: a.upstream}
+}
+
+// startDelivery chooses an upstream, if possible another one than avoid.
+func (c *call) startDelivery(avoid string) (send, bool) {
+	if avoid != "" {
+		c.tried = []string{avoid}
+		if sent, problem := c.startSend(); problem == nil {
+			return sent, true
+		}
+		c.tried = nil
 	}
-	return upload.Result{Status: a.status, Whole: a.sentWhole}
+	sent, problem := c.startSend()
+	return sent, problem == nil
 }
 
 // storedRequest returns the request that a stored upload came with.
--- a/internal/gateway/vms_test.go
+++ b/internal/gateway/vms_test.go
@@ -169,6 +169,7 @@
 	net      *memoryNet
 	platform *platformstandin.Server
 	servers  []*http.Server
+	gateways []*gateway.Gateway
 	cancel   []context.CancelFunc
 }
 
@@ -207,12 +208,14 @@
 		b.t.Fatal(err)
 	}
 	g := gateway.New(gateway.Options{
-		VM: name, Zone: "a", Log: hclog.NewNullLogger(), Counters: counters,
-		Dial: b.net.dial, Seed: 1, Table: client, Objects: client, Claims: claims,
+		Claims: claims,
+		VM:     name, Zone: "a", Log: hclog.NewNullLogger(), Counters: counters,
+		Dial: b.net.dial, Seed: 1, Table: client, Objects: client,
 	})
 	if !g.Apply(merge.Config{Team: "t", Revision: 1, Settings: settings}) {
 		b.t.Fatal("settings not applied")
 	}
+	b.gateways = append(b.gateways, g)
 	v := &vm{gateway: g, address: name + ":1", counters: counters}
 	b.serve(v.address, g)
 	return v
@@ -230,6 +233,9 @@
 	for _, cancel := range b.cancel {
 		cancel()
 	}
+	for _, g := range b.gateways {
+		g.Close()
+	}
 	for _, server := range b.servers {
 		_ = server.Close()
 	}
--- a/internal/upload/record.go
+++ b/internal/upload/record.go
@@ -44,6 +44,9 @@
 	Finished  time.Time `json:"finished"`
 	// Status is the status of the upstream's last answer; 0 means none.
 	Status int `json:"status"`
+	// Avoid is the upstream of the last failed delivery; the next one goes to
+	// another upstream if there is one.
+	Avoid string `json:"avoid,omitempty"`
 }
 
 // Call is the request line and header of an upload.
--- /dev/null
+++ b/internal/upload/spool_test.go
@@ -0,0 +1,78 @@
+package upload_test
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/platformstandin"
+	"github.com/figfront/figfront/internal/upload"
+)
+
+// TestPoolRefusesMoreSpools: a pool gives out its places and takes them back.
+func TestPoolRefusesMoreSpools(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		ctx := context.Background()
+		pool := upload.NewPool(2)
+		first, ok := upload.NewSpool(ctx, pool, nil)
+		g.Expect(ok).To(BeTrue())
+		_, ok = upload.NewSpool(ctx, pool, nil)
+		g.Expect(ok).To(BeTrue())
+		_, ok = upload.NewSpool(ctx, pool, nil)
+		g.Expect(ok).To(BeFalse())
+		first.Close(false)
+		_, ok = upload.NewSpool(ctx, pool, nil)
+		g.Expect(ok).To(BeTrue())
+	})
+}
+
+// TestSpoolHoldsTwoParts: whatever the sizes of the writes, a spool holds at
+// most two parts and gives the memory back.
+func TestSpoolHoldsTwoParts(t *testing.T) {
+	for _, step := range []int{7_777, upload.PartSize, 3 * upload.PartSize} {
+		synctest.Test(t, func(t *testing.T) {
+			g := NewWithT(t)
+			server := platformstandin.New(nil)
+			client := platform.NewClient("platform", &machine{handler: server.Handler()})
+			pool := upload.NewPool(1)
+			spool, ok := upload.NewSpool(context.Background(), pool, client)
+			g.Expect(ok).To(BeTrue())
+			written := 0
+			for written < 10*upload.PartSize {
+				spool.Write(bytes.Repeat([]byte{1}, step))
+				written += step
+			}
+			body, err := spool.Finish()
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(body.Size).To(BeEquivalentTo(written))
+			_, peak := pool.Held()
+			g.Expect(peak).To(BeNumerically("<=", 2*upload.PartSize))
+			spool.Close(false)
+			held, _ := pool.Held()
+			g.Expect(held).To(BeZero())
+			g.Expect(server.Objects()).To(BeZero())
+		})
+	}
+}
+
+// TestSpoolWithoutStore: without an object store a body is replayed from memory
+// up to a part, and no further.
+func TestSpoolWithoutStore(t *testing.T) {
+	g := NewWithT(t)
+	spool, ok := upload.NewSpool(context.Background(), upload.NewPool(1), nil)
+	g.Expect(ok).To(BeTrue())
+	spool.Write(make([]byte, upload.PartSize))
+	kept, ok := spool.Replay()
+	g.Expect(ok).To(BeTrue())
+	g.Expect(kept).To(HaveLen(upload.PartSize))
+	spool.Write([]byte{1})
+	_, ok = spool.Replay()
+	g.Expect(ok).To(BeFalse())
+	_, err := spool.Finish()
+	g.Expect(err).To(MatchError(upload.ErrUnavailable))
+}
