Give each process of the planned-stop test an address of its own

Cause: TestPlannedStop failed in 1 of 11 runs before its callers began. Its setup, run by itself with the processes' output shown, failed after 64 passes: a gateway answered at the address that another process was asked at, because the same port had been given out twice. Ruled out: the configuration (both gateways' logs show it in force). Conclusion: a fault of the test; addresses are given out once and on a loopback address whose ports no outgoing connection takes. No check was eased.

--- a/cmd/stop_test.go
+++ b/cmd/stop_test.go
@@ -21,15 +21,29 @@
 	. "github.com/onsi/gomega"
 )
 
-// freeAddress returns an address of this machine that nobody listens at.
+// usedAddresses are the addresses that were given out.
+var usedAddresses = map[string]bool{}
+
+// freeAddress returns an address that nobody listens at and that was not given
+// out before. It is on a loopback address of this test process alone: the source
+// ports of connections, which are on 127.0.0.1, can't take it in the meantime.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	host := fmt.Sprintf("127.77.%d.%d", os.Getpid()/250%250, os.Getpid()%250+1)
+	for range 100 {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if !usedAddresses[address] {
+			usedAddresses[address] = true
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	t.Fatal("no free address")
+	return ""
 }
 
 // running is a process under test.
@@ -38,6 +52,10 @@
 	output  bytes.Buffer
 }
 
+// shownOutput is how much of a process's output is shown when its test failed,
+// in bytes.
+const shownOutput = 1000
+
 // start starts a command; it is ended with the test.
 func start(t *testing.T, name string, args ...string) *running {
 	t.Helper()
@@ -50,6 +68,10 @@
 	t.Cleanup(func() {
 		_ = r.command.Process.Kill()
 		_ = r.command.Wait()
+		if t.Failed() {
+			text := r.output.Bytes()
+			t.Logf("%s: %s", name, text[max(0, len(text)-shownOutput):])
+		}
 	})
 	return r
 }
