--- a/internal/agent/cluster_test.go
+++ b/internal/agent/cluster_test.go
@@ -57,6 +57,8 @@
 	mu sync.Mutex
 	// cutVMs are cut off from the platform.
 	cutVMs map[string]bool
+	// failingReads is the number of readings of settings that fail next.
+	failingReads int
 	// upstreams is the network behind the gateways.
 	upstreams *pipenet.Network
 }
@@ -79,6 +81,8 @@
 
 	mu    sync.Mutex
 	lines []string
+	// readyWith is the number of teams in force when the gateway became ready.
+	readyWith int
 }
 
 // run runs f with a cluster of n VMs that are ready, in virtual time, and
@@ -145,9 +149,28 @@
 		<-r.Context().Done()
 		return nil, errCut
 	}
+	if strings.Contains(r.URL.RawQuery, "history") && v.cluster.takeFailingRead() {
+		return nil, errCut
+	}
 	return v.cluster.table.Transport().RoundTrip(r)
 }
 
+func (c *cluster) takeFailingRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failingReads == 0 {
+		return false
+	}
+	c.failingReads--
+	return true
+}
+
+func (c *cluster) failReads(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failingReads = n
+}
+
 // cutPlatform cuts the VMs off from the platform; none heals all.
 func (c *cluster) cutPlatform(vms ...*vm) {
 	c.mu.Lock()
@@ -258,7 +281,7 @@
 	bus := exchange.NewPubSub(client, v.name)
 	g := v.gateway
 	var done sync.WaitGroup
-	done.Go(func() { _ = g.Follow(ctx, bus, life.Configured) })
+	done.Go(func() { _ = g.Follow(ctx, bus, func() { v.becomeReady(life, g) }) })
 	v.stopGW = func() {
 		cancel()
 		_ = bus.Close()
@@ -266,6 +289,15 @@
 	}
 }
 
+func (v *vm) becomeReady(life *process.Life, g *gateway.Gateway) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !life.IsReady() {
+		v.readyWith = len(g.Configs())
+	}
+	life.Configured()
+}
+
 func (v *vm) revision(team string) uint64 {
 	for _, c := range v.gateway.Configs() {
 		if c.Team == team {
