Tell a VM without configuration from an unknown service, and a refused connection from a lost answer

Cause: a gateway without any configuration answered 404 no_route, which a caller takes for final; a platform that refuses connections counted as an answer that was lost, so that each keyed booking in an outage queued a release that nothing needed. Ruled out: taking every error of the transport for unavailable (a connection that was open may have carried the write). Before: the new spec got an uncertain error from a closed port. After: unavailable.

--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -38,7 +38,7 @@
 		return err
 	}
 	g := gateway.New(gateway.Options{
-		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize,
+		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize, MaxCalls: settings.MaxCalls,
 		Log: log, Counters: counters, Claims: claims, Table: store, Objects: store,
 		Seed: uint64(time.Now().UnixNano()),
 	})
--- a/internal/capacity/agent.go
+++ b/internal/capacity/agent.go
@@ -1,10 +1,8 @@
 package capacity
 
 import (
-	"encoding/json"
 	"runtime"
 
-	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/exchange"
 )
@@ -21,13 +19,11 @@
 
 // apply does with a configuration what the agent does.
 func (s agentState) apply(c merge.Config) bool {
-	payload, err := json.Marshal(c)
+	message, err := exchange.ConfigMessage(exchange.TopicConfig, c)
 	if err != nil || !s.configs.Apply(c) {
 		return false
 	}
-	return s.hub.Publish(&api.Message{
-		Topic: exchange.TopicConfig, Key: c.Team, Revision: c.Revision, Payload: payload,
-	})
+	return s.hub.Publish(message)
 }
 
 // AgentState measures the agent's memory against the number of services.
@@ -55,9 +51,9 @@
 		size := 0.0
 		used := measure(func() { replay(s.apply, configs, changes) })
 		for i := range changes {
-			payload, err := json.Marshal(configs[i%len(configs)])
+			message, err := exchange.ConfigMessage(exchange.TopicConfig, configs[i%len(configs)])
 			if err == nil {
-				size += float64(len(payload))
+				size += float64(len(message.GetPayload()))
 			}
 		}
 		cpu.Add(float64(changes), float64(used.CPU.Microseconds())/1000)
--- a/internal/capacity/capacitytool/main.go
+++ b/internal/capacity/capacitytool/main.go
@@ -41,7 +41,9 @@
 type agentsCommand struct {
 	Binary   string `help:"Path of figfront-agent." default:"bin/figfront-agent" type:"existingfile"`
 	Numbers  []int  `help:"Numbers of agents." default:"10,25,50,75,100"`
-	Services int    `help:"Number of services in the configuration." default:"100"`
+	Services int    `help:"Number of services in the configuration." default:"1100"`
+	Changing int    `help:"Number of agents under changes." default:"50"`
+	Rates    []int  `help:"Rates of configuration changes, in changes a second." default:"1,2,4,6,8"`
 }
 
 // Run runs the command.
@@ -50,6 +52,13 @@
 	if err != nil {
 		return err
 	}
+	if err := writeAll(out, all); err != nil {
+		return err
+	}
+	all, err = capacity.ChangingAgents(ctx, c.Binary, c.Changing, c.Services, c.Rates)
+	if err != nil {
+		return err
+	}
 	return writeAll(out, all)
 }
 
--- a/internal/capacity/processes.go
+++ b/internal/capacity/processes.go
@@ -14,6 +14,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/figfront/figfront/internal/admin"
 	"github.com/figfront/figfront/internal/configstore"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/platformstandin"
@@ -34,33 +35,68 @@
 // and the platform spend while nothing happens. binary is the path of
 // figfront-agent.
 func Agents(ctx context.Context, binary string, numbers []int, services int) ([]Series, error) {
-	cpu := Series{Role: "agent", Figure: "processor time, idle", Unit: "% of a core", Against: "VMs"}
-	traffic := Series{Role: "agent", Figure: "bytes read and written, idle", Unit: "KB/s", Against: "VMs"}
-	memory := Series{Role: "agent", Figure: "resident memory", Unit: "MB", Against: "VMs"}
-	reads := Series{Role: "platform", Figure: "table reads, idle", Unit: "reads/s", Against: "VMs"}
+	all := newAgentSeries("idle", "VMs")
 	for _, n := range numbers {
-		used, err := runAgents(ctx, binary, n, services)
+		used, err := runAgents(ctx, binary, n, services, 0)
 		if err != nil {
 			return nil, err
 		}
-		size := float64(n)
-		cpu.Add(size, used.cpuPercent)
-		traffic.Add(size, used.kilobytes)
-		memory.Add(size, used.megabytes)
-		reads.Add(size, used.tableReads)
+		all.add(float64(n), used)
 	}
-	return []Series{cpu, traffic, memory, reads}, nil
+	return all.list(), nil
 }
 
-// agentUse is what one agent spends, as a mean, and the platform's reads.
+// ChangingAgents is like Agents for one number of agents and several rates of
+// configuration changes, in changes a second.
+func ChangingAgents(ctx context.Context, binary string, number, services int, rates []int) ([]Series, error) {
+	all := newAgentSeries("under changes", "changes/s")
+	for _, rate := range rates {
+		used, err := runAgents(ctx, binary, number, services, rate)
+		if err != nil {
+			return nil, err
+		}
+		all.add(float64(rate), used)
+	}
+	return all.list(), nil
+}
+
+// agentSeries are the figures of agents against one size.
+type agentSeries struct {
+	cpu, traffic, memory, reads, writes Series
+}
+
+func newAgentSeries(when, against string) *agentSeries {
+	return &agentSeries{
+		cpu:     Series{Role: "agent", Figure: "processor time, " + when, Unit: "% of a core", Against: against},
+		traffic: Series{Role: "agent", Figure: "bytes read and written, " + when, Unit: "KB/s", Against: against},
+		memory:  Series{Role: "agent", Figure: "resident memory, " + when, Unit: "MB", Against: against},
+		reads:   Series{Role: "platform", Figure: "table reads, " + when, Unit: "reads/s", Against: against},
+		writes:  Series{Role: "platform", Figure: "table writes, " + when, Unit: "writes/s", Against: against},
+	}
+}
+
+func (a *agentSeries) add(size float64, used agentUse) {
+	a.cpu.Add(size, used.cpuPercent)
+	a.traffic.Add(size, used.kilobytes)
+	a.memory.Add(size, used.megabytes)
+	a.reads.Add(size, used.tableReads)
+	a.writes.Add(size, used.tableWrites)
+}
+
+func (a *agentSeries) list() []Series {
+	return []Series{a.cpu, a.traffic, a.memory, a.reads, a.writes}
+}
+
+// agentUse is what one agent spends, as a mean, and the platform's load.
 type agentUse struct {
-	cpuPercent float64
-	kilobytes  float64
-	megabytes  float64
-	tableReads float64
+	cpuPercent  float64
+	kilobytes   float64
+	megabytes   float64
+	tableReads  float64
+	tableWrites float64
 }
 
-func runAgents(ctx context.Context, binary string, number, services int) (agentUse, error) {
+func runAgents(ctx context.Context, binary string, number, services, rate int) (agentUse, error) {
 	dir, err := os.MkdirTemp("", "figfront-capacity")
 	if err != nil {
 		return agentUse{}, errors.Wrap(err, "make folder")
@@ -71,21 +107,59 @@
 		return agentUse{}, err
 	}
 	defer func() { _ = server.http.Close() }()
-	var agents []*exec.Cmd
+	agents, err := startAgents(ctx, binary, dir, address, number)
 	defer func() { stopAll(agents) }()
+	if err != nil {
+		return agentUse{}, err
+	}
+	time.Sleep(settleTime)
+	changing, stop := context.WithCancel(ctx)
+	defer stop()
+	if rate > 0 {
+		go change(changing, address, services, rate)
+	}
+	return sample(agents, server.standin)
+}
+
+func startAgents(ctx context.Context, binary, dir, platformAddress string, number int) ([]*exec.Cmd, error) {
+	var agents []*exec.Cmd
 	for i := range number {
 		path := filepath.Join(dir, fmt.Sprintf("agent-%d.ini", i))
-		if err := os.WriteFile(path, []byte(agentSettings(i, address)), 0o600); err != nil {
-			return agentUse{}, errors.Wrap(err, "write settings")
+		if err := os.WriteFile(path, []byte(agentSettings(i, platformAddress)), 0o600); err != nil {
+			return agents, errors.Wrap(err, "write settings")
 		}
 		agent := exec.CommandContext(ctx, binary, "run", "--settings", path)
 		if err := agent.Start(); err != nil {
-			return agentUse{}, errors.Wrap(err, "start agent")
+			return agents, errors.Wrap(err, "start agent")
 		}
 		agents = append(agents, agent)
 	}
-	time.Sleep(settleTime)
-	return sample(agents, server.standin)
+	return agents, nil
+}
+
+// change commits changes of one team after another at an even rate and pushes
+// each to an agent, as admin does, until ctx ends.
+func change(ctx context.Context, address string, services, rate int) {
+	store := configstore.New(platform.NewClient(address, nil))
+	pusher := admin.NewAgents("capacity", nil)
+	defer pusher.Close()
+	configs := teams(services)
+	ticker := time.NewTicker(time.Second / time.Duration(rate))
+	defer ticker.Stop()
+	for i := 0; ; i++ {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		c := &configs[i%len(configs)]
+		c.Revision++
+		c.ChangeID = fmt.Sprintf("%s-%d", c.Team, c.Revision)
+		if _, err := store.Commit(ctx, *c); err != nil {
+			continue
+		}
+		_ = pusher.Push(ctx, fmt.Sprintf("127.0.0.1:%d", agentPort(0)), *c)
+	}
 }
 
 func agentPort(i int) int {
@@ -145,10 +219,11 @@
 	seconds := sampleTime.Seconds()
 	number := float64(len(agents))
 	return agentUse{
-		cpuPercent: (after.cpuSeconds - before.cpuSeconds) / seconds / number * 100,
-		kilobytes:  (after.ioBytes - before.ioBytes) / seconds / number / 1000,
-		megabytes:  after.residentBytes / number / 1e6,
-		tableReads: float64(loadAfter.Reads-loadBefore.Reads) / seconds,
+		cpuPercent:  (after.cpuSeconds - before.cpuSeconds) / seconds / number * 100,
+		kilobytes:   (after.ioBytes - before.ioBytes) / seconds / number / 1000,
+		megabytes:   after.residentBytes / number / 1e6,
+		tableReads:  float64(loadAfter.Reads-loadBefore.Reads) / seconds,
+		tableWrites: float64(loadAfter.Writes-loadBefore.Writes) / seconds,
 	}, nil
 }
 
--- a/internal/config/static/static.go
+++ b/internal/config/static/static.go
@@ -75,6 +75,8 @@
 	// Agent is the address of this VM's agent.
 	Agent  string
 	Limits Limits
+	// MaxCalls limits the calls of all teams at once.
+	MaxCalls int
 	// StopLag is the time that the platform's balancer may go on sending new
 	// calls after the process said that it is not ready.
 	StopLag time.Duration
@@ -95,6 +97,7 @@
 	section := file.Section("gateway")
 	g.Endpoints = readEndpoints(section)
 	section.RequiredAddress("agent", &g.Agent)
+	section.Int("max_calls", &g.MaxCalls, 4096, 1, 100000)
 	section.Duration("stop_lag", &g.StopLag, 3*time.Second, 0, time.Minute)
 	section.Duration("stop_timeout", &g.StopTimeout, 5*time.Minute, time.Second, time.Hour)
 	section.Int("subset_size", &g.SubsetSize, 0, 0, 1000)
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -75,7 +75,7 @@
 		return eventToldRan
 	case outcome.NotRun:
 		return eventToldNotRun
-	case outcomeAccepted:
+	case outcome.Accepted:
 		return eventToldAccepted
 	default:
 		return eventToldUnknown
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,7 +160,13 @@
 		c.serveUploadStatus()
 		return
 	}
-	route, ok := g.routes.Load().find(r)
+	routes := g.routes.Load()
+	if routes.isEmpty() {
+		c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.NotReady,
+			"this VM has no configuration yet").WithRetryAfter(retryAfter))
+		return
+	}
+	route, ok := routes.find(r)
 	if !ok {
 		c.refuse(outcome.New(http.StatusNotFound, outcome.NotRun, outcome.NoRoute,
 			"no service and rule match this call"))
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -27,6 +27,11 @@
 	return table
 }
 
+// isEmpty tells whether there is no team's configuration.
+func (t *routeTable) isEmpty() bool {
+	return len(t.teams) == 0
+}
+
 // find returns the route of a call: its service by the first two parts of the
 // path, its rule by the method and the longest path prefix.
 func (t *routeTable) find(r *http.Request) (route, bool) {
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -31,10 +31,6 @@
 	createPause = 250 * time.Millisecond
 )
 
-// outcomeAccepted is the outcome of an upload that is stored and will be
-// delivered.
-const outcomeAccepted outcome.Outcome = "accepted"
-
 // uploadCall is one upload of a caller.
 type uploadCall struct {
 	*call
@@ -265,12 +261,12 @@
 
 func (u *uploadCall) accept(record upload.Record) {
 	u.gateway.options.Counters.Add(telemetry.GroupUploads, "accepted", 1)
-	u.log(u.tell(outcomeAccepted), "", "")
+	u.log(u.tell(outcome.Accepted), "", "")
 	u.informational.end()
 	newStallWriter(u.w)
 	u.w.Header().Set("Location", uploadStatusPath+record.ID)
 	u.w.Header().Set(callheader.UploadID, record.ID)
-	u.w.Header().Set(outcome.HeaderOutcome, string(outcomeAccepted))
+	u.w.Header().Set(outcome.HeaderOutcome, string(outcome.Accepted))
 	u.w.Header().Set(outcome.HeaderRequestID, u.id)
 	writeStatus(u.w, http.StatusAccepted, record)
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -13,6 +13,8 @@
 	NotRun Outcome = "not run"
 	// Unknown means that the call may have run; it is not sent again.
 	Unknown Outcome = "unknown"
+	// Accepted means that an upload is stored and will be delivered.
+	Accepted Outcome = "accepted"
 )
 
 // Reason is the cause of a refusal or failure. Each reason has a counter.
@@ -32,7 +34,6 @@
 	ConnectFailed     Reason = "connect_failed"
 	BodyTooLarge      Reason = "body_too_large"
 	BodyBroken        Reason = "body_broken"
-	Stopping          Reason = "stopping"
 	NotReady          Reason = "not_ready"
 	ClaimUnavailable  Reason = "claim_unavailable"
 	ClaimRunning      Reason = "claim_running"
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -93,7 +94,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return errors.Wrap(ErrUncertain, err.Error())
+		return transportError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response.StatusCode); err != nil {
@@ -112,6 +113,16 @@
 	return nil
 }
 
+// transportError turns an error of the transport into an error of this layer. A
+// connection that could not be opened carried nothing.
+func transportError(err error) error {
+	var opErr *net.OpError
+	if errors.As(err, &opErr) && opErr.Op == "dial" {
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return errors.Wrap(ErrUncertain, err.Error())
+}
+
 // statusError turns a status of the platform into an error of this layer.
 func statusError(status int) error {
 	switch status {
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,52 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/spectest"
+)
+
+func TestPlatform(t *testing.T) {
+	spectest.Run(t, "platform")
+}
+
+var _ = Describe("a write", func() {
+	commit := func(handler http.HandlerFunc) error {
+		server := httptest.NewServer(handler)
+		defer server.Close()
+		client := platform.NewClient(server.Listener.Addr().String(), nil)
+		return client.Commit(context.Background(), platform.Transaction{})
+	}
+
+	DescribeTable("tells what is known of it",
+		func(status int, want error) {
+			err := commit(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })
+			Expect(err).To(MatchError(want))
+		},
+		Entry("condition", http.StatusConflict, platform.ErrConflict),
+		Entry("down", http.StatusServiceUnavailable, platform.ErrUnavailable),
+		Entry("too many", http.StatusTooManyRequests, platform.ErrUnavailable),
+		Entry("a fault of the table", http.StatusInternalServerError, platform.ErrUncertain),
+	)
+
+	It("is uncertain when its answer is lost", func() {
+		err := commit(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+		Expect(platform.IsUncertain(err)).To(BeTrue())
+	})
+
+	It("took no effect when no connection could be opened", func() {
+		server := httptest.NewServer(http.NotFoundHandler())
+		address := server.Listener.Addr().String()
+		server.Close()
+		err := platform.NewClient(address, nil).Commit(context.Background(), platform.Transaction{})
+		Expect(err).To(MatchError(platform.ErrUnavailable))
+		Expect(platform.IsUncertain(err)).To(BeFalse())
+	})
+})
