End a process when one of its parts fails

Cause: when the operators' page, the bus or the claims of a gateway or admin failed, the group's context ended, but nothing stopped the server: the process went on serving without them and never ended. Found by reading the three main functions, which repeated each other. Ruled out: ending at once with os.Exit, which would cut off calls; the failed part now leads to the same planned stop as a signal. After: all three servers end with 1. A first try still hung because the delivery of uploads followed the signal alone; it now ends with the other parts. Conclusion: one constructor for log, counters and life, one way to stop.

--- a/cmd/commands_test.go
+++ b/cmd/commands_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bytes"
+	"context"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 )
@@ -14,6 +17,7 @@
 // The exit codes that operators and scripts rely on.
 const (
 	exitOK       = 0
+	exitFailed   = 1
 	exitSettings = 2
 )
 
@@ -36,11 +40,17 @@
 	os.Exit(code)
 }
 
-// run runs a command to its end and returns its exit code and its output.
+// hangTime is the time after which a command that does not end is killed.
+const hangTime = time.Minute
+
+// run runs a command to its end and returns its exit code and its output; one
+// that has to be killed has the code -1.
 func run(t *testing.T, name string, args ...string) (int, string) {
 	t.Helper()
 	var output bytes.Buffer
-	command := exec.Command(filepath.Join(binDir, name), args...)
+	ctx, cancel := context.WithTimeout(context.Background(), hangTime)
+	defer cancel()
+	command := exec.CommandContext(ctx, filepath.Join(binDir, name), args...)
 	command.Env = []string{}
 	command.Stdout = &output
 	command.Stderr = &output
@@ -148,3 +158,27 @@
 		}
 	}
 }
+
+// TestFailedPartEndsTheProcess takes the operators' address away from each
+// server: the process ends with an error and does not serve on without it.
+func TestFailedPartEndsTheProcess(t *testing.T) {
+	g := NewWithT(t)
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = taken.Close() }()
+	for name, kind := range servers {
+		content := "[vm]\nname = entry-1\nzone = fukuoka\n[" + kind + "]\n" +
+			"listen = 127.0.0.1:0\nplatform = 127.0.0.1:1\noperators = " + taken.Addr().String() + "\n"
+		if kind != "agent" {
+			content += "agent = 127.0.0.1:1\n"
+		}
+		if kind == "gateway" {
+			content += "stop_lag = 0s\n"
+		}
+		path := filepath.Join(t.TempDir(), kind+".ini")
+		g.Expect(os.WriteFile(path, []byte(content), 0o600)).To(Succeed())
+		code, output := run(t, name, "run", "--settings", path)
+		g.Expect(code).To(Equal(exitFailed), "%s: %s", name, output)
+		g.Expect(output).To(ContainSubstring("address already in use"))
+	}
+}
--- a/cmd/figfront-admin/main.go
+++ b/cmd/figfront-admin/main.go
@@ -6,14 +6,12 @@
 	"os"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/figfront/figfront/internal/admin"
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
-	"github.com/figfront/figfront/internal/telemetry"
 )
 
 const name = "figfront-admin"
@@ -29,18 +27,15 @@
 }
 
 func run(ctx context.Context, settings *static.Admin) error {
-	log := telemetry.NewLogger(name, settings.VM.LogLevel, os.Stderr)
-	counters := telemetry.NewCounters()
-	counters.Publish("figfront")
-	life, err := process.NewLife(log)
+	parts, err := process.NewParts(name, settings.VM.LogLevel)
 	if err != nil {
-		return errors.Wrap(err, "load charts")
+		return err
 	}
 	client := platform.NewClient(settings.Platform, nil)
 	agents := admin.NewAgents(settings.VM.Name, nil)
 	a := admin.New(admin.Options{
 		Tokens: settings.Tokens, Agent: settings.Agent, Table: client, Membership: client,
-		Pusher: agents, Status: agents, Log: log, Counters: counters,
+		Pusher: agents, Status: agents, Log: parts.Log, Counters: parts.Counters,
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
 	if err != nil {
@@ -49,20 +44,15 @@
 	server := process.NewServer(a.Handler(), settings.Limits)
 	server.ReadTimeout = requestTimeout
 	server.WriteTimeout = requestTimeout
-	life.Configured()
+	parts.Life.Configured()
 
 	work, endWork := context.WithCancel(context.Background())
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return process.ServeOperators(work, settings.Operators, life) })
+	group.Go(func() error { return process.ServeOperators(work, settings.Operators, parts.Life) })
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error {
 		defer endWork()
-		select {
-		case <-ctx.Done():
-			return life.Stop(server, 0, stopTimeout)
-		case <-work.Done():
-			return nil
-		}
+		return parts.Life.StopAtEnd(ctx, work, server, 0, stopTimeout)
 	})
 	return group.Wait()
 }
--- a/cmd/figfront-agent/main.go
+++ b/cmd/figfront-agent/main.go
@@ -15,7 +15,6 @@
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
-	"github.com/figfront/figfront/internal/telemetry"
 )
 
 const name = "figfront-agent"
@@ -28,18 +27,15 @@
 }
 
 func run(ctx context.Context, settings *static.Agent) error {
-	log := telemetry.NewLogger(name, settings.VM.LogLevel, os.Stderr)
-	counters := telemetry.NewCounters()
-	counters.Publish("figfront")
-	life, err := process.NewLife(log)
+	parts, err := process.NewParts(name, settings.VM.LogLevel)
 	if err != nil {
-		return errors.Wrap(err, "load charts")
+		return err
 	}
 	client := platform.NewClient(settings.Platform, nil)
 	a, err := agent.New(agent.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Listen,
 		FeedInterval: settings.FeedInterval, HeartbeatInterval: settings.HeartbeatInterval,
-		Table: client, Membership: client, Log: log, Counters: counters, Life: life,
+		Table: client, Membership: client, Log: parts.Log, Counters: parts.Counters, Life: parts.Life,
 		ProbesPerSecond: settings.ProbesPerSecond, Seed: rand.Uint64(),
 	})
 	if err != nil {
@@ -50,7 +46,7 @@
 		return err
 	}
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return process.ServeOperators(ctx, settings.Operators, life) })
+	group.Go(func() error { return process.ServeOperators(ctx, settings.Operators, parts.Life) })
 	group.Go(func() error { return exchange.Serve(ctx, listener, a) })
 	group.Go(func() error { return a.Run(ctx) })
 	return group.Wait()
--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/figfront/figfront/internal/claim"
@@ -15,7 +14,6 @@
 	"github.com/figfront/figfront/internal/gateway"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
-	"github.com/figfront/figfront/internal/telemetry"
 )
 
 const name = "figfront-gateway"
@@ -25,21 +23,18 @@
 }
 
 func run(ctx context.Context, settings *static.Gateway) error {
-	log := telemetry.NewLogger(name, settings.VM.LogLevel, os.Stderr)
-	counters := telemetry.NewCounters()
-	counters.Publish("figfront")
-	life, err := process.NewLife(log)
+	parts, err := process.NewParts(name, settings.VM.LogLevel)
 	if err != nil {
-		return errors.Wrap(err, "load charts")
+		return err
 	}
 	store := platform.NewClient(settings.Platform, nil)
-	claims, err := claim.NewStore(claim.Options{Table: store, Counters: counters, VM: settings.VM.Name})
+	claims, err := claim.NewStore(claim.Options{Table: store, Counters: parts.Counters, VM: settings.VM.Name})
 	if err != nil {
 		return err
 	}
 	g := gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize, MaxCalls: settings.MaxCalls,
-		Log: log, Counters: counters, Claims: claims, Table: store, Objects: store,
+		Log: parts.Log, Counters: parts.Counters, Claims: claims, Table: store, Objects: store,
 		Seed: uint64(time.Now().UnixNano()),
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
@@ -52,19 +47,18 @@
 	// The operators' page and the bus outlive ctx until every call is finished.
 	work, endWork := context.WithCancel(context.Background())
 	group, work := errgroup.WithContext(work)
+	// Deliveries end with ctx, so that another VM takes them over.
+	delivery, endDelivery := context.WithCancel(ctx)
+	defer endDelivery()
+	context.AfterFunc(work, endDelivery)
 	group.Go(func() error { return claims.Run(work) })
-	group.Go(func() error { return process.ServeOperators(work, settings.Operators, life) })
-	group.Go(func() error { return g.Follow(work, bus, life.Configured) })
+	group.Go(func() error { return process.ServeOperators(work, settings.Operators, parts.Life) })
+	group.Go(func() error { return g.Follow(work, bus, parts.Life.Configured) })
 	group.Go(func() error { return process.Serve(server, listener) })
-	group.Go(func() error { return g.DeliverUploads(ctx) })
+	group.Go(func() error { return g.DeliverUploads(delivery) })
 	group.Go(func() error {
 		defer endWork()
-		select {
-		case <-ctx.Done():
-			return life.Stop(server, settings.StopLag, settings.StopTimeout)
-		case <-work.Done():
-			return nil
-		}
+		return parts.Life.StopAtEnd(ctx, work, server, settings.StopLag, settings.StopTimeout)
 	})
 	return group.Wait()
 }
