Fail a capacity measurement whose settings are not applied

Cause: the memory against upstreams was measured as 2,624 bytes at 8,400 upstreams: the addresses of the generated settings ran above 255, the gateway refused them, and the tool ignored that. Its own check of the extrapolation showed it (error 68,740%). Ruled out: a fault of the gateway; smaller sizes fit their line. Conclusion: addresses count through, and a refused configuration ends the measurement with an error; two specs hold the settings to what is allowed.

--- a/internal/capacity/agent.go
+++ b/internal/capacity/agent.go
@@ -27,29 +27,33 @@
 }
 
 // AgentState measures the agent's memory against the number of services.
-func AgentState() []Series {
+func AgentState() ([]Series, error) {
 	memory := Series{Role: "agent", Figure: "memory", Unit: "bytes", Against: "services"}
 	for _, services := range stateSizes {
 		before := heapBytes()
 		s := newAgentState()
-		for _, c := range teams(services) {
-			s.apply(c)
+		if err := applyAll(s.apply, teams(services)); err != nil {
+			return nil, err
 		}
 		memory.Add(float64(services), heapBytes()-before)
 		runtime.KeepAlive(s)
 	}
-	return []Series{memory}
+	return []Series{memory}, nil
 }
 
 // AgentChanges measures the work of accepting changes against their number.
-func AgentChanges() []Series {
+func AgentChanges() ([]Series, error) {
 	cpu := Series{Role: "agent", Figure: "changes accepted", Unit: "ms of processor time", Against: "changes"}
 	bytes := Series{Role: "agent", Figure: "changes sent to the gateway", Unit: "bytes", Against: "changes"}
 	for _, changes := range changeSizes {
 		s := newAgentState()
 		configs := teams(targetServices)
 		size := 0.0
-		used := measure(func() { replay(s.apply, configs, changes) })
+		var err error
+		used := measure(func() { err = replay(s.apply, configs, changes) })
+		if err != nil {
+			return nil, err
+		}
 		for i := range changes {
 			message, err := exchange.ConfigMessage(exchange.TopicConfig, configs[i%len(configs)])
 			if err == nil {
@@ -59,5 +63,5 @@
 		cpu.Add(float64(changes), float64(used.CPU.Microseconds())/1000)
 		bytes.Add(float64(changes), size)
 	}
-	return []Series{cpu, bytes}
+	return []Series{cpu, bytes}, nil
 }
--- a/internal/capacity/capacitytool/main.go
+++ b/internal/capacity/capacitytool/main.go
@@ -24,19 +24,16 @@
 
 // Run runs the command.
 func (slopesCommand) Run(out io.Writer) error {
-	measurements := []func() []capacity.Series{
+	measurements := []func() ([]capacity.Series, error){
 		capacity.GatewayState,
 		capacity.GatewayUpstreams,
 		capacity.GatewayChanges,
+		capacity.GatewayCalls,
 		capacity.AgentState,
 		capacity.AgentChanges,
+		capacity.AdminChanges,
 	}
 	for _, run := range measurements {
-		if err := writeAll(out, run()); err != nil {
-			return err
-		}
-	}
-	for _, run := range []func() ([]capacity.Series, error){capacity.GatewayCalls, capacity.AdminChanges} {
 		all, err := run()
 		if err != nil {
 			return err
--- a/internal/capacity/loopback.go
+++ b/internal/capacity/loopback.go
@@ -177,7 +177,7 @@
 
 // loopbackTeam returns a team with one service on the addresses.
 func loopbackTeam(addresses []string) merge.Config {
-	c := team(0, 1, 0, 1)
+	c := team(0, 1, 0)
 	for i, address := range addresses {
 		c.Settings += fmt.Sprintf("[/teams/%s/services/service-00/upstreams/u-%d]\naddress = %s\nzone = zone-1\nslots = %d\nmax_connections = 64\n",
 			c.Team, i, address, loopbackSlots)
--- a/internal/capacity/series_test.go
+++ b/internal/capacity/series_test.go
@@ -54,6 +54,22 @@
 })
 
 var _ = Describe("the settings of the measurement", func() {
+	It("give each upstream an address of its own", func() {
+		seen := map[string]bool{}
+		for number := range targetServices / servicesPerTeam {
+			for u := range addressesPerTeam {
+				seen[upstreamAddress(number, u)] = true
+			}
+		}
+		Expect(seen).To(HaveLen(targetServices / servicesPerTeam * addressesPerTeam))
+	})
+
+	It("are allowed with the most upstreams of a service", func() {
+		c := team(0, servicesPerTeam, targetUpstreams/fixedServices)
+		_, err := dynamic.Parse(c.Team, c.Team, []byte(c.Settings))
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("are allowed and have the target's size", func() {
 		services, upstreams := 0, 0
 		for _, c := range teams(targetServices) {
