Tell a send that lost its race from a silent connection, and reuse compressors

Cause: the demonstration counted connection_silent on a healthy loopback. A send that was cancelled because its hedge won, or because the caller left, counted as one over a silent connection, and the idle connections to its upstream were closed. Each message with settings set up a gzip writer anew. Ruled out: the demonstration's upstreams (8 ms, no fault switched on). Before: TestHedge with the new check counts 1 silent connection; after: 0.

--- a/internal/exchange/config.go
+++ b/internal/exchange/config.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/gzip"
 	"io"
+	"sync"
 
 	"github.com/go-faster/errors"
 	"google.golang.org/protobuf/proto"
@@ -36,10 +37,18 @@
 	}, nil
 }
 
+// compressors holds idle gzip writers; a new one allocates hundreds of KB.
+var compressors = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 // compress returns the text in the format of gzip (RFC 1952).
 func compress(text string) []byte {
 	var buffer bytes.Buffer
-	writer := gzip.NewWriter(&buffer)
+	writer, ok := compressors.Get().(*gzip.Writer)
+	if !ok {
+		writer = gzip.NewWriter(io.Discard)
+	}
+	defer compressors.Put(writer)
+	writer.Reset(&buffer)
 	// A write to memory does not fail.
 	_, _ = io.WriteString(writer, text)
 	_ = writer.Close()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -181,21 +181,23 @@
 		result.outcome = outcome.Unknown
 		result.reason = outcome.UpstreamFailed
 	}
-	isSilent := trace.isSilent() && ctx.Err() != nil
+	isReplaced := errors.Is(context.Cause(ctx), errConnSilent)
+	isLate := errors.Is(ctx.Err(), context.DeadlineExceeded)
+	isSilent := trace.isSilent() && (isReplaced || isLate)
 	result.connSilent = isSilent
 	result.resendPaid = trace.isResendPaid()
 	if isSilent {
 		c.gateway.options.Counters.Add(groupAnswers, "connection_silent", 1)
 		sent.transport.http.CloseIdleConnections()
 	}
-	isGivenUp := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errConnSilent)
+	isGivenUp := ctx.Err() != nil && !isReplaced
 	switch {
 	case c.r.Context().Err() != nil:
 		result.reason = outcome.CallerGone
 	case isGivenUp:
 		result.reason = outcome.DeadlinePassed
 	}
-	isLeft := isGivenUp && !errors.Is(ctx.Err(), context.DeadlineExceeded)
+	isLeft := isGivenUp && !isLate
 	isBroken := body.isBroken != nil && body.isBroken()
 	if isSilent || isLeft || isBroken {
 		c.route.service.cancelSend(sent)
--- a/internal/gateway/lookup_test.go
+++ b/internal/gateway/lookup_test.go
@@ -125,6 +125,7 @@
 		g.Expect(p.hedges("won")).To(Equal(int64(1)))
 		time.Sleep(2 * slowTime)
 		g.Expect(p.upstreams["u-1"].Counts().Ran).To(Equal(ran), "the slow upstream was not cancelled")
+		g.Expect(p.counters.Get("answers", "connection_silent")).To(BeZero(), "a send that lost is no silent connection")
 	})
 }
 
