Hold the pages on proofs to checks that exist, and drop a test that stood twice

Cause: PROOFS.md names its checks by hand. Two merges had left the same test under two names: TestSilentConnectionToTheOnlyUpstream and TestSilentConnectionBesideAWorkingOne are equal line by line. Ruled out: TestSilentConnectionOfOneUpstream is another test, with two upstreams; it stays. Conclusion: a name on these pages that no test bears fails TestNamedChecksExist.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -4,6 +4,7 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -125,3 +126,28 @@
 		}
 	}
 }
+
+// TestNamedChecksExist looks for each check that the pages on proofs name among
+// the tests of the code.
+func TestNamedChecksExist(t *testing.T) {
+	g := NewWithT(t)
+	var tests strings.Builder
+	err := filepath.WalkDir("..", func(path string, _ fs.DirEntry, err error) error {
+		if err == nil && strings.HasSuffix(path, "_test.go") {
+			tests.WriteString(read(t, path))
+		}
+		return err
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	pages, err := filepath.Glob("proofs/*.md")
+	g.Expect(err).NotTo(HaveOccurred())
+	named := regexp.MustCompile("`(?:[a-z]+\\.)?((?:Test|Fuzz|Benchmark)[A-Za-z0-9]+)`")
+	found := 0
+	for _, page := range append(pages, "PROOFS.md") {
+		for _, check := range named.FindAllStringSubmatch(read(t, page), -1) {
+			found++
+			g.Expect(tests.String()).To(ContainSubstring("func "+check[1]+"("), "%s names a check that is not there", page)
+		}
+	}
+	g.Expect(found).To(BeNumerically(">", 100))
+}
--- a/internal/gateway/answers_test.go
+++ b/internal/gateway/answers_test.go
@@ -482,35 +482,6 @@
 	})
 }
 
-// TestSilentConnectionToTheOnlyUpstream: a lookup over a connection that went
-// silent is answered over another one within its deadline, and the upstream
-// stays in use.
-func TestSilentConnectionToTheOnlyUpstream(t *testing.T) {
-	inBench(t, func(g *WithT, b *bench) {
-		var conns atomic.Int64
-		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
-			isFirst := conns.Add(1) == 1
-			for i := 0; ; i++ {
-				if _, err := readRequest(in); err != nil {
-					return
-				}
-				if isFirst && i == 50 {
-					time.Sleep(time.Hour)
-				}
-				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
-			}
-		})
-		v := b.vm("vm1", teamText)
-		for range 100 {
-			started := time.Now()
-			a := b.send(request("GET", v, "/t/s/x", nil))
-			g.Expect(time.Since(started)).To(BeNumerically("<=", 900*time.Millisecond))
-			g.Expect(a.status).To(Equal(http.StatusOK))
-		}
-		g.Expect(v.counters.Get("answers", "connection_silent")).To(BeEquivalentTo(1))
-	})
-}
-
 // TestSilentConnectionIsNotItsUpstream: a booking whose connection went silent
 // ends at its deadline as unknown; the other connections to the upstream are
 // closed and the upstream takes the next booking.
