--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -8,6 +8,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"maps"
 	"os"
 	"slices"
 	"strings"
@@ -123,7 +124,7 @@
 func (r *report) judge(known []string, out io.Writer) bool {
 	unexpected := 0
 	tests := 0
-	for id := range r.failed {
+	for _, id := range sorted(r.failed) {
 		if r.isExplained(id) {
 			continue
 		}
@@ -138,7 +139,7 @@
 			fmt.Fprint(out, line)
 		}
 	}
-	for id := range r.passed {
+	for _, id := range sorted(r.passed) {
 		if slices.Contains(known, id.String()) {
 			fmt.Fprintln(out, "KNOWN RED BUT PASSES, take it off the list:", id)
 		}
@@ -159,6 +160,13 @@
 	return unexpected == 0 && passed > 0
 }
 
+// sorted returns the tests in the order of their names.
+func sorted(set map[testID]bool) []testID {
+	return slices.SortedFunc(maps.Keys(set), func(a, b testID) int {
+		return strings.Compare(a.String(), b.String())
+	})
+}
+
 // isExplained tells whether a failure only follows from that of a test within
 // it: a package or a test whose subtest failed.
 func (r *report) isExplained(id testID) bool {
