--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -133,15 +133,3 @@
 	}
 	return nil
 }
-
-// sleep waits for d. It returns false when ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/agent/bootstrap.go
+++ b/internal/agent/bootstrap.go
@@ -13,6 +13,7 @@
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // source tells where an agent loaded its first state from.
@@ -48,7 +49,7 @@
 			a.finishBootstrap(sourcePeers)
 			return configstore.Position{}, true
 		}
-		if !sleep(ctx, a.options.FeedInterval) {
+		if !wait.For(ctx, a.options.FeedInterval) {
 			return configstore.Position{}, false
 		}
 	}
--- a/internal/agent/feed.go
+++ b/internal/agent/feed.go
@@ -9,6 +9,7 @@
 	"github.com/figfront/figfront/internal/configstore"
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 const (
@@ -29,7 +30,7 @@
 		return
 	}
 	idle := 0
-	for sleep(ctx, a.options.FeedInterval) {
+	for wait.For(ctx, a.options.FeedInterval) {
 		idle++
 		if !a.isFeedReader() && idle < idleFeedIntervals {
 			continue
--- a/internal/agent/heartbeat.go
+++ b/internal/agent/heartbeat.go
@@ -13,6 +13,7 @@
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 const (
@@ -32,7 +33,7 @@
 // followList merges the platform's list into the view until ctx ends.
 func (a *Agent) followList(ctx context.Context) {
 	idle := 0
-	for sleep(ctx, listInterval) {
+	for wait.For(ctx, listInterval) {
 		idle++
 		if !a.isFeedReader() && idle < idleListIntervals {
 			continue
@@ -62,7 +63,7 @@
 
 // heartbeatLoop sends heartbeats until ctx ends.
 func (a *Agent) heartbeatLoop(ctx context.Context) {
-	for sleep(ctx, a.options.HeartbeatInterval) {
+	for wait.For(ctx, a.options.HeartbeatInterval) {
 		now := time.Now()
 		a.mu.Lock()
 		a.view.Tick(now)
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -18,6 +18,7 @@
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/measure"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // Bounds of a probe.
@@ -85,7 +86,7 @@
 
 // run probes until ctx ends. liveVMs returns the number of live VMs.
 func (p *prober) run(ctx context.Context, liveVMs func() int) {
-	for sleep(ctx, probeInterval) {
+	for wait.For(ctx, probeInterval) {
 		target, ok := p.next(liveVMs())
 		if !ok {
 			continue
--- a/internal/chart/chart.go
+++ b/internal/chart/chart.go
@@ -50,6 +50,16 @@
 	return chart, nil
 }
 
+// MustLoad is Load for a chart that the program can't run without. It panics
+// when the chart is at fault.
+func MustLoad(files fs.FS, name string) *Chart {
+	chart, err := Load(files, name)
+	if err != nil {
+		panic(err)
+	}
+	return chart
+}
+
 // LoadAll reads and checks every chart in files.
 func LoadAll(files fs.FS) (map[string]*Chart, error) {
 	names, err := fs.Glob(files, "*.ini")
--- a/internal/claim/closer.go
+++ b/internal/claim/closer.go
@@ -9,6 +9,7 @@
 
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // Times of the closer.
@@ -128,7 +129,7 @@
 // interval is over or a whole batch waits. After a failure it waits for backoff.
 func (c *closer) collect(ctx context.Context, backoff time.Duration) {
 	if backoff > 0 {
-		pause(ctx, backoff)
+		wait.For(ctx, backoff)
 		return
 	}
 	if c.pending() == 0 {
@@ -156,7 +157,7 @@
 	ctx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
 	for c.pending() > 0 {
-		if !c.flush(ctx) && !pause(ctx, firstBackoff) {
+		if !c.flush(ctx) && !wait.For(ctx, firstBackoff) {
 			return ErrLeft
 		}
 	}
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -11,6 +11,7 @@
 	"github.com/figfront/figfront/internal/chart"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // Times between two reads of a row while its owner runs the call. The first
@@ -149,7 +150,7 @@
 		case stateSettling:
 			s.read(ctx, a, row)
 		case stateWaiting:
-			if !pause(ctx, poll) {
+			if !wait.For(ctx, poll) {
 				a.StopWaiting()
 				continue
 			}
@@ -237,18 +238,6 @@
 	return Result{Verdict: Owned, Ticket: &Ticket{store: s, attempt: a, row: row}}
 }
 
-// pause waits for d and returns false when ctx ends first.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Ticket ends a claim whose call was sent. One of its methods is called, once.
 type Ticket struct {
 	store   *Store
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -3,8 +3,6 @@
 import (
 	"sync"
 
-	"github.com/go-faster/errors"
-
 	"github.com/figfront/figfront/charts"
 	"github.com/figfront/figfront/internal/chart"
 	"github.com/figfront/figfront/internal/outcome"
@@ -22,17 +20,7 @@
 )
 
 // callChart is the chart of a call's states.
-var callChart = mustLoadCallChart()
-
-// mustLoadCallChart reads the embedded chart. It panics when the chart is at
-// fault.
-func mustLoadCallChart() *chart.Chart {
-	c, err := chart.Load(charts.Files, "call.ini")
-	if err != nil {
-		panic(errors.Wrap(err, "gateway"))
-	}
-	return c
-}
+var callChart = chart.MustLoad(charts.Files, "call.ini")
 
 // callState follows a call along its chart. The sends of a call share it; it is
 // safe for concurrent use.
--- a/internal/loadbalancer/state.go
+++ b/internal/loadbalancer/state.go
@@ -32,10 +32,7 @@
 // mustLoadChart reads the embedded chart. It panics when the chart is at fault
 // or lacks a state that the code relies on.
 func mustLoadChart() *chart.Chart {
-	c, err := chart.Load(charts.Files, "upstream.ini")
-	if err != nil {
-		panic(errors.Wrap(err, "loadbalancer"))
-	}
+	c := chart.MustLoad(charts.Files, "upstream.ini")
 	known := make(map[chart.State]bool)
 	for _, t := range c.Transitions() {
 		known[t.From] = true
--- a/internal/process/life.go
+++ b/internal/process/life.go
@@ -17,9 +17,8 @@
 	eventCallsFinished chart.Event = "calls_finished"
 	eventStopTimeout   chart.Event = "stop_timeout"
 
-	stateReady    chart.State = "ready"
-	stateUnready  chart.State = "unready"
-	stateDraining chart.State = "draining"
+	stateReady   chart.State = "ready"
+	stateUnready chart.State = "unready"
 )
 
 // Life is the state of a process along its chart.
@@ -69,8 +68,3 @@
 func (l *Life) IsReady() bool {
 	return l.State() == stateReady
 }
-
-// IsDraining tells whether new calls are refused.
-func (l *Life) IsDraining() bool {
-	return l.State() == stateDraining
-}
--- a/internal/upload/deliverer.go
+++ b/internal/upload/deliverer.go
@@ -12,6 +12,7 @@
 
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // Times and limits of a Deliverer.
@@ -227,7 +228,7 @@
 	last := make(chan Stored, 1)
 	go func() {
 		defer func() { last <- stored }()
-		for pause(ctx, LeaseTime/3) {
+		for wait.For(ctx, LeaseTime/3) {
 			next, err := d.rules.Renew(time.Now(), stored.Record)
 			if err != nil {
 				return
--- a/internal/upload/spool.go
+++ b/internal/upload/spool.go
@@ -13,6 +13,7 @@
 	"github.com/google/uuid"
 
 	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // Times and tries of storing a part.
@@ -118,7 +119,7 @@
 		body := &partReader{reader: bytes.NewReader(part)}
 		err = s.objects.Put(ctx, key, body, int64(len(part)))
 		body.detach()
-		if err == nil || !pause(ctx, partPause) {
+		if err == nil || !wait.For(ctx, partPause) {
 			break
 		}
 	}
--- a/internal/upload/store.go
+++ b/internal/upload/store.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // Keys of the table. A record is below pendingPrefix until its delivery has
@@ -73,7 +74,7 @@
 		default:
 			isUncertain = true
 		}
-		if !pause(ctx, commitPause) {
+		if !wait.For(ctx, commitPause) {
 			return errors.Wrap(ErrUncertain, err.Error())
 		}
 	}
@@ -94,17 +95,6 @@
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Get returns a record. It reads the pending one first, because a record moves
 // only from there to the ended ones.
 func (s *Store) Get(ctx context.Context, id string) (Stored, error) {
