Serve a whole site from one process a VM on the users' platform

Cause: figfront spoke only its own interface. The users' platform keeps the configuration and the servers' entries in a store and has headers of its own.

figfront-entry runs the gateway with followers of the store in one process. Every request body is hidden from http.Transport now, also an absent one, so that no lookup is sent again behind the retry budget.

--- /dev/null
+++ b/cmd/figfront-entry/main.go
@@ -0,0 +1,32 @@
+// Command figfront-entry serves the callers of a whole site on one VM.
+package main
+
+import (
+	"os"
+
+	"github.com/figfront/figfront/internal/config/static"
+	"github.com/figfront/figfront/internal/entry"
+	"github.com/figfront/figfront/internal/process"
+	"github.com/figfront/figfront/platform"
+)
+
+const name = "figfront-entry"
+
+func main() {
+	os.Exit(process.Main(name, "Serves the callers of a whole site on one VM.", static.LoadEntry, entry.Run(name, adapter)))
+}
+
+// adapter returns what translates between figfront and the platform.
+func adapter(settings *static.Entry) entry.Adapter {
+	store := platform.NewStore(settings.Store, nil)
+	return entry.Adapter{
+		Configs:        store.Configs(),
+		ConfigKey:      platform.ConfigKey,
+		DecodeConfig:   platform.DecodeConfig,
+		Servers:        store.Servers(),
+		DecodeUpstream: platform.DecodeUpstream,
+		Callers:        platform.Callers,
+		Upstreams:      platform.Upstreams,
+		Ready:          platform.Ready,
+	}
+}
--- a/internal/callheader/callheader.go
+++ b/internal/callheader/callheader.go
@@ -14,6 +14,14 @@
 	// Deadline carries the absolute time until which an answer is of use, in
 	// milliseconds since the Unix epoch.
 	Deadline = "Figfront-Deadline"
+	// Timeout carries the time that is left until then, in milliseconds. It does
+	// not depend on the clocks of two machines and goes before Deadline.
+	Timeout = "Figfront-Timeout"
+	// Upstream names the upstream that a call is for; another one at its address
+	// does not run it.
+	Upstream = "Figfront-Upstream"
+	// Moved marks the answer of another upstream than the one that a call is for.
+	Moved = "Figfront-Moved"
 	// Attempt carries the number of the send; a value above 1 marks a call
 	// that has been sent again on its way.
 	Attempt = "Figfront-Attempt"
@@ -35,6 +43,9 @@
 	Running int
 	// Queued is the number of calls that wait.
 	Queued int
+	// Slowness is how long work takes at the moment, as a multiple of the usual;
+	// 0 means that the upstream does not tell.
+	Slowness float64
 }
 
 // maxReported bounds a credible number in a report.
@@ -42,22 +53,42 @@
 
 // String returns the report as the header's value.
 func (r Report) String() string {
-	return "running=" + strconv.Itoa(r.Running) + ",queued=" + strconv.Itoa(r.Queued)
+	text := "running=" + strconv.Itoa(r.Running) + ",queued=" + strconv.Itoa(r.Queued)
+	if r.Slowness > 0 {
+		text += ",slowness=" + strconv.FormatFloat(r.Slowness, 'f', -1, 64)
+	}
+	return text
 }
 
 // ParseReport reads a load report. It returns false for an absent or malformed
 // one, which counts as no report.
 func ParseReport(value string) (Report, bool) {
-	running, queued, ok := strings.Cut(value, ",")
+	running, rest, ok := strings.Cut(value, ",")
 	if !ok {
 		return Report{}, false
 	}
+	queued, slowness, hasSlowness := strings.Cut(rest, ",")
 	r, okRunning := reportField(running, "running=")
 	q, okQueued := reportField(queued, "queued=")
 	if !okRunning || !okQueued {
 		return Report{}, false
 	}
-	return Report{Running: r, Queued: q}, true
+	report := Report{Running: r, Queued: q}
+	if hasSlowness {
+		report.Slowness, ok = slownessField(slowness)
+	}
+	return report, ok
+}
+
+// slownessField reads the slowness of a load report.
+func slownessField(field string) (float64, bool) {
+	text, ok := strings.CutPrefix(field, "slowness=")
+	if !ok {
+		return 0, false
+	}
+	number, err := strconv.ParseFloat(text, 64)
+	isCredible := err == nil && number >= 0 && number <= maxReported
+	return number, isCredible
 }
 
 func reportField(field, prefix string) (int, bool) {
@@ -87,6 +118,24 @@
 	return time.UnixMilli(ms), true
 }
 
+// SetTimeout sets the timeout header to the time that is left, rounded down.
+func SetTimeout(h http.Header, left time.Duration) {
+	h.Set(Timeout, strconv.FormatInt(max(left.Milliseconds(), 1), 10))
+}
+
+// ParseTimeout reads the timeout header. It returns false for an absent or
+// malformed one.
+func ParseTimeout(h http.Header) (time.Duration, bool) {
+	ms, err := strconv.ParseInt(h.Get(Timeout), 10, 64)
+	if err != nil || ms <= 0 || ms > maxTimeoutMs {
+		return 0, false
+	}
+	return time.Duration(ms) * time.Millisecond, true
+}
+
+// maxTimeoutMs bounds a credible timeout, in milliseconds.
+const maxTimeoutMs = 24 * 60 * 60 * 1000
+
 // ParseAttempt reads the attempt header; an absent or malformed one counts as 1.
 func ParseAttempt(h http.Header) int {
 	number, err := strconv.Atoi(h.Get(Attempt))
--- /dev/null
+++ b/internal/config/static/entry.go
@@ -0,0 +1,52 @@
+package static
+
+import (
+	"time"
+
+	"github.com/figfront/figfront/internal/config/inifile"
+)
+
+// Entry holds the settings of figfront-entry, which serves a whole site from one
+// process a VM.
+type Entry struct {
+	VM VM
+	// Listen is where callers are served.
+	Listen string
+	// Ready is where the platform asks whether the VM takes new connections.
+	Ready string
+	// Operators is where health, readiness and counters are served.
+	Operators string
+	// Store is the address of the platform's store.
+	Store string
+	// Heartbeat is the time between two writes of an upstream's entry.
+	Heartbeat time.Duration
+	// MaxConnections limits the open connections of callers.
+	MaxConnections int
+	// MemoryMB is the memory that the process may use, in megabytes.
+	MemoryMB int
+	// StopLag is the time that the platform's balancer may go on sending new
+	// connections after the process said that it is not ready.
+	StopLag time.Duration
+	// StopTimeout is the longest time that a planned stop takes.
+	StopTimeout time.Duration
+}
+
+// LoadEntry reads the settings of figfront-entry from path.
+func LoadEntry(path string) (*Entry, error) {
+	file, err := inifile.Load(path)
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{VM: readVM(file)}
+	section := file.Section("entry")
+	section.RequiredAddress("listen", &e.Listen)
+	section.RequiredAddress("ready", &e.Ready)
+	section.RequiredAddress("operators", &e.Operators)
+	section.RequiredAddress("store", &e.Store)
+	section.Duration("heartbeat", &e.Heartbeat, 1500*time.Millisecond, 100*time.Millisecond, time.Minute)
+	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
+	section.Int("memory_mb", &e.MemoryMB, 256, 32, 1<<20)
+	section.Duration("stop_lag", &e.StopLag, 2500*time.Millisecond, 0, time.Minute)
+	section.Duration("stop_timeout", &e.StopTimeout, 5*time.Second, time.Second, time.Hour)
+	return e, file.Finish()
+}
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,169 @@
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/config/static"
+	"github.com/figfront/figfront/internal/follow"
+	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/process"
+)
+
+// Adapter translates between figfront and a platform.
+type Adapter struct {
+	// Configs holds the operators' configuration under ConfigKey.
+	Configs      platform.Records
+	ConfigKey    string
+	DecodeConfig func(value []byte) (site.Config, error)
+	// Servers holds the entries that the servers write.
+	Servers        platform.Records
+	DecodeUpstream func(name string, value []byte) (site.Upstream, error)
+	// Callers translates the requests of callers and their answers.
+	Callers func(next http.Handler) http.Handler
+	// Upstreams translates the requests to upstreams and their answers.
+	Upstreams gateway.WrapFunc
+	// Ready serves the platform's question whether the VM takes new connections.
+	Ready func(isReady func() bool) http.Handler
+}
+
+// Limits of the callers' listener that the configuration does not lower.
+const (
+	maxHeaderBytes = 64 << 10
+	headerTimeout  = 10 * time.Second
+	idleTimeout    = 10 * time.Minute
+)
+
+// stopReserve is the part of StopTimeout that is left for ending the process.
+const stopReserve = 400 * time.Millisecond
+
+// memoryShare is the share of the memory that the heap may use.
+const memoryShare = 0.6
+
+// gcPercent keeps the heap small.
+const gcPercent = 40
+
+// Run returns the function that runs the process called name until its context
+// ends.
+func Run(name string, adapt func(*static.Entry) Adapter) func(context.Context, *static.Entry) error {
+	return func(ctx context.Context, settings *static.Entry) error {
+		debug.SetGCPercent(gcPercent)
+		debug.SetMemoryLimit(int64(float64(settings.MemoryMB<<20) * memoryShare))
+		parts, err := process.NewParts(name, settings.VM.LogLevel)
+		if err != nil {
+			return err
+		}
+		e := newEntry(settings, adapt(settings), parts)
+		return e.run(ctx)
+	}
+}
+
+// entry is the running process.
+type entry struct {
+	settings *static.Entry
+	adapter  Adapter
+	parts    process.Parts
+	gateway  *gateway.Gateway
+	start    startGate
+}
+
+func newEntry(settings *static.Entry, adapter Adapter, parts process.Parts) *entry {
+	e := &entry{settings: settings, adapter: adapter, parts: parts}
+	e.gateway = gateway.New(gateway.Options{
+		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
+		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.Upstreams,
+	})
+	e.start.open = parts.Life.Configured
+	return e
+}
+
+func (e *entry) run(ctx context.Context) error {
+	e.parts.Log.Info("start", "vm", e.settings.VM.Name, "zone", e.settings.VM.Zone, "version", process.Version)
+	listener, err := process.Listen(e.settings.Listen, e.settings.MaxConnections)
+	if err != nil {
+		return err
+	}
+	server := process.NewServer(e.adapter.Callers(e.gateway), static.Limits{
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	})
+	// The followers and the operators' page outlive ctx until every call is
+	// finished.
+	work, endWork := context.WithCancel(context.Background())
+	group, work := errgroup.WithContext(work)
+	group.Go(func() error { return e.configs().Run(work) })
+	group.Go(func() error { return e.upstreams().Run(work) })
+	group.Go(func() error { return process.ServeOperators(work, e.settings.Operators, e.parts.Life) })
+	group.Go(func() error { return e.serveReady(work) })
+	group.Go(func() error { return process.Serve(server, listener) })
+	group.Go(func() error {
+		defer endWork()
+		drainTimeout := max(e.settings.StopTimeout-e.settings.StopLag-stopReserve, 0)
+		return e.parts.Life.StopAtEnd(ctx, work, server, e.settings.StopLag, drainTimeout)
+	})
+	err = group.Wait()
+	e.parts.Log.Info("stop")
+	return err
+}
+
+func (e *entry) configs() *follow.ConfigFollower {
+	return &follow.ConfigFollower{
+		Records: e.adapter.Configs, Key: e.adapter.ConfigKey, Decode: e.adapter.DecodeConfig,
+		Apply: func(c site.Config) bool {
+			isApplied := e.gateway.ApplySite(c)
+			e.start.pass(&e.start.hasConfig)
+			return isApplied
+		},
+		Log: e.parts.Log, Counters: e.parts.Counters,
+	}
+}
+
+func (e *entry) upstreams() *follow.UpstreamFollower {
+	return &follow.UpstreamFollower{
+		Records: e.adapter.Servers, Decode: e.adapter.DecodeUpstream, Heartbeat: e.settings.Heartbeat,
+		Apply: func(upstreams []site.Upstream) {
+			e.gateway.SetUpstreams(upstreams)
+			e.start.pass(&e.start.hasUpstreams)
+		},
+		Log: e.parts.Log, Counters: e.parts.Counters,
+	}
+}
+
+// serveReady serves the platform's readiness question until ctx ends.
+func (e *entry) serveReady(ctx context.Context) error {
+	listener, err := net.Listen("tcp", e.settings.Ready)
+	if err != nil {
+		return err
+	}
+	server := process.NewServer(e.adapter.Ready(e.parts.Life.IsReady), static.Limits{
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	})
+	context.AfterFunc(ctx, func() { _ = server.Close() })
+	return process.Serve(server, listener)
+}
+
+// startGate opens once both the configuration and the upstreams are known.
+type startGate struct {
+	open func()
+
+	mu           sync.Mutex
+	hasConfig    bool
+	hasUpstreams bool
+}
+
+// pass records that one of the gate's conditions holds.
+func (g *startGate) pass(condition *bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	*condition = true
+	if g.hasConfig && g.hasUpstreams {
+		g.open()
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -69,10 +69,6 @@
 
 // memoryBody returns the request body that was read whole.
 func (c *call) memoryBody() requestBody {
-	isLookup := c.route.rule.settings.Traffic == dynamic.Lookup
-	if len(c.body) == 0 && isLookup {
-		return requestBody{}
-	}
 	return requestBody{reader: opaqueBody{bytes.NewReader(c.body)}, length: int64(len(c.body))}
 }
 
@@ -101,7 +97,7 @@
 		silence: c.silenceLimit(), payResend: c.route.service.payExtra, cancel: cancel, interim: c.passInterim,
 	}
 	request := c.upstreamRequest(sent, body)
-	response, err := sent.transport.http.RoundTrip(
+	response, err := sent.transport.calls.RoundTrip(
 		request.WithContext(httptrace.WithClientTrace(ctx, trace.client())))
 	trace.stop()
 	if err != nil {
@@ -143,7 +139,9 @@
 func (c *call) upstreamRequest(sent send, body requestBody) *http.Request {
 	request := &http.Request{
 		Method:     c.r.Method,
-		URL:        &url.URL{Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery},
+		URL: &url.URL{
+			Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery,
+		},
 		Host:       c.r.Host,
 		Header:     upstreamHeader(c.r, c.id, c.mark(), c.deadline),
 		Proto:      "HTTP/1.1",
@@ -156,6 +154,7 @@
 		request.ContentLength = body.length
 		request.Trailer = body.trailer
 	}
+	request.Header.Set(callheader.Upstream, sent.choice.Name)
 	if c.uploadID != "" {
 		request.Header.Set(callheader.UploadID, c.uploadID)
 		// An upstream that sheds the upload then does so before its body.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -58,9 +58,7 @@
 // refuse answers the call with a problem and counts its reason.
 func (c *call) refuse(p outcome.Problem) {
 	p.RequestID = c.id
-	if p.RetryAfter > 0 && c.route.service != nil {
-		p.RetryAfter = max(p.RetryAfter, c.route.service.admission.retryAfter(c.route.rule.settings.Traffic))
-	}
+	p.RetryAfter = c.retryAfter(p)
 	p.Outcome = c.tell(p.Outcome)
 	c.gateway.options.Counters.Refuse(p.Reason)
 	c.log(p.Outcome, p.Reason, "")
@@ -114,10 +112,7 @@
 // serve runs the call along its route.
 func (c *call) serve(to route) {
 	c.route = to
-	c.deadline = c.arrived.Add(to.rule.settings.Deadline)
-	if asked, ok := callheader.ParseDeadline(c.r.Header); ok && asked.Before(c.deadline) {
-		c.deadline = asked
-	}
+	c.setDeadline(to.rule.settings.Deadline)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -144,6 +139,19 @@
 	}
 }
 
+// setDeadline sets the deadline to what the caller asks for, at most limit after
+// the call's arrival.
+func (c *call) setDeadline(limit time.Duration) {
+	c.deadline = c.arrived.Add(limit)
+	if left, ok := callheader.ParseTimeout(c.r.Header); ok {
+		c.deadline = c.arrived.Add(min(left, limit))
+		return
+	}
+	if asked, ok := callheader.ParseDeadline(c.r.Header); ok && asked.Before(c.deadline) {
+		c.deadline = asked
+	}
+}
+
 // hasDuration tells whether the time that the call took says how long the
 // service takes.
 func (c *call) hasDuration() bool {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -38,6 +38,8 @@
 	Objects platform.Objects
 	// Dial opens connections to upstreams; nil stands for the network.
 	Dial DialFunc
+	// WrapTransport translates calls to upstreams; nil leaves them as they are.
+	WrapTransport WrapFunc
 	// Seed seeds the random choices.
 	Seed uint64
 	// MaxCalls limits the calls of all teams at once; 0 stands for
@@ -65,6 +67,7 @@
 
 	mu    sync.Mutex
 	teams map[string]*team
+	site  siteState
 	// routes is what calls read; it is replaced as a whole.
 	routes atomic.Pointer[routeTable]
 }
@@ -115,7 +118,9 @@
 		return false
 	}
 	g.applyTeam(settings)
-	g.routes.Store(newRouteTable(g.teams))
+	table := newRouteTable(g.teams)
+	table.hosts = g.routes.Load().hosts
+	g.routes.Store(table)
 	g.options.Counters.Add(telemetry.GroupConfig, "applied", 1)
 	g.options.Counters.Set(telemetry.GroupRevision, c.Team, int64(c.Revision))
 	g.options.Log.Info("team configuration in force",
@@ -172,6 +177,10 @@
 			"no service and rule match this call"))
 		return
 	}
+	if route.isSite {
+		c.serveSite(route)
+		return
+	}
 	c.serve(route)
 }
 
@@ -184,4 +193,7 @@
 			s.close()
 		}
 	}
+	for _, s := range g.site.services {
+		s.close()
+	}
 }
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -21,7 +21,8 @@
 // ownHeaders are set by figfront alone.
 var ownHeaders = []string{
 	callheader.Load, callheader.Shed, callheader.Draining, callheader.UploadID,
-	outcome.HeaderOutcome, outcome.HeaderReason, outcome.HeaderRequestID,
+	callheader.Timeout, callheader.Upstream, callheader.Moved,
+	outcome.HeaderOutcome, outcome.HeaderReason, outcome.HeaderRequestID, outcome.HeaderRetryAfterMs,
 }
 
 // removeConnectionHeaders removes what belongs to one connection.
@@ -67,6 +68,7 @@
 	h.Set(outcome.HeaderRequestID, id)
 	h.Set(callheader.Attempt, strconv.Itoa(attempt))
 	callheader.SetDeadline(h, deadline)
+	callheader.SetTimeout(h, time.Until(deadline))
 	if _, ok := h["User-Agent"]; !ok {
 		h["User-Agent"] = nil
 	}
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -123,6 +123,13 @@
 	return c.ctx.Err() == nil && !c.isPastDeadline()
 }
 
+// isSpent tells whether the call was sent to as many upstreams as its route
+// allows.
+func (c *call) isSpent() bool {
+	limit := c.route.rule.maxSends
+	return limit > 0 && c.attempts >= limit
+}
+
 // startSend chooses the upstream of the next send.
 func (c *call) startSend() (send, *outcome.Problem) {
 	return c.startSendPaid(false)
@@ -131,6 +138,11 @@
 // startSendPaid chooses the upstream of the next send. isPaid tells that the
 // budget has paid for it.
 func (c *call) startSendPaid(isPaid bool) (send, *outcome.Problem) {
+	if c.isSpent() {
+		p := outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.AttemptsSpent,
+			"the call was sent to as many upstreams as its route allows").WithRetryAfter(retryAfter)
+		return send{}, &p
+	}
 	kind := firstSend
 	switch {
 	case isPaid:
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -9,6 +9,8 @@
 // routeTable maps calls to services. It is read only.
 type routeTable struct {
 	teams map[string]map[string]*service
+	// hosts are the routes of a site.
+	hosts hostRoutes
 }
 
 // route is where a call goes.
@@ -17,6 +19,8 @@
 	rule    *rule
 	// path is the path that the upstream sees.
 	path string
+	// isSite tells that the route is one of a site.
+	isSite bool
 }
 
 func newRouteTable(teams map[string]*team) *routeTable {
@@ -29,12 +33,15 @@
 
 // isEmpty tells whether there is no team's configuration.
 func (t *routeTable) isEmpty() bool {
-	return len(t.teams) == 0
+	return len(t.teams) == 0 && t.hosts == nil
 }
 
 // find returns the route of a call: its service by the first two parts of the
 // path, its rule by the method and the longest path prefix.
 func (t *routeTable) find(r *http.Request) (route, bool) {
+	if t.hosts != nil {
+		return t.hosts.find(r)
+	}
 	parts := strings.SplitN(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/", 3)
 	if len(parts) < 2 {
 		return route{}, false
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -23,6 +23,7 @@
 	team string
 	name string
 	dial DialFunc
+	wrap WrapFunc
 
 	// rules is read by calls and replaced as a whole.
 	rules atomic.Pointer[[]*rule]
@@ -43,6 +44,12 @@
 // rule is the running state of one kind of traffic.
 type rule struct {
 	settings dynamic.Rule
+	// maxSends limits the upstreams that one call is sent to; 0 means no limit.
+	maxSends int
+	// objective is the latency within which an answer is worth most.
+	objective time.Duration
+	// priority is the rank of the calls; 0 is the most urgent.
+	priority int
 }
 
 func newService(teamName, name string, options Options) *service {
@@ -52,6 +59,7 @@
 		team:      teamName,
 		name:      name,
 		dial:      options.Dial,
+		wrap:      options.WrapTransport,
 		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
 		limits:    newUpstreamLimits(),
 		watch:     newUpstreamWatch(),
@@ -94,7 +102,7 @@
 		})
 		known, ok := s.transports[u.Address]
 		if !ok || known.maxConnections != u.MaxConnections {
-			known = newTransport(u.Address, u.MaxConnections, s.dial)
+			known = newTransport(u.Address, u.MaxConnections, s.dial, s.wrap)
 		}
 		transports[u.Address] = known
 	}
--- /dev/null
+++ b/internal/gateway/site.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// siteTeam stands for the team in the logs and counters of a site's services.
+const siteTeam = "site"
+
+// siteState is what a gateway knows of the site that it serves.
+type siteState struct {
+	config    site.Config
+	isKnown   bool
+	services  map[string]*service
+	upstreams []site.Upstream
+}
+
+// ApplySite puts a site's configuration in force if its version is above the
+// one in force. It returns whether it did.
+func (g *Gateway) ApplySite(c site.Config) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.site.isKnown && c.Version <= g.site.config.Version {
+		g.options.Counters.Add(telemetry.GroupConfig, "not_newer", 1)
+		return false
+	}
+	known := g.site.services
+	g.site.config = c
+	g.site.isKnown = true
+	g.site.services = make(map[string]*service, len(c.Services))
+	for _, s := range c.Services {
+		running, ok := known[s.Name]
+		if !ok {
+			running = newService(siteTeam, s.Name, g.options)
+		}
+		g.site.services[s.Name] = running
+	}
+	for name, old := range known {
+		if _, stays := g.site.services[name]; !stays {
+			old.close()
+		}
+	}
+	g.configureSiteServices()
+	table := newRouteTable(g.teams)
+	table.hosts = newHostRoutes(c, g.site.services)
+	g.routes.Store(table)
+	g.options.Counters.Add(telemetry.GroupConfig, "applied", 1)
+	g.options.Counters.Set(telemetry.GroupRevision, siteTeam, int64(c.Version))
+	g.options.Log.Info("configuration in force", telemetry.FieldRevision, c.Version)
+	return true
+}
+
+// SetUpstreams replaces the upstreams of all services of the site.
+func (g *Gateway) SetUpstreams(upstreams []site.Upstream) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.site.upstreams = upstreams
+	g.configureSiteServices()
+}
+
+// configureSiteServices brings the services to the configuration and the
+// upstreams.
+func (g *Gateway) configureSiteServices() {
+	byService := make(map[string][]dynamic.Upstream)
+	for _, u := range g.site.upstreams {
+		byService[u.Service] = append(byService[u.Service], dynamic.Upstream{
+			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots,
+		})
+	}
+	for _, s := range g.site.config.Services {
+		upstreams := byService[s.Name]
+		slices.SortFunc(upstreams, func(a, b dynamic.Upstream) int { return strings.Compare(a.Name, b.Name) })
+		for i := range upstreams {
+			upstreams[i].MaxConnections = s.MaxConnections
+		}
+		g.site.services[s.Name].configure(dynamic.Service{
+			Name: s.Name, HealthPath: s.HealthPath, Upstreams: upstreams, RetryShare: siteRetryShare,
+		})
+	}
+}
+
+// siteRetryShare is the share of extra sends among the calls of a service.
+const siteRetryShare = 0.1
+
+// hostRoutes are the routes of a site by host, the longest prefix first.
+type hostRoutes map[string][]*siteRoute
+
+// siteRoute is one route of a site in force.
+type siteRoute struct {
+	prefix string
+	rule   *rule
+	split  *split
+}
+
+func newHostRoutes(c site.Config, services map[string]*service) hostRoutes {
+	hosts := make(hostRoutes)
+	for _, r := range c.Routes {
+		targets := make([]splitTarget, 0, len(r.Targets))
+		for _, t := range r.Targets {
+			if s, ok := services[t.Service]; ok && t.Weight > 0 {
+				targets = append(targets, splitTarget{service: s, weight: t.Weight})
+			}
+		}
+		hosts[r.Host] = append(hosts[r.Host], &siteRoute{
+			prefix: r.Prefix,
+			split:  &split{targets: targets},
+			rule: &rule{
+				settings: dynamic.Rule{
+					Traffic: r.Traffic, PathPrefix: r.Prefix, Deadline: r.Timeout,
+					Hedge: r.Traffic == dynamic.Lookup, MaxBody: c.Limits.MaxBodyBytes,
+				},
+				maxSends:  r.MaxSends,
+				objective: r.Objective,
+				priority:  r.Priority,
+			},
+		})
+	}
+	for _, routes := range hosts {
+		slices.SortStableFunc(routes, func(a, b *siteRoute) int { return cmp.Compare(len(b.prefix), len(a.prefix)) })
+	}
+	return hosts
+}
+
+// find returns the route of a call by its host and the longest prefix of its
+// path.
+func (h hostRoutes) find(r *http.Request) (route, bool) {
+	path := r.URL.EscapedPath()
+	for _, candidate := range h[hostName(r.Host)] {
+		if !strings.HasPrefix(path, candidate.prefix) {
+			continue
+		}
+		s, ok := candidate.split.next()
+		return route{service: s, rule: candidate.rule, path: path, isSite: true}, ok
+	}
+	return route{}, false
+}
+
+// hostName returns a host without its port.
+func hostName(host string) string {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		return name
+	}
+	return host
+}
+
+// split shares the calls of a route out among its services by their weights. It
+// is safe for concurrent use.
+type split struct {
+	mu      sync.Mutex
+	targets []splitTarget
+}
+
+// splitTarget is one service of a split; credit is by how many calls it lies
+// behind its share, times the sum of the weights.
+type splitTarget struct {
+	service *service
+	weight  float64
+	credit  float64
+}
+
+// next returns the service of the next call; false when there is none.
+func (s *split) next() (*service, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.targets) == 0 {
+		return nil, false
+	}
+	sum := 0.0
+	best := 0
+	for i := range s.targets {
+		s.targets[i].credit += s.targets[i].weight
+		sum += s.targets[i].weight
+		if s.targets[i].credit > s.targets[best].credit {
+			best = i
+		}
+	}
+	s.targets[best].credit -= sum
+	return s.targets[best].service, true
+}
+
+// serveSite serves a call along a site's route.
+func (c *call) serveSite(to route) {
+	c.route = to
+	c.setDeadline(to.rule.settings.Deadline)
+	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	c.gateway.options.Counters.Add(telemetry.GroupCalls, string(to.rule.settings.Traffic), 1)
+	c.state.fire(eventAdmitted)
+	if to.rule.settings.Traffic == dynamic.Lookup {
+		c.serveLookup()
+		return
+	}
+	if c.readBody() {
+		c.serveUnclaimed()
+	}
+}
+
+// retryAfter returns when a refused caller may come back.
+func (c *call) retryAfter(p outcome.Problem) time.Duration {
+	if p.RetryAfter == 0 || c.route.service == nil {
+		return p.RetryAfter
+	}
+	if c.route.isSite {
+		return siteRetryAfter
+	}
+	return max(p.RetryAfter, c.route.service.admission.retryAfter(c.route.rule.settings.Traffic))
+}
+
+// siteRetryAfter is when a refused caller of a site may come back.
+const siteRetryAfter = 100 * time.Millisecond
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -10,6 +10,9 @@
 // DialFunc opens a connection.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// WrapFunc returns a transport that translates what next carries.
+type WrapFunc func(next http.RoundTripper) http.RoundTripper
+
 // Timeouts of connections to upstreams.
 const (
 	dialTimeout = 500 * time.Millisecond
@@ -32,13 +35,15 @@
 	address        string
 	maxConnections int
 	http           *http.Transport
+	// calls carries calls over http.
+	calls http.RoundTripper
 }
 
-func newTransport(address string, maxConnections int, dial DialFunc) *transport {
+func newTransport(address string, maxConnections int, dial DialFunc, wrap WrapFunc) *transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	return &transport{
+	t := &transport{
 		address:        address,
 		maxConnections: maxConnections,
 		http: &http.Transport{
@@ -52,6 +57,11 @@
 			Proxy:                  nil,
 		},
 	}
+	t.calls = t.http
+	if wrap != nil {
+		t.calls = wrap(t.http)
+	}
+	return t
 }
 
 func (t *transport) close() {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -42,6 +42,7 @@
 	ClaimAnswerLost   Reason = "claim_answer_lost"
 	StoreUnavailable  Reason = "store_unavailable"
 	RetryBudget       Reason = "retry_budget"
+	AttemptsSpent     Reason = "attempts_spent"
 	CallerGone        Reason = "caller_gone"
 	HeaderInvalid     Reason = "header_invalid"
 )
--- a/internal/outcome/problem.go
+++ b/internal/outcome/problem.go
@@ -16,6 +16,8 @@
 	HeaderOutcome   = "Figfront-Outcome"
 	HeaderReason    = "Figfront-Reason"
 	HeaderRequestID = "Figfront-Request-Id"
+	// HeaderRetryAfterMs is Retry-After in milliseconds.
+	HeaderRetryAfterMs = "Figfront-Retry-After-Ms"
 )
 
 // Problem is the answer to a call that figfront does not pass on.
@@ -59,6 +61,7 @@
 	if p.RetryAfter > 0 {
 		seconds := int(math.Ceil(p.RetryAfter.Seconds()))
 		header.Set("Retry-After", strconv.Itoa(seconds))
+		header.Set(HeaderRetryAfterMs, strconv.FormatInt(p.RetryAfter.Milliseconds(), 10))
 	}
 	body, err := json.Marshal(p)
 	if err != nil {
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -16,6 +16,8 @@
 	// ErrUncertain means that no answer came; a write may have taken effect
 	// or may still do so.
 	ErrUncertain = errors.New("platform: no answer")
+	// ErrHistoryGone means that changes since a version can't be told any more.
+	ErrHistoryGone = errors.New("platform: history is gone")
 )
 
 // IsUncertain tells whether a write that returned err may have taken effect.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 )
 
 // Row is one row of the table.
@@ -84,3 +85,34 @@
 type Membership interface {
 	VMs(ctx context.Context) ([]VM, error)
 }
+
+// Snapshot holds the rows of a record set as of one moment.
+type Snapshot struct {
+	Rows []Row
+	// Version is that of the store at that moment; changes are read from it.
+	Version uint64
+}
+
+// Change is a row that was written or deleted.
+type Change struct {
+	Row
+	Deleted bool
+}
+
+// Changes are what has happened to a record set since a version.
+type Changes struct {
+	Changes []Change
+	// Version is the one from which to read on.
+	Version uint64
+}
+
+// Records is a set of rows that others write and that this VM follows.
+type Records interface {
+	// Read returns all rows. It returns ErrUnavailable or ErrUncertain when it
+	// can't.
+	Read(ctx context.Context) (Snapshot, error)
+	// Wait returns the changes after a version as soon as there is one, or none
+	// after the given time. It returns ErrHistoryGone when the store no longer
+	// knows them all.
+	Wait(ctx context.Context, after uint64, limit time.Duration) (Changes, error)
+}
--- a/internal/process/command.go
+++ b/internal/process/command.go
@@ -30,10 +30,10 @@
 // Command is the command line of a server process.
 type Command struct {
 	Run struct {
-		Settings string `help:"File with the process's settings (INI)." short:"s" required:"" env:"FIGFRONT_SETTINGS" type:"path"`
+		Settings string `help:"File with the process's settings (INI)." short:"s" required:"" env:"FIGFRONT_SETTINGS,FIGFRONT_CONFIG" type:"path"`
 	} `cmd:"" help:"Run the process until it is asked to stop."`
 	Check struct {
-		Settings string `help:"File with the process's settings (INI)." short:"s" required:"" env:"FIGFRONT_SETTINGS" type:"path"`
+		Settings string `help:"File with the process's settings (INI)." short:"s" required:"" env:"FIGFRONT_SETTINGS,FIGFRONT_CONFIG" type:"path"`
 	} `cmd:"" help:"Check the settings and start nothing."`
 	Version kong.VersionFlag `help:"Print the version."`
 }
