Read the settings again on SIGHUP instead of ending

Cause: nothing handled SIGHUP, whose default ends a Go process. Ruled out: memory (peak 5.2 MB of 284).

The settings file is read again on SIGHUP and every two seconds; a moved store is followed; settings that can't be read leave those in force.

--- a/cmd/figfront-entry/main.go
+++ b/cmd/figfront-entry/main.go
@@ -25,6 +25,7 @@
 		DecodeConfig:   platform.DecodeConfig,
 		Servers:        store.Servers(),
 		DecodeUpstream: platform.DecodeUpstream,
+		MoveStore:      store.Move,
 		Callers:        platform.Callers,
 		Upstreams:      platform.Upstreams,
 		Ready:          platform.Ready,
--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -9,7 +9,9 @@
 // Entry holds the settings of figfront-entry, which serves a whole site from one
 // process a VM.
 type Entry struct {
-	VM VM
+	// Path is the file that the settings were read from.
+	Path string
+	VM   VM
 	// Listen is where callers are served.
 	Listen string
 	// Ready is where the platform asks whether the VM takes new connections.
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &Entry{VM: readVM(file)}
+	e := &Entry{Path: path, VM: readVM(file)}
 	section := file.Section("entry")
 	section.RequiredAddress("listen", &e.Listen)
 	section.RequiredAddress("ready", &e.Ready)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -27,6 +27,8 @@
 	// Servers holds the entries that the servers write.
 	Servers        platform.Records
 	DecodeUpstream func(name string, value []byte) (site.Upstream, error)
+	// MoveStore uses the store at another address from now on.
+	MoveStore func(address string)
 	// Callers translates the requests of callers and their answers.
 	Callers func(next http.Handler) http.Handler
 	// Upstreams translates the requests to upstreams and their answers.
@@ -73,10 +75,12 @@
 	parts    process.Parts
 	gateway  *gateway.Gateway
 	start    startGate
+	// store is the address of the store in use; only reload reads it.
+	store string
 }
 
 func newEntry(settings *static.Entry, adapter Adapter, parts process.Parts) *entry {
-	e := &entry{settings: settings, adapter: adapter, parts: parts}
+	e := &entry{settings: settings, adapter: adapter, parts: parts, store: settings.Store}
 	e.gateway = gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.Upstreams,
@@ -91,6 +95,10 @@
 	if err != nil {
 		return err
 	}
+	settingsFile, err := newReloader(e.settings.Path, e.parts.Log, e.reload)
+	if err != nil {
+		return err
+	}
 	server := process.NewServer(e.adapter.Callers(e.gateway), static.Limits{
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
@@ -102,6 +110,7 @@
 	group.Go(func() error { return e.upstreams().Run(work) })
 	group.Go(func() error { return process.ServeOperators(work, e.settings.Operators, e.parts.Life) })
 	group.Go(func() error { return e.serveReady(work) })
+	group.Go(func() error { return settingsFile.run(work) })
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error {
 		defer endWork()
@@ -113,6 +122,16 @@
 	return err
 }
 
+// reload puts changed settings in force. The addresses that the process listens
+// at and the VM's name and zone hold until it starts again.
+func (e *entry) reload(settings *static.Entry) {
+	if settings.Store != e.store {
+		e.parts.Log.Info("store moved", "from", e.store, "to", settings.Store)
+		e.adapter.MoveStore(settings.Store)
+		e.store = settings.Store
+	}
+}
+
 func (e *entry) configs() *follow.ConfigFollower {
 	return &follow.ConfigFollower{
 		Records: e.adapter.Configs, Key: e.adapter.ConfigKey, Decode: e.adapter.DecodeConfig,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -117,9 +117,11 @@
 }
 
 // silenceLimit returns how long a send's connection may carry nothing; 0 means
-// until the deadline.
+// until the deadline. At a site, upstreams are asked right before each send and
+// late lookups are hedged, so that a silent connection does no harm and a slow
+// upstream is not taken for one.
 func (c *call) silenceLimit() time.Duration {
-	if c.route.rule.settings.Traffic != dynamic.Lookup {
+	if c.route.rule.settings.Traffic != dynamic.Lookup || c.route.isSite {
 		return 0
 	}
 	return max(time.Until(c.deadline)/silenceShare, time.Millisecond)
--- a/internal/process/command.go
+++ b/internal/process/command.go
@@ -65,6 +65,8 @@
 	if isCheck {
 		return ExitOK
 	}
+	// A process that reads its settings again at SIGHUP asks for the signal itself.
+	signal.Ignore(syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := run(ctx, settings); err != nil {
