Let questions to upstreams outlive the wait for them

Cause (traced with a log line a question): most questions that got no answer were on new connections, which a busy upstream takes a slot's time to open; cancelling them after 12 ms closed the connection, and the next question opened another. Idle connections ended after 2 s, which added to it. Ruled out: questions on kept connections (median 2.1 ms, 1% unanswered).

--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -16,8 +16,11 @@
 const (
 	// askCount is the number of upstreams that are asked.
 	askCount = 6
-	// askTimeout is how long an answer is waited for.
+	// askTimeout is how long a call waits for the answers.
 	askTimeout = 12 * time.Millisecond
+	// askLife ends a question. It goes on after askTimeout, because a busy
+	// upstream takes its time over a new connection, which is then of use.
+	askLife = time.Second
 	// maxAskBytes limits the body of an answer that is read.
 	maxAskBytes = 1 << 10
 )
@@ -32,19 +35,19 @@
 	if len(choices) < 2 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, askTimeout)
-	defer cancel()
+	late := time.NewTimer(askTimeout)
+	defer late.Stop()
 	answered := make(chan struct{}, len(choices))
 	for _, choice := range choices {
 		go func() {
-			s.ask(ctx, choice)
+			s.ask(choice)
 			answered <- struct{}{}
 		}()
 	}
 	for range choices {
 		select {
 		case <-answered:
-		case <-ctx.Done():
+		case <-late.C:
 			return
 		}
 	}
@@ -61,7 +64,9 @@
 }
 
 // ask asks one upstream for its load and tells the balancer what it said.
-func (s *service) ask(ctx context.Context, choice loadbalancer.Choice) {
+func (s *service) ask(choice loadbalancer.Choice) {
+	ctx, cancel := context.WithTimeout(context.Background(), askLife)
+	defer cancel()
 	s.mu.Lock()
 	t := s.transports[choice.Address]
 	path := s.watch.path
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -19,7 +19,7 @@
 	// idleConnTimeout closes a connection that carried nothing. It is short,
 	// so that a call goes only over a connection that carried bytes lately or
 	// over a new one: an older one may have gone silent.
-	idleConnTimeout = 2 * time.Second
+	idleConnTimeout = 8 * time.Second
 	// continueTimeout is how long an upload waits for the upstream's consent
 	// before its body is sent.
 	continueTimeout = 300 * time.Millisecond
