Share the store's record sets and the load of upstreams among the VMs of a zone

Ruled out: longer pauses between readings (the bounds of 2 s leave no room when a reading is lost).

One VM a zone reads the store, chosen by rendezvous hashing among those that reach it; the others follow it over drpc streams and read themselves when it falls silent. The same streams carry each VM's sends in flight and fresh reports. Questions have a budget that all VMs divide by their number.

--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -18,10 +18,15 @@
 	Ready string
 	// Operators is where health, readiness and counters are served.
 	Operators string
+	// Exchange is where the other VMs reach this one.
+	Exchange string
 	// Store is the address of the platform's store.
 	Store string
 	// Heartbeat is the time between two writes of an upstream's entry.
 	Heartbeat time.Duration
+	// AsksPerSecond limits the questions about its load that an upstream gets
+	// from all VMs in a second; 0 sets no limit.
+	AsksPerSecond float64
 	// MaxConnections limits the open connections of callers.
 	MaxConnections int
 	// MemoryMB is the memory that the process may use, in megabytes.
@@ -44,7 +49,9 @@
 	section.RequiredAddress("listen", &e.Listen)
 	section.RequiredAddress("ready", &e.Ready)
 	section.RequiredAddress("operators", &e.Operators)
+	section.RequiredAddress("exchange", &e.Exchange)
 	section.RequiredAddress("store", &e.Store)
+	section.Float("asks_per_second", &e.AsksPerSecond, 60, 0, 10000)
 	section.Duration("heartbeat", &e.Heartbeat, 1500*time.Millisecond, 100*time.Millisecond, time.Minute)
 	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
 	section.Int("memory_mb", &e.MemoryMB, 256, 32, 1<<20)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -14,6 +14,7 @@
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/follow"
 	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/mesh"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
 )
@@ -27,6 +28,10 @@
 	// Servers holds the entries that the servers write.
 	Servers        platform.Records
 	DecodeUpstream func(name string, value []byte) (site.Upstream, error)
+	// VMs holds the entries that VMs write with Announce.
+	VMs      platform.Records
+	Announce func(ctx context.Context, vm platform.VM) error
+	DecodeVM func(value []byte) (platform.VM, error)
 	// MoveStore uses the store at another address from now on.
 	MoveStore func(address string)
 	// Callers translates the requests of callers and their answers.
@@ -63,7 +68,10 @@
 		if err != nil {
 			return err
 		}
-		e := newEntry(settings, adapt(settings), parts)
+		e, err := newEntry(settings, adapt(settings), parts)
+		if err != nil {
+			return err
+		}
 		return e.run(ctx)
 	}
 }
@@ -74,19 +82,28 @@
 	adapter  Adapter
 	parts    process.Parts
 	gateway  *gateway.Gateway
+	mesh     *mesh.Mesh
 	start    startGate
 	// store is the address of the store in use; only reload reads it.
 	store string
 }
 
-func newEntry(settings *static.Entry, adapter Adapter, parts process.Parts) *entry {
+func newEntry(settings *static.Entry, adapter Adapter, parts process.Parts) (*entry, error) {
 	e := &entry{settings: settings, adapter: adapter, parts: parts, store: settings.Store}
 	e.gateway = gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.Upstreams,
+		AsksPerSecond: settings.AsksPerSecond,
+		LoadChanged:   func() { e.mesh.LoadChanged() },
 	})
 	e.start.open = parts.Life.Configured
-	return e
+	var err error
+	e.mesh, err = mesh.New(mesh.Options{
+		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Exchange,
+		Load: e.gateway.LoadShare, ReceiveLoad: e.gateway.ReceiveLoad, Count: e.gateway.SetVMs,
+		Log: parts.Log, Counters: parts.Counters,
+	})
+	return e, err
 }
 
 func (e *entry) run(ctx context.Context) error {
@@ -99,6 +116,10 @@
 	if err != nil {
 		return err
 	}
+	neighbours, err := process.Listen(e.settings.Exchange, maxNeighbours)
+	if err != nil {
+		return err
+	}
 	server := process.NewServer(e.adapter.Callers(e.gateway), static.Limits{
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	})
@@ -106,14 +127,18 @@
 	// finished.
 	work, endWork := context.WithCancel(context.Background())
 	group, work := errgroup.WithContext(work)
-	group.Go(func() error { return e.configs().Run(work) })
-	group.Go(func() error { return e.upstreams().Run(work) })
+	followers := []follower{e.configs(), e.upstreams(), e.vms()}
+	for _, f := range followers {
+		group.Go(func() error { return f.Run(work) })
+	}
+	group.Go(func() error { return e.mesh.Run(work, neighbours) })
 	group.Go(func() error { return process.ServeOperators(work, e.settings.Operators, e.parts.Life) })
 	group.Go(func() error { return e.serveReady(work) })
 	group.Go(func() error { return settingsFile.run(work) })
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error {
 		defer endWork()
+		context.AfterFunc(ctx, e.mesh.Leave)
 		drainTimeout := max(e.settings.StopTimeout-e.settings.StopLag-stopReserve, 0)
 		return e.parts.Life.StopAtEnd(ctx, work, server, e.settings.StopLag, drainTimeout)
 	})
@@ -134,7 +159,7 @@
 
 func (e *entry) configs() *follow.ConfigFollower {
 	return &follow.ConfigFollower{
-		Records: e.adapter.Configs, Key: e.adapter.ConfigKey, Decode: e.adapter.DecodeConfig,
+		Source: e.mesh.Records("config", e.adapter.Configs, configReading), Key: e.adapter.ConfigKey, Decode: e.adapter.DecodeConfig,
 		Apply: func(c site.Config) bool {
 			isApplied := e.gateway.ApplySite(c)
 			e.start.pass(&e.start.hasConfig)
@@ -146,7 +171,7 @@
 
 func (e *entry) upstreams() *follow.UpstreamFollower {
 	return &follow.UpstreamFollower{
-		Records: e.adapter.Servers, Decode: e.adapter.DecodeUpstream, Heartbeat: e.settings.Heartbeat,
+		Source: e.mesh.Records("upstreams", e.adapter.Servers, upstreamReading), Decode: e.adapter.DecodeUpstream, Heartbeat: e.settings.Heartbeat,
 		Apply: func(upstreams []site.Upstream) {
 			e.gateway.SetUpstreams(upstreams)
 			e.start.pass(&e.start.hasUpstreams)
@@ -155,6 +180,30 @@
 	}
 }
 
+func (e *entry) vms() *follow.VMFollower {
+	return &follow.VMFollower{
+		Source:   e.mesh.Records("vms", e.adapter.VMs, vmReading),
+		Self:     platform.VM{Name: e.settings.VM.Name, Zone: e.settings.VM.Zone, Address: e.settings.Exchange},
+		Announce: e.adapter.Announce, Decode: e.adapter.DecodeVM, Apply: e.mesh.MergeVMs,
+		Log: e.parts.Log, Counters: e.parts.Counters,
+	}
+}
+
+// follower follows one record set until its context ends.
+type follower interface {
+	Run(ctx context.Context) error
+}
+
+// Readings of the record sets.
+var (
+	configReading   = mesh.RecordOptions{Interval: 800 * time.Millisecond, Feed: true, Staleness: 1300 * time.Millisecond}
+	upstreamReading = mesh.RecordOptions{Interval: 700 * time.Millisecond, Staleness: 1100 * time.Millisecond}
+	vmReading       = mesh.RecordOptions{Interval: 4 * time.Second, Staleness: 6 * time.Second}
+)
+
+// maxNeighbours limits the connections of other VMs.
+const maxNeighbours = 256
+
 // serveReady serves the platform's readiness question until ctx ends.
 func (e *entry) serveReady(ctx context.Context) error {
 	listener, err := net.Listen("tcp", e.settings.Ready)
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,10 +7,18 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
-// Pauses after a call of the store that failed.
+// Source returns one reading of a record set after the other.
+type Source interface {
+	// Next waits for the next reading. It returns an error when there is none
+	// because the store can't be read.
+	Next(ctx context.Context) (platform.Snapshot, error)
+}
+
+// Pauses after a reading that failed.
 const (
 	firstPause = 100 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
@@ -19,10 +27,11 @@
 // fieldDependency names the dependency that a log line is about.
 const fieldDependency = "dependency"
 
-// source follows the state of one part of the store: it logs when the part is
-// lost and regained, counts the calls and paces them after failures.
-type source struct {
+// loop takes one reading after the other. It logs when the store is lost and
+// regained, counts the readings and paces itself after failures.
+type loop struct {
 	name     string
+	source   Source
 	log      hclog.Logger
 	counters *telemetry.Counters
 
@@ -30,31 +39,47 @@
 	pause  time.Duration
 }
 
-// succeeded records a call that was answered.
-func (s *source) succeeded() {
-	s.counters.Add(telemetry.GroupStore, s.name+"_read", 1)
-	if !s.lostAt.IsZero() {
-		s.log.Info("dependency regained", fieldDependency, s.name, "lost_ms", time.Since(s.lostAt).Milliseconds())
+func newLoop(name string, source Source, log hclog.Logger, counters *telemetry.Counters) *loop {
+	return &loop{name: name, source: source, log: log, counters: counters}
+}
+
+// run hands each reading to take until ctx ends.
+func (l *loop) run(ctx context.Context, take func(platform.Snapshot)) error {
+	for ctx.Err() == nil {
+		snapshot, err := l.source.Next(ctx)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			l.failed(ctx, err)
+			continue
+		}
+		l.succeeded()
+		take(snapshot)
 	}
-	s.lostAt = time.Time{}
-	s.pause = 0
+	return nil
 }
 
-// failed records a call that failed and waits until the next one.
-func (s *source) failed(ctx context.Context, err error) {
-	s.counters.Add(telemetry.GroupStore, s.name+"_failed", 1)
-	if s.lostAt.IsZero() {
-		s.lostAt = time.Now()
-		s.log.Warn("dependency lost", fieldDependency, s.name, telemetry.FieldError, err)
+// succeeded records a reading.
+func (l *loop) succeeded() {
+	l.counters.Add(telemetry.GroupStore, l.name+"_read", 1)
+	if !l.lostAt.IsZero() {
+		l.log.Info("dependency regained", fieldDependency, l.name, "lost_ms", time.Since(l.lostAt).Milliseconds())
 	}
-	s.pause = min(max(2*s.pause, firstPause), lastPause)
-	wait(ctx, jitter(s.pause))
+	l.lostAt = time.Time{}
+	l.pause = 0
 }
 
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
+// failed records a reading that failed and waits until the next one.
+func (l *loop) failed(ctx context.Context, err error) {
+	l.counters.Add(telemetry.GroupStore, l.name+"_failed", 1)
+	if l.lostAt.IsZero() {
+		l.lostAt = time.Now()
+		l.log.Warn("dependency lost", fieldDependency, l.name, telemetry.FieldError, err)
+	}
+	l.pause = min(max(2*l.pause, firstPause), lastPause)
 	select {
-	case <-time.After(d):
+	case <-time.After(jitter(l.pause)):
 	case <-ctx.Done():
 	}
 }
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -12,12 +12,9 @@
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
-// pollInterval is the time between two readings of the upstreams' entries.
-const pollInterval = 700 * time.Millisecond
-
 // UpstreamFollower keeps the list of upstreams.
 type UpstreamFollower struct {
-	Records platform.Records
+	Source Source
 	// Decode reads the entry that an upstream wrote under its name.
 	Decode func(name string, value []byte) (site.Upstream, error)
 	// Apply takes over the upstreams that take new calls.
@@ -27,7 +24,6 @@
 	Log       hclog.Logger
 	Counters  *telemetry.Counters
 
-	source  source
 	catalog *catalog.Catalog
 	// malformed holds the versions of the entries that could not be read.
 	malformed map[string]uint64
@@ -35,20 +31,9 @@
 
 // Run follows the upstreams until ctx ends.
 func (f *UpstreamFollower) Run(ctx context.Context) error {
-	f.source = source{name: "upstreams", log: f.Log, counters: f.Counters}
 	f.catalog = catalog.New(f.Heartbeat)
 	f.malformed = make(map[string]uint64)
-	for ctx.Err() == nil {
-		snapshot, err := f.Records.Read(ctx)
-		if err != nil {
-			f.source.failed(ctx, err)
-			continue
-		}
-		f.source.succeeded()
-		f.take(snapshot)
-		wait(ctx, jitter(pollInterval))
-	}
-	return nil
+	return newLoop("upstreams", f.Source, f.Log, f.Counters).run(ctx, f.take)
 }
 
 // take decodes a reading and hands over the upstreams in use.
--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -60,7 +60,11 @@
 	if s.watch.path == "" {
 		return nil
 	}
-	return s.balancer.Candidates(time.Now(), request, count)
+	now := time.Now()
+	choices := s.balancer.Candidates(now, request, count)
+	granted := s.asks.Take(now, len(choices))
+	s.counters.Add(telemetry.GroupProbes, "withheld", int64(len(choices)-granted))
+	return choices[:granted]
 }
 
 // ask asks one upstream for its load and tells the balancer what it said.
@@ -85,6 +89,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Probed(time.Now(), choice.Name, result)
+	s.loadChanged()
 }
 
 // askOnce calls an upstream's health path. It returns false when no answer came.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -40,6 +40,12 @@
 	Dial DialFunc
 	// WrapTransport translates calls to upstreams; nil leaves them as they are.
 	WrapTransport WrapFunc
+	// AsksPerSecond limits the questions that an upstream of the site gets from
+	// all VMs in a second; 0 sets no limit.
+	AsksPerSecond float64
+	// LoadChanged is told when this VM knows more of the load of the site's
+	// upstreams; nil is told nothing.
+	LoadChanged func()
 	// Seed seeds the random choices.
 	Seed uint64
 	// MaxCalls limits the calls of all teams at once; 0 stands for
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -59,6 +59,7 @@
 		s.budget.FirstSend(now)
 	}
 	s.balancer.Sent(now, choice)
+	s.loadChanged()
 	s.limits.started(choice.Name)
 	return send{choice: choice, transport: s.transports[choice.Address], started: now}, sendOK
 }
@@ -100,6 +101,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, sent.choice, result)
+	s.loadChanged()
 	s.recordLocked(now, sent, result)
 }
 
@@ -109,6 +111,7 @@
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.balancer.Cancelled(now, sent.choice, now.Sub(sent.started))
+	s.loadChanged()
 	s.limits.cancelled(sent.choice.Name)
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -11,6 +11,7 @@
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/hedge"
 	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/measure"
 	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -26,6 +27,8 @@
 	dial     DialFunc
 	wrap     WrapFunc
 	counters *telemetry.Counters
+	// loadChanged is told when the service knows more of its upstreams' load.
+	loadChanged func()
 
 	// rules is read by calls and replaced as a whole.
 	rules atomic.Pointer[[]*rule]
@@ -40,6 +43,7 @@
 	balancer   *loadbalancer.Balancer
 	budget     *retry.Budget
 	hedges     *hedge.Trigger
+	asks       *measure.AskBudget
 	transports map[string]*transport
 }
 
@@ -58,21 +62,26 @@
 	id := xxhash.Sum64String(teamName + "/" + name)
 	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
-		team:      teamName,
-		name:      name,
-		dial:      options.Dial,
-		wrap:      options.WrapTransport,
-		counters:  options.Counters,
-		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
-		limits:    newUpstreamLimits(),
-		watch:     newUpstreamWatch(),
+		team:        teamName,
+		name:        name,
+		dial:        options.Dial,
+		wrap:        options.WrapTransport,
+		counters:    options.Counters,
+		loadChanged: options.LoadChanged,
+		admission:   newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		limits:      newUpstreamLimits(),
+		watch:       newUpstreamWatch(),
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
 		}, random),
+		asks:       measure.NewAskBudget(options.AsksPerSecond),
 		hedges:     hedge.NewTrigger(hedge.Options{}),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
 	}
+	if s.loadChanged == nil {
+		s.loadChanged = func() {}
+	}
 	s.rules.Store(&[]*rule{})
 	return s
 }
@@ -116,6 +125,7 @@
 	}
 	s.transports = transports
 	s.balancer.SetUpstreams(time.Now(), upstreams)
+	s.asks.SetUpstreams(time.Now(), len(upstreams))
 	s.limits.configure(settings)
 	s.shareCapacityLocked(time.Now())
 }
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -25,6 +25,8 @@
 	isKnown   bool
 	services  map[string]*service
 	upstreams []site.Upstream
+	// vms is the number of VMs that share the budgets.
+	vms int
 }
 
 // ApplySite puts a site's configuration in force if its version is above the
@@ -44,6 +46,7 @@
 		running, ok := known[s.Name]
 		if !ok {
 			running = newService(siteTeam, s.Name, g.options)
+			running.asks.SetVMs(time.Now(), g.site.vms)
 		}
 		g.site.services[s.Name] = running
 	}
@@ -70,6 +73,19 @@
 	g.configureSiteServices()
 }
 
+// SetVMs sets the number of VMs that share the site's budgets.
+func (g *Gateway) SetVMs(vms int) {
+	now := time.Now()
+	for _, s := range g.siteServices() {
+		s.mu.Lock()
+		s.asks.SetVMs(now, vms)
+		s.mu.Unlock()
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.site.vms = vms
+}
+
 // configureSiteServices brings the services to the configuration and the
 // upstreams.
 func (g *Gateway) configureSiteServices() {
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -269,7 +269,9 @@
 	}
 	at := b.since(now)
 	if result.HasReport {
-		e.learnLoad(at, float64(result.Report.Running+result.Report.Queued))
+		load := result.Report.Running + result.Report.Queued
+		e.learnLoad(at, float64(load))
+		e.hear(at, load, result.Report.Slowness)
 		b.learnSlowness(e, at, result.Report.Slowness)
 	}
 	wasOut := e.isOut()
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -116,3 +116,33 @@
 	// knows them all.
 	Wait(ctx context.Context, after uint64, limit time.Duration) (Changes, error)
 }
+
+// With returns the snapshot after changes. Changes that the snapshot holds
+// already change nothing.
+func (s Snapshot) With(changes Changes) Snapshot {
+	rows := make(map[string]Row, len(s.Rows))
+	order := make([]string, 0, len(s.Rows))
+	for _, row := range s.Rows {
+		rows[row.Key] = row
+		order = append(order, row.Key)
+	}
+	for _, change := range changes.Changes {
+		_, isKnown := rows[change.Key]
+		if change.Deleted {
+			delete(rows, change.Key)
+			continue
+		}
+		if !isKnown {
+			order = append(order, change.Key)
+		}
+		rows[change.Key] = change.Row
+	}
+	next := Snapshot{Version: max(s.Version, changes.Version)}
+	for _, key := range order {
+		if row, ok := rows[key]; ok {
+			next.Rows = append(next.Rows, row)
+			delete(rows, key)
+		}
+	}
+	return next
+}
