Let calls wait at the VM for a free upstream, or refuse them at once

A call goes to an upstream with a free slot that is expected to answer within the objective, by a unit of time learned from answers. Otherwise it waits at the VM, the newest first, as long as the rate of sends says that it can still be in time; one that can't goes to the slowest free upstream that meets its deadline, or is refused.

--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -143,9 +143,6 @@
 			"the call was sent to as many upstreams as its route allows").WithRetryAfter(retryAfter)
 		return send{}, &p
 	}
-	if c.route.isSite {
-		c.askUpstreams()
-	}
 	kind := firstSend
 	switch {
 	case isPaid:
@@ -153,20 +150,30 @@
 	case c.attempts > 0:
 		kind = extraSend
 	}
+	sent, problem := c.chooseSend(kind)
+	if problem != nil {
+		return send{}, problem
+	}
+	sent.traffic = c.route.rule.settings.Traffic
+	c.attempts++
+	c.state.fire(eventSent)
+	c.tried = append(c.tried, sent.choice.Name)
+	c.gateway.options.Counters.Add(telemetry.GroupAttempts, string(sent.traffic), 1)
+	return sent, nil
+}
+
+// chooseSend chooses an upstream and records the send.
+func (c *call) chooseSend(kind sendKind) (send, *outcome.Problem) {
+	if c.route.isSite {
+		return c.placeSend(kind)
+	}
 	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.tried, kind)
-	if err == sendOK {
-		sent.traffic = c.route.rule.settings.Traffic
-		c.attempts++
-		c.state.fire(eventSent)
-		c.tried = append(c.tried, sent.choice.Name)
-		c.gateway.options.Counters.Add(telemetry.GroupAttempts, string(sent.traffic), 1)
+	switch err {
+	case sendOK:
 		return sent, nil
+	case sendErrBudget:
+		return send{}, c.noSend(outcome.RetryBudget)
+	default:
+		return send{}, c.noSend(outcome.NoUpstream)
 	}
-	reason := outcome.NoUpstream
-	if err == sendErrBudget {
-		reason = outcome.RetryBudget
-	}
-	p := outcome.New(http.StatusServiceUnavailable, outcome.NotRun, reason,
-		"no upstream can take this call now").WithRetryAfter(retryAfter)
-	return send{}, &p
 }
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -58,10 +58,7 @@
 	if kind == firstSend {
 		s.budget.FirstSend(now)
 	}
-	s.balancer.Sent(now, choice)
-	s.loadChanged()
-	s.limits.started(choice.Name)
-	return send{choice: choice, transport: s.transports[choice.Address], started: now}, sendOK
+	return s.startLocked(now, choice), sendOK
 }
 
 // payExtra pays for one extra send ahead of it.
@@ -102,6 +99,7 @@
 	defer s.mu.Unlock()
 	s.balancer.Done(now, sent.choice, result)
 	s.loadChanged()
+	s.wakeWaiterLocked()
 	s.recordLocked(now, sent, result)
 }
 
@@ -112,6 +110,7 @@
 	now := time.Now()
 	s.balancer.Cancelled(now, sent.choice, now.Sub(sent.started))
 	s.loadChanged()
+	s.wakeWaiterLocked()
 	s.limits.cancelled(sent.choice.Name)
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -10,6 +10,7 @@
 
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/hedge"
+	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/measure"
 	"github.com/figfront/figfront/internal/retry"
@@ -39,11 +40,14 @@
 	limits *upstreamLimits
 	watch  *upstreamWatch
 	// sharedAt is when the admission was last told the capacity.
-	sharedAt   time.Time
-	balancer   *loadbalancer.Balancer
-	budget     *retry.Budget
-	hedges     *hedge.Trigger
-	asks       *measure.AskBudget
+	sharedAt time.Time
+	balancer *loadbalancer.Balancer
+	budget   *retry.Budget
+	hedges   *hedge.Trigger
+	asks     *measure.AskBudget
+	backlog  limit.Backlog
+	// waiters are the calls that wait for a free upstream, oldest first.
+	waiters    []*waiter
 	transports map[string]*transport
 }
 
--- a/internal/gateway/share.go
+++ b/internal/gateway/share.go
@@ -35,6 +35,7 @@
 	for _, s := range g.siteServices() {
 		s.mu.Lock()
 		s.balancer.SetPeer(now, vm, shared)
+		s.wakeWaiterLocked()
 		s.mu.Unlock()
 	}
 }
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -36,6 +36,9 @@
 	Address string
 	// Bulk is that of the Request.
 	Bulk bool
+	// cost is the expected time until the answer, in the learned unit; 0 when
+	// the upstream was not chosen by Place.
+	cost float64
 }
 
 // Result is how a send ended.
@@ -77,6 +80,9 @@
 	byName  map[string]*entry
 	// typical is the mean latency of an answer; 0 before the first.
 	typical time.Duration
+	// unit is the time in which an upstream without other calls answers at its
+	// usual speed; 0 before the first answer.
+	unit time.Duration
 	// background is the mean load of an upstream by other VMs' calls.
 	background float64
 	// meanSlowness is the mean of what upstreams report; 0 before the first
@@ -243,6 +249,7 @@
 	default:
 		e.failures = 0
 		b.learnLatency(e, at, result.Latency)
+		b.learnUnit(choice, result.Latency)
 	}
 }
 
--- /dev/null
+++ b/internal/loadbalancer/place.go
@@ -0,0 +1,139 @@
+package loadbalancer
+
+import (
+	"slices"
+	"time"
+)
+
+// TimeLeft is how much time a call has.
+type TimeLeft struct {
+	// Objective is the time within which an answer is worth most.
+	Objective time.Duration
+	// Deadline is the time after which an answer is worth nothing.
+	Deadline time.Duration
+}
+
+// Verdict is the decision on a call at one moment.
+type Verdict int
+
+// The verdicts.
+const (
+	// Send means that the call goes to the upstream of the Choice.
+	Send Verdict = iota
+	// Wait means that no upstream would answer within the objective now, but one
+	// that becomes free may.
+	Wait
+	// Refuse means that no upstream would answer before the deadline.
+	Refuse
+)
+
+// Constants of placing.
+const (
+	// freeMargin is by how much the estimated load of an upstream may exceed
+	// what leaves a slot free.
+	freeMargin = 0.35
+	// unitWeight is the weight of one answer in the learned unit of time.
+	unitWeight = 0.03
+	// minAnswerWork is the share of the unit below which no answer comes.
+	minAnswerWork = 0.8
+	// deadlineShare is the part of the time to the deadline that an expected
+	// answer may take.
+	deadlineShare = 0.85
+)
+
+// Place decides on a call whose answer is worth most within an objective. It
+// serves a load near and above the capacity: calls don't queue at upstreams but
+// wait at the VM for one with a free slot that is expected to answer in time. A
+// call that can no longer be answered in time goes to the slowest free upstream
+// that still meets its deadline and so leaves the others to calls in time.
+func (b *Balancer) Place(now time.Time, request Request, left TimeLeft) (Choice, Verdict) {
+	at := b.since(now)
+	if at >= b.unheardAt {
+		b.tryUnheard(at)
+	}
+	var timely, late *entry
+	var timelyCost, lateTime float64
+	for _, e := range b.entries {
+		if !b.mayPlace(e, at, request) {
+			continue
+		}
+		cost := b.placeCost(e, at)
+		expected := cost * float64(b.unit)
+		if expected > deadlineShare*float64(left.Deadline) {
+			continue
+		}
+		if expected <= float64(left.Objective) {
+			cost += e.zoneCost + tieNoise*b.random.Float64()
+			if timely == nil || cost < timelyCost {
+				timely, timelyCost = e, cost
+			}
+		}
+		if late == nil || expected > lateTime {
+			late, lateTime = e, expected
+		}
+	}
+	isObjectiveLost := float64(left.Objective) < minAnswerWork*float64(b.unit)
+	switch {
+	case timely != nil:
+		return b.placed(timely, at, request), Send
+	case !isObjectiveLost:
+		return Choice{}, Wait
+	case late != nil:
+		return b.placed(late, at, request), Send
+	case float64(left.Deadline)*deadlineShare > float64(b.unit):
+		return Choice{}, Wait
+	default:
+		return Choice{}, Refuse
+	}
+}
+
+// mayPlace tells whether an upstream may get a call now: it is in use, was not
+// tried and has a free slot.
+func (b *Balancer) mayPlace(e *entry, at time.Duration, request Request) bool {
+	if e.phase == phaseWarming {
+		e.advance(at)
+	}
+	if e.isOut() || slices.Contains(request.Exclude, e.upstream.Name) {
+		return false
+	}
+	if e.phase == phaseSuspect && (request.NoTrial || !e.isTrialDue(at)) {
+		return false
+	}
+	return b.load(e, at)+1 <= e.slots+freeMargin
+}
+
+// placeCost returns the expected time until an answer of an upstream with a free
+// slot, in the learned unit.
+func (b *Balancer) placeCost(e *entry, at time.Duration) float64 {
+	cost := (1 + partialLoad*b.load(e, at)*e.perSlot) * b.expectedSlowness(e, at)
+	if e.phase == phaseWarming {
+		cost /= e.warmth(at)
+	}
+	return cost
+}
+
+// placed returns the choice of an upstream with the cost that it was chosen at.
+func (b *Balancer) placed(e *entry, at time.Duration, request Request) Choice {
+	choice := e.choice(request)
+	choice.cost = b.placeCost(e, at)
+	return choice
+}
+
+// learnUnit takes the latency of an answer as a sample of the unit of time.
+func (b *Balancer) learnUnit(choice Choice, latency time.Duration) {
+	if choice.cost == 0 {
+		return
+	}
+	sample := float64(latency) / choice.cost
+	if b.unit == 0 {
+		b.unit = time.Duration(sample)
+		return
+	}
+	b.unit += time.Duration(unitWeight * (sample - float64(b.unit)))
+}
+
+// Unit returns the time in which an upstream without other calls answers at its
+// usual speed; 0 before the first answer.
+func (b *Balancer) Unit() time.Duration {
+	return b.unit
+}
