--- a/internal/gateway/ask.go
+++ b/internal/gateway/ask.go
@@ -14,8 +14,10 @@
 
 // Limits of asking upstreams for their load right before a send.
 const (
-	// askCount is the number of upstreams that are asked.
-	askCount = 6
+	// askRounds is how often more upstreams are asked for one look, askCount of
+	// them each time.
+	askRounds = 3
+	askCount  = 3
 	// askTimeout is how long a call waits for the answers.
 	askTimeout = 12 * time.Millisecond
 	// askLife ends a question. It goes on after askTimeout, because a busy
@@ -25,15 +27,36 @@
 	maxAskBytes = 1 << 10
 )
 
-// askUpstreams asks the most promising upstreams for their load, so that the
-// choice rests on what holds now.
-func (c *call) askUpstreams() {
+// askUpstreams asks the most promising upstreams for their load until the choice
+// rests on what holds now.
+func (c *call) askUpstreams(left loadbalancer.TimeLeft) {
+	for range askRounds {
+		if c.route.service.knowsChoice(c, left) || !c.askRound() {
+			return
+		}
+	}
+}
+
+// knowsChoice tells whether the load of the upstream that the call would be sent
+// to now is known.
+func (s *service) knowsChoice(c *call, left loadbalancer.TimeLeft) bool {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	choice, verdict := s.balancer.Place(now, pickRequest(c.route.rule.settings.Traffic, c.tried), left)
+	return verdict == loadbalancer.Send && s.balancer.IsFresh(now, choice)
+}
+
+// askRound asks the most promising upstreams whose load is not known. It returns
+// false when there was none to ask.
+func (c *call) askRound() bool {
 	s := c.route.service
 	request := pickRequest(c.route.rule.settings.Traffic, c.tried)
 	request.AnyZone = true
+	request.StaleOnly = true
 	choices := s.candidates(request, askCount)
-	if len(choices) < 2 {
-		return
+	if len(choices) == 0 {
+		return false
 	}
 	late := time.NewTimer(askTimeout)
 	defer late.Stop()
@@ -48,9 +71,10 @@
 		select {
 		case <-answered:
 		case <-late.C:
-			return
+			return true
 		}
 	}
+	return true
 }
 
 // candidates returns the upstreams that are worth asking.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -21,8 +21,8 @@
 	defer wait.end()
 	isLate := false
 	for {
-		c.askUpstreams()
 		left := c.timeLeft(isLate)
+		c.askUpstreams(left)
 		sent, verdict, err := s.place(c, kind, left)
 		switch {
 		case err == sendErrBudget:
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -230,10 +231,22 @@
 		return p.RetryAfter
 	}
 	if c.route.isSite {
-		return siteRetryAfter
+		return c.returnAfter()
 	}
 	return max(p.RetryAfter, c.route.service.admission.retryAfter(c.route.rule.settings.Traffic))
 }
 
-// siteRetryAfter is when a refused caller of a site may come back.
-const siteRetryAfter = 100 * time.Millisecond
+// Bounds of the time after which a refused caller may come back: shares of the
+// objective, between which callers are spread.
+const (
+	minReturnShare = 0.08
+	maxReturnShare = 0.25
+)
+
+// returnAfter returns when a refused caller of a site may come back: soon enough
+// to be answered within the objective by another VM, spread out so that those
+// who are refused together don't come back together.
+func (c *call) returnAfter() time.Duration {
+	share := minReturnShare + (maxReturnShare-minReturnShare)*rand.Float64()
+	return time.Duration(share * float64(c.route.rule.objective))
+}
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -28,6 +28,9 @@
 	Bulk bool
 	// AnyZone lets Candidates return upstreams of other zones as well.
 	AnyZone bool
+	// StaleOnly keeps Candidates from returning upstreams whose load is known as
+	// of less than freshAge ago.
+	StaleOnly bool
 }
 
 // Choice is the upstream that a call is sent to.
@@ -167,7 +170,8 @@
 		if best == nil {
 			break
 		}
-		if best.zoneCost == 0 || request.AnyZone {
+		isWanted := !request.StaleOnly || !best.isFresh(at)
+		if isWanted && (best.zoneCost == 0 || request.AnyZone) {
 			choices = append(choices, best.choice(request))
 		}
 		request.Exclude = append(request.Exclude, best.upstream.Name)
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -32,6 +32,8 @@
 	// freeMargin is by how much the estimated load of an upstream may exceed
 	// what leaves a slot free.
 	freeMargin = 0.35
+	// freshAge is the age up to which a load report need not be asked for again.
+	freshAge = 12 * time.Millisecond
 	// unitWeight is the weight of one answer in the learned unit of time.
 	unitWeight = 0.03
 	// minAnswerWork is the share of the unit below which no answer comes.
@@ -87,6 +89,17 @@
 	}
 }
 
+// IsFresh tells whether the load of the chosen upstream is known as of less than
+// freshAge ago.
+func (b *Balancer) IsFresh(now time.Time, choice Choice) bool {
+	e, ok := b.byName[choice.Name]
+	return ok && e.isFresh(b.since(now))
+}
+
+func (e *entry) isFresh(at time.Duration) bool {
+	return e.reportedAt > 0 && at-e.reportedAt < freshAge
+}
+
 // mayPlace tells whether an upstream may get a call now: it is in use, was not
 // tried and has a free slot.
 func (b *Balancer) mayPlace(e *entry, at time.Duration, request Request) bool {
