Learn how long upstreams take by the calls that they have

Cause: the unit of time was learned from answers of paired calls as well, so it stood at 116 ms for work of 60 ms (traced at each send: median 63 ms at load 0, 125 ms at load 1).

--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -39,9 +39,11 @@
 	Address string
 	// Bulk is that of the Request.
 	Bulk bool
-	// cost is the expected time until the answer, in the learned unit; 0 when
-	// the upstream was not chosen by Place.
-	cost float64
+	// load and slowness are those of the upstream when it was chosen;
+	// isLoadKnown tells whether they were known and not assumed.
+	load        float64
+	slowness    float64
+	isLoadKnown bool
 }
 
 // Result is how a send ended.
@@ -83,9 +85,8 @@
 	byName  map[string]*entry
 	// typical is the mean latency of an answer; 0 before the first.
 	typical time.Duration
-	// unit is the time in which an upstream without other calls answers at its
-	// usual speed; 0 before the first answer.
-	unit time.Duration
+	// pace is how long upstreams take by their load.
+	pace paceModel
 	// background is the mean load of an upstream by other VMs' calls.
 	background float64
 	// meanSlowness is the mean of what upstreams report; 0 before the first
@@ -134,6 +135,7 @@
 	e.upstream = upstream
 	e.slots = float64(max(upstream.Slots, 1))
 	e.perSlot = 1 / e.slots
+	b.pace.configure(e.slots)
 	e.zoneCost = 0
 	if upstream.Zone != b.options.Zone {
 		e.zoneCost = b.options.RemoteZoneCost
@@ -250,10 +252,11 @@
 		e.failed(at)
 	case choice.Bulk:
 		e.answeredBulk(at)
+		b.learnPlaced(choice, result.Latency)
 	default:
 		e.failures = 0
 		b.learnLatency(e, at, result.Latency)
-		b.learnUnit(choice, result.Latency)
+		b.learnPlaced(choice, result.Latency)
 	}
 }
 
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -29,13 +29,15 @@
 
 // Constants of placing.
 const (
-	// freeMargin is by how much the estimated load of an upstream may exceed
-	// what leaves a slot free.
-	freeMargin = 0.35
+	// maxQueued is the number of calls that may wait at an upstream for a slot.
+	maxQueued = 0
+	// loadMargin is by how much the estimated load may be off.
+	loadMargin = 0.35
 	// freshAge is the age up to which a load report need not be asked for again.
 	freshAge = 12 * time.Millisecond
-	// unitWeight is the weight of one answer in the learned unit of time.
-	unitWeight = 0.03
+	// timelyMargin is by how much an answer may take longer than expected and
+	// still be in time.
+	timelyMargin = 1.15
 	// minAnswerWork is the share of the unit below which no answer comes.
 	minAnswerWork = 0.8
 	// deadlineShare is the part of the time to the deadline that an expected
@@ -60,11 +62,11 @@
 			continue
 		}
 		cost := b.placeCost(e, at)
-		expected := cost * float64(b.unit)
+		expected := cost * float64(b.pace.unit)
 		if expected > deadlineShare*float64(left.Deadline) {
 			continue
 		}
-		if expected <= float64(left.Objective) {
+		if timelyMargin*expected <= float64(left.Objective) {
 			cost += e.zoneCost + tieNoise*b.random.Float64()
 			if timely == nil || cost < timelyCost {
 				timely, timelyCost = e, cost
@@ -74,7 +76,7 @@
 			late, lateTime = e, expected
 		}
 	}
-	isObjectiveLost := float64(left.Objective) < minAnswerWork*float64(b.unit)
+	isObjectiveLost := float64(left.Objective) < minAnswerWork*float64(b.pace.unit)
 	switch {
 	case timely != nil:
 		return b.placed(timely, at, request), Send
@@ -82,7 +84,7 @@
 		return Choice{}, Wait
 	case late != nil:
 		return b.placed(late, at, request), Send
-	case float64(left.Deadline)*deadlineShare > float64(b.unit):
+	case float64(left.Deadline)*deadlineShare > float64(b.pace.unit):
 		return Choice{}, Wait
 	default:
 		return Choice{}, Refuse
@@ -101,7 +103,7 @@
 }
 
 // mayPlace tells whether an upstream may get a call now: it is in use, was not
-// tried and has a free slot.
+// tried and is not full.
 func (b *Balancer) mayPlace(e *entry, at time.Duration, request Request) bool {
 	if e.phase == phaseWarming {
 		e.advance(at)
@@ -112,41 +114,36 @@
 	if e.phase == phaseSuspect && (request.NoTrial || !e.isTrialDue(at)) {
 		return false
 	}
-	return b.load(e, at)+1 <= e.slots+freeMargin
+	return b.load(e, at)+1 <= e.slots+maxQueued+loadMargin
 }
 
-// placeCost returns the expected time until an answer of an upstream with a free
-// slot, in the learned unit.
+// placeCost returns the expected time until an answer, in units.
 func (b *Balancer) placeCost(e *entry, at time.Duration) float64 {
-	cost := (1 + partialLoad*b.load(e, at)*e.perSlot) * b.expectedSlowness(e, at)
+	cost := b.pace.at(b.load(e, at)) * b.expectedSlowness(e, at)
 	if e.phase == phaseWarming {
 		cost /= e.warmth(at)
 	}
 	return cost
 }
 
-// placed returns the choice of an upstream with the cost that it was chosen at.
+// placed returns the choice of an upstream with what was known of it.
 func (b *Balancer) placed(e *entry, at time.Duration, request Request) Choice {
 	choice := e.choice(request)
-	choice.cost = b.placeCost(e, at)
+	choice.load = b.load(e, at)
+	choice.slowness = b.expectedSlowness(e, at)
+	choice.isLoadKnown = e.isFresh(at) && e.phase == phaseReady
 	return choice
 }
 
-// learnUnit takes the latency of an answer as a sample of the unit of time.
-func (b *Balancer) learnUnit(choice Choice, latency time.Duration) {
-	if choice.cost == 0 {
-		return
+// learnPlaced takes the latency of an answer of an upstream that Place chose.
+func (b *Balancer) learnPlaced(choice Choice, latency time.Duration) {
+	if choice.isLoadKnown {
+		b.pace.learn(choice.load, choice.slowness, latency)
 	}
-	sample := float64(latency) / choice.cost
-	if b.unit == 0 {
-		b.unit = time.Duration(sample)
-		return
-	}
-	b.unit += time.Duration(unitWeight * (sample - float64(b.unit)))
 }
 
 // Unit returns the time in which an upstream without other calls answers at its
 // usual speed; 0 before the first answer.
 func (b *Balancer) Unit() time.Duration {
-	return b.unit
+	return b.pace.unit
 }
