Let one VM place all calls of a service

Ruled out: stale reports (they were under 12 ms old) and the estimate (refined before).

The VM in charge of a service is chosen by rendezvous hashing. It knows every call in flight, polls the upstreams at a steady rate and lets calls wait in one queue; the other VMs have their calls placed over a drpc stream and place them themselves when it does not answer within 25 ms. The sharing of load in a zone is gone: the VM in charge makes it needless.

--- /dev/null
+++ b/internal/dispatch/client.go
@@ -0,0 +1,202 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"storj.io/drpc/drpcconn"
+
+	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/exchange"
+	"github.com/figfront/figfront/internal/outcome"
+)
+
+// Times of a Client.
+const (
+	// firstReply is how long the VM in charge may take until it says anything
+	// about a call.
+	firstReply = 25 * time.Millisecond
+	// maxMissed is the number of calls in a row without a reply after which the
+	// stream is closed.
+	maxMissed = 3
+)
+
+// Client has the calls of this VM placed by another one. It is safe for
+// concurrent use.
+type Client struct {
+	conn   *drpcconn.Conn
+	stream api.DRPCDispatch_PlaceClient
+	cancel context.CancelFunc
+	// done is closed when the stream has ended.
+	done chan struct{}
+
+	// sending guards Send.
+	sending sync.Mutex
+
+	mu      sync.Mutex
+	nextID  uint64
+	pending map[uint64]chan *api.PlaceReply
+	missed  int
+}
+
+// Dial opens a stream to the VM at address (IP:port).
+func Dial(ctx context.Context, address string, dialer exchange.Dialer) (*Client, error) {
+	conn, err := exchange.DialConn(ctx, address, dialer)
+	if err != nil {
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	streamCtx, cancel := context.WithCancel(context.Background())
+	stream, err := api.NewDRPCDispatchClient(conn).Place(streamCtx)
+	if err != nil {
+		cancel()
+		_ = conn.Close()
+		return nil, errors.Wrap(ErrUnavailable, err.Error())
+	}
+	c := &Client{
+		conn: conn, stream: stream, cancel: cancel, done: make(chan struct{}),
+		pending: make(map[uint64]chan *api.PlaceReply),
+	}
+	go c.receive()
+	return c, nil
+}
+
+// Done returns a channel that is closed when the stream has ended.
+func (c *Client) Done() <-chan struct{} {
+	return c.done
+}
+
+// Close ends the stream.
+func (c *Client) Close() {
+	c.cancel()
+	_ = c.conn.Close()
+}
+
+// receive hands replies to the calls that wait for them until the stream ends.
+func (c *Client) receive() {
+	defer close(c.done)
+	defer c.Close()
+	for {
+		reply, err := c.stream.Recv()
+		if err != nil {
+			return
+		}
+		c.mu.Lock()
+		c.missed = 0
+		replies := c.pending[reply.GetId()]
+		c.mu.Unlock()
+		if replies != nil {
+			replies <- reply
+		}
+	}
+}
+
+// Place has a call of a service placed.
+func (c *Client) Place(ctx context.Context, service string, r Request) (Grant, error) {
+	id, replies := c.open()
+	defer c.forget(id)
+	err := c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_Call{Call: encodeCall(id, service, r, time.Now())}})
+	if err != nil {
+		return Grant{}, err
+	}
+	reply, err := c.await(ctx, replies)
+	if err != nil {
+		c.end(id, End{IsCancelled: true})
+		return Grant{}, err
+	}
+	if reply.GetUpstream() == "" {
+		if reply.GetReason() == replyUnknown {
+			return Grant{}, ErrUnavailable
+		}
+		return Grant{}, Refusal{Reason: outcome.Reason(reply.GetReason())}
+	}
+	return Grant{Upstream: reply.GetUpstream(), end: func(end End) { c.end(id, end) }}, nil
+}
+
+// maxReplies is the number of replies to one call: that it waits, and its end.
+const maxReplies = 2
+
+func (c *Client) open() (uint64, chan *api.PlaceReply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nextID++
+	replies := make(chan *api.PlaceReply, maxReplies)
+	c.pending[c.nextID] = replies
+	return c.nextID, replies
+}
+
+func (c *Client) forget(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.pending, id)
+}
+
+// await waits for the decision on a call.
+func (c *Client) await(ctx context.Context, replies <-chan *api.PlaceReply) (*api.PlaceReply, error) {
+	first := time.NewTimer(firstReply)
+	defer first.Stop()
+	for {
+		select {
+		case reply := <-replies:
+			if reply.GetReason() != replyWaiting {
+				return reply, nil
+			}
+			first.Stop()
+		case <-first.C:
+			c.miss()
+			return nil, errors.Wrap(ErrUnavailable, "no reply")
+		case <-c.done:
+			return nil, errors.Wrap(ErrUnavailable, "stream ended")
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+// miss counts a call without a reply.
+func (c *Client) miss() {
+	c.mu.Lock()
+	c.missed++
+	isDead := c.missed >= maxMissed
+	c.mu.Unlock()
+	if isDead {
+		c.Close()
+	}
+}
+
+// end tells how a send ended.
+func (c *Client) end(id uint64, end End) {
+	// A stream that has ended took its calls with it.
+	_ = c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_End{End: encodeEnd(id, end)}})
+}
+
+func (c *Client) send(message *api.PlaceMessage) error {
+	c.sending.Lock()
+	defer c.sending.Unlock()
+	if err := c.stream.Send(message); err != nil {
+		c.Close()
+		return errors.Wrap(ErrUnavailable, err.Error())
+	}
+	return nil
+}
+
+func encodeCall(id uint64, service string, r Request, now time.Time) *api.PlaceCall {
+	return &api.PlaceCall{
+		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
+		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra,
+	}
+}
+
+func encodeEnd(id uint64, end End) *api.PlaceEnd {
+	encoded := &api.PlaceEnd{
+		Id: id, LatencyUs: end.Latency.Microseconds(), Cancelled: end.IsCancelled,
+		Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
+	}
+	if end.HasReport {
+		encoded.Report = &api.LoadReport{
+			Running: uint32(end.Report.Running), Queued: uint32(end.Report.Queued), Slowness: end.Report.Slowness,
+		}
+	}
+	return encoded
+}
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,187 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/figfront/figfront/internal/limit"
+	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/measure"
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/retry"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// AskFunc asks the upstream at an address for its health and load. It returns
+// false when no answer came.
+type AskFunc func(ctx context.Context, address string) (loadbalancer.ProbeResult, bool)
+
+// Options are what a Dispatcher is built from.
+type Options struct {
+	VM   string
+	Zone string
+	Ask  AskFunc
+	// AsksPerSecond limits the questions that an upstream gets from all VMs in a
+	// second; 0 sets no limit.
+	AsksPerSecond float64
+	// RetryShare is the share of extra sends among the calls.
+	RetryShare float64
+	Counters   *telemetry.Counters
+	Random     *rand.Rand
+}
+
+// Slow start of an upstream after failures. One that is new says itself how long
+// it is slow.
+const (
+	recoveryTime  = 1500 * time.Millisecond
+	recoveryShare = 0.5
+)
+
+// placeInterval is the longest time between two looks for a free upstream.
+const placeInterval = 8 * time.Millisecond
+
+// Dispatcher places the calls of one service by what this VM knows. It is safe
+// for concurrent use.
+type Dispatcher struct {
+	options Options
+
+	mu       sync.Mutex
+	balancer *loadbalancer.Balancer
+	budget   *retry.Budget
+	backlog  limit.Backlog
+	asks     *measure.AskBudget
+	// upstreams are those in use, and next is the one that is polled next.
+	upstreams []loadbalancer.Upstream
+	next      int
+	// waiters are the calls that wait for a free upstream, oldest first.
+	waiters []*waiter
+	// remoteAt is when a call of another VM came last.
+	remoteAt time.Time
+}
+
+// NewDispatcher returns a Dispatcher without upstreams.
+func NewDispatcher(options Options) *Dispatcher {
+	return &Dispatcher{
+		options: options,
+		balancer: loadbalancer.New(loadbalancer.Options{
+			VM: options.VM, Zone: options.Zone, WarmUp: recoveryTime, MinWarmth: recoveryShare,
+		}, options.Random),
+		budget: retry.NewBudget(options.RetryShare),
+		asks:   measure.NewAskBudget(options.AsksPerSecond),
+	}
+}
+
+// SetUpstreams replaces the upstreams and keeps what is known of those that
+// stay.
+func (d *Dispatcher) SetUpstreams(upstreams []loadbalancer.Upstream) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.upstreams = upstreams
+	d.balancer.SetUpstreams(now, upstreams)
+	d.asks.SetUpstreams(now, len(upstreams))
+	d.wakeLocked()
+}
+
+// SetVMs sets the number of VMs that share the budgets.
+func (d *Dispatcher) SetVMs(vms int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asks.SetVMs(time.Now(), vms)
+}
+
+// Place returns the upstream that a send goes to. When none is expected to
+// answer within the objective it lets the call wait for one, or refuses it at
+// once when the wait would be in vain.
+func (d *Dispatcher) Place(ctx context.Context, r Request) (Grant, error) {
+	wait := &waiter{dispatcher: d}
+	defer wait.end()
+	isLate := false
+	for {
+		d.askUpstreams(r, isLate)
+		grant, verdict, err := d.place(r, isLate)
+		switch {
+		case err != nil:
+			return Grant{}, err
+		case verdict == loadbalancer.Send:
+			return grant, nil
+		case verdict == loadbalancer.Refuse || r.Extra:
+			return Grant{}, Refusal{Reason: outcome.NoUpstream}
+		case isLate:
+			return Grant{}, Refusal{Reason: outcome.QueueFull}
+		case !wait.begin(time.Until(r.Objective)):
+			isLate = true
+			continue
+		}
+		if !wait.next(ctx) {
+			return Grant{}, Refusal{Reason: outcome.QueueDeadline}
+		}
+	}
+}
+
+// place starts a send if an upstream is expected to answer in time. isLate gives
+// up the objective.
+func (d *Dispatcher) place(r Request, isLate bool) (Grant, loadbalancer.Verdict, error) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	choice, verdict := d.balancer.Place(now, r.pick(), r.left(now, isLate))
+	if verdict != loadbalancer.Send {
+		return Grant{}, verdict, nil
+	}
+	if r.Extra && !d.budget.Take(now) {
+		return Grant{}, verdict, Refusal{Reason: outcome.RetryBudget}
+	}
+	if !r.Extra {
+		d.budget.FirstSend(now)
+	}
+	d.backlog.Sent(now)
+	d.balancer.Sent(now, choice)
+	return Grant{Upstream: choice.Name, end: func(end End) { d.end(choice, end) }}, verdict, nil
+}
+
+// end records how a send ended.
+func (d *Dispatcher) end(choice loadbalancer.Choice, end End) {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if end.IsCancelled {
+		d.balancer.Cancelled(now, choice, end.Latency)
+	} else {
+		d.balancer.Done(now, choice, end.Result)
+		d.budget.Answered(!end.Failed && !end.Shed)
+	}
+	d.wakeLocked()
+}
+
+// pick describes the send to the balancer.
+func (r Request) pick() loadbalancer.Request {
+	return loadbalancer.Request{Zone: r.Zone, Exclude: r.Tried, NoTrial: r.NoTrial, Bulk: r.Bulk, AnyZone: true}
+}
+
+// left returns the time that the call has. A call that does not wait for a
+// timely answer has no objective.
+func (r Request) left(now time.Time, isLate bool) loadbalancer.TimeLeft {
+	left := loadbalancer.TimeLeft{Deadline: r.Deadline.Sub(now)}
+	if !isLate {
+		left.Objective = r.Objective.Sub(now)
+	}
+	return left
+}
+
+// Work returns the time in which an upstream without other calls answers; 0
+// before the first answer.
+func (d *Dispatcher) Work() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.balancer.Unit()
+}
+
+// remoteCall records that a call of another VM has come.
+func (d *Dispatcher) remoteCall(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.remoteAt = now
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -12,6 +12,7 @@
 
 	"github.com/figfront/figfront/internal/config/site"
 	"github.com/figfront/figfront/internal/config/static"
+	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/follow"
 	"github.com/figfront/figfront/internal/gateway"
 	"github.com/figfront/figfront/internal/mesh"
@@ -83,6 +84,8 @@
 	parts    process.Parts
 	gateway  *gateway.Gateway
 	mesh     *mesh.Mesh
+	dispatch *dispatch.Server
+	router   *dispatch.Router
 	start    startGate
 	// store is the address of the store in use; only reload reads it.
 	store string
@@ -90,17 +93,24 @@
 
 func newEntry(settings *static.Entry, adapter Adapter, parts process.Parts) (*entry, error) {
 	e := &entry{settings: settings, adapter: adapter, parts: parts, store: settings.Store}
+	inCharge := func(service string, isAvoided func(string) bool) (dispatch.VM, bool) {
+		return e.mesh.InCharge(service, isAvoided)
+	}
+	e.router = dispatch.NewRouter(inCharge, nil, parts.Log, parts.Counters)
+	e.dispatch = dispatch.NewServer(func(service string) (*dispatch.Dispatcher, bool) {
+		return e.gateway.Dispatcher(service)
+	})
 	e.gateway = gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.Upstreams,
 		AsksPerSecond: settings.AsksPerSecond,
-		LoadChanged:   func() { e.mesh.LoadChanged() },
+		Router:        e.router,
 	})
 	e.start.open = parts.Life.Configured
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Exchange,
-		Load: e.gateway.LoadShare, ReceiveLoad: e.gateway.ReceiveLoad, Count: e.gateway.SetVMs,
+		Dispatch: e.dispatch, Count: e.gateway.SetVMs,
 		Log: parts.Log, Counters: parts.Counters,
 	})
 	return e, err
@@ -138,7 +148,10 @@
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error {
 		defer endWork()
-		context.AfterFunc(ctx, e.mesh.Leave)
+		context.AfterFunc(ctx, func() {
+			e.mesh.Leave()
+			e.dispatch.Close()
+		})
 		drainTimeout := max(e.settings.StopTimeout-e.settings.StopLag-stopReserve, 0)
 		return e.parts.Life.StopAtEnd(ctx, work, server, e.settings.StopLag, drainTimeout)
 	})
--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -41,9 +41,6 @@
 // NewClient returns a client of the agent at address (IP:port). dialer may be
 // nil.
 func NewClient(address string, dialer Dialer) *Client {
-	if dialer == nil {
-		dialer = &net.Dialer{Timeout: DialTimeout}
-	}
 	client := &Client{address: address, dialer: dialer, turn: make(chan struct{}, 1)}
 	client.turn <- struct{}{}
 	return client
@@ -86,9 +83,18 @@
 }
 
 func (c *Client) dial(ctx context.Context) (*drpcconn.Conn, error) {
+	return DialConn(ctx, c.address, c.dialer)
+}
+
+// DialConn opens a connection to the process at address (IP:port). dialer may be
+// nil. It returns ErrUnreachable when there is none.
+func DialConn(ctx context.Context, address string, dialer Dialer) (*drpcconn.Conn, error) {
+	if dialer == nil {
+		dialer = &net.Dialer{Timeout: DialTimeout}
+	}
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	raw, err := c.dialer.DialContext(ctx, "tcp", c.address)
+	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -42,10 +42,23 @@
 
 // Serve serves impl to other processes on the listener until ctx ends.
 func Serve(ctx context.Context, listener net.Listener, impl api.DRPCExchangeServer) error {
+	return ServeDispatch(ctx, listener, impl, nil)
+}
+
+// ServeDispatch serves impl and, unless it is nil, dispatch to other processes on
+// the listener until ctx ends.
+func ServeDispatch(
+	ctx context.Context, listener net.Listener, impl api.DRPCExchangeServer, dispatch api.DRPCDispatchServer,
+) error {
 	mux := drpcmux.New()
 	if err := api.DRPCRegisterExchange(mux, impl); err != nil {
 		return errors.Wrap(err, "register exchange")
 	}
+	if dispatch != nil {
+		if err := api.DRPCRegisterDispatch(mux, dispatch); err != nil {
+			return errors.Wrap(err, "register dispatch")
+		}
+	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve exchange")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/merge"
+	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
@@ -43,9 +44,8 @@
 	// AsksPerSecond limits the questions that an upstream of the site gets from
 	// all VMs in a second; 0 sets no limit.
 	AsksPerSecond float64
-	// LoadChanged is told when this VM knows more of the load of the site's
-	// upstreams; nil is told nothing.
-	LoadChanged func()
+	// Router has the calls of a site placed by the VM in charge of their service.
+	Router *dispatch.Router
 	// Seed seeds the random choices.
 	Seed uint64
 	// MaxCalls limits the calls of all teams at once; 0 stands for
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/loadbalancer"
 )
 
@@ -13,6 +14,8 @@
 	choice    loadbalancer.Choice
 	transport *transport
 	started   time.Time
+	// grant is what placed the send; nil for a team's service.
+	grant *dispatch.Grant
 	// traffic is the kind of traffic of the call.
 	traffic dynamic.Traffic
 	// isGivenUp tells that another send of the call has won; nil when the call
@@ -58,7 +61,9 @@
 	if kind == firstSend {
 		s.budget.FirstSend(now)
 	}
-	return s.startLocked(now, choice), sendOK
+	s.balancer.Sent(now, choice)
+	s.limits.started(choice.Name)
+	return send{choice: choice, transport: s.transports[choice.Address], started: now}, sendOK
 }
 
 // payExtra pays for one extra send ahead of it.
@@ -95,22 +100,28 @@
 	}
 	now := time.Now()
 	result.Latency = now.Sub(sent.started)
+	if sent.grant != nil {
+		sent.grant.End(dispatch.End{Result: result})
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, sent.choice, result)
-	s.loadChanged()
-	s.wakeWaiterLocked()
 	s.recordLocked(now, sent, result)
 }
 
 // cancelSend records that a send was given up.
 func (s *service) cancelSend(sent send) {
+	if sent.grant != nil {
+		end := dispatch.End{IsCancelled: true}
+		end.Latency = time.Since(sent.started)
+		sent.grant.End(end)
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
 	s.balancer.Cancelled(now, sent.choice, now.Sub(sent.started))
-	s.loadChanged()
-	s.wakeWaiterLocked()
 	s.limits.cancelled(sent.choice.Name)
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -9,10 +10,9 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/hedge"
-	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/loadbalancer"
-	"github.com/figfront/figfront/internal/measure"
 	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -28,8 +28,10 @@
 	dial     DialFunc
 	wrap     WrapFunc
 	counters *telemetry.Counters
-	// loadChanged is told when the service knows more of its upstreams' load.
-	loadChanged func()
+	// dispatcher places the calls of a site's service; nil for a team's.
+	dispatcher *dispatch.Dispatcher
+	// endPolls ends the dispatcher's questions to upstreams.
+	endPolls context.CancelFunc
 
 	// rules is read by calls and replaced as a whole.
 	rules atomic.Pointer[[]*rule]
@@ -44,11 +46,10 @@
 	balancer *loadbalancer.Balancer
 	budget   *retry.Budget
 	hedges   *hedge.Trigger
-	asks     *measure.AskBudget
-	backlog  limit.Backlog
-	// waiters are the calls that wait for a free upstream, oldest first.
-	waiters    []*waiter
+	// transports holds the connections by address, addresses the address of each
+	// upstream.
 	transports map[string]*transport
+	addresses  map[string]string
 }
 
 // rule is the running state of one kind of traffic.
@@ -66,26 +67,21 @@
 	id := xxhash.Sum64String(teamName + "/" + name)
 	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
-		team:        teamName,
-		name:        name,
-		dial:        options.Dial,
-		wrap:        options.WrapTransport,
-		counters:    options.Counters,
-		loadChanged: options.LoadChanged,
-		admission:   newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
-		limits:      newUpstreamLimits(),
-		watch:       newUpstreamWatch(),
+		team:      teamName,
+		name:      name,
+		dial:      options.Dial,
+		wrap:      options.WrapTransport,
+		counters:  options.Counters,
+		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		limits:    newUpstreamLimits(),
+		watch:     newUpstreamWatch(),
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
 		}, random),
-		asks:       measure.NewAskBudget(options.AsksPerSecond),
 		hedges:     hedge.NewTrigger(hedge.Options{}),
 		budget:     retry.NewBudget(0),
 		transports: make(map[string]*transport),
 	}
-	if s.loadChanged == nil {
-		s.loadChanged = func() {}
-	}
 	s.rules.Store(&[]*rule{})
 	return s
 }
@@ -111,11 +107,23 @@
 
 func (s *service) configureUpstreams(settings []dynamic.Upstream) {
 	upstreams := make([]loadbalancer.Upstream, 0, len(settings))
-	transports := make(map[string]*transport, len(settings))
 	for _, u := range settings {
 		upstreams = append(upstreams, loadbalancer.Upstream{
 			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots,
 		})
+	}
+	s.configureTransports(settings)
+	s.balancer.SetUpstreams(time.Now(), upstreams)
+	s.limits.configure(settings)
+	s.shareCapacityLocked(time.Now())
+}
+
+// configureTransports keeps the connections to the upstreams that stay.
+func (s *service) configureTransports(settings []dynamic.Upstream) {
+	transports := make(map[string]*transport, len(settings))
+	s.addresses = make(map[string]string, len(settings))
+	for _, u := range settings {
+		s.addresses[u.Name] = u.Address
 		known, ok := s.transports[u.Address]
 		if !ok || known.maxConnections != u.MaxConnections {
 			known = newTransport(u.Address, u.MaxConnections, s.dial, s.wrap)
@@ -128,10 +136,6 @@
 		}
 	}
 	s.transports = transports
-	s.balancer.SetUpstreams(time.Now(), upstreams)
-	s.asks.SetUpstreams(time.Now(), len(upstreams))
-	s.limits.configure(settings)
-	s.shareCapacityLocked(time.Now())
 }
 
 // pickLocked chooses an upstream below its limit. A first send, which was
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -11,8 +11,12 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/dispatch"
+	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -46,14 +50,13 @@
 	for _, s := range c.Services {
 		running, ok := known[s.Name]
 		if !ok {
-			running = newService(siteTeam, s.Name, g.options)
-			running.asks.SetVMs(time.Now(), g.site.vms)
+			running = g.newSiteService(s.Name)
 		}
 		g.site.services[s.Name] = running
 	}
 	for name, old := range known {
 		if _, stays := g.site.services[name]; !stays {
-			old.close()
+			old.closeSite()
 		}
 	}
 	g.configureSiteServices()
@@ -74,38 +77,79 @@
 	g.configureSiteServices()
 }
 
+// newSiteService returns a service of the site without upstreams.
+func (g *Gateway) newSiteService(name string) *service {
+	s := newService(siteTeam, name, g.options)
+	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
+		VM: g.options.VM, Zone: g.options.Zone, Ask: s.ask,
+		AsksPerSecond: g.options.AsksPerSecond, RetryShare: siteRetryShare, Counters: g.options.Counters,
+		Random: rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
+	})
+	s.dispatcher.SetVMs(g.site.vms)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.endPolls = cancel
+	go s.dispatcher.Poll(ctx)
+	return s
+}
+
+// closeSite closes a service that the site no longer has.
+func (s *service) closeSite() {
+	s.endPolls()
+	s.close()
+}
+
 // SetVMs sets the number of VMs that share the site's budgets.
 func (g *Gateway) SetVMs(vms int) {
-	now := time.Now()
-	for _, s := range g.siteServices() {
-		s.mu.Lock()
-		s.asks.SetVMs(now, vms)
-		s.mu.Unlock()
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.site.vms = vms
+	for _, s := range g.site.services {
+		s.dispatcher.SetVMs(vms)
+	}
+}
+
+// Dispatcher returns what places the calls of a service of the site.
+func (g *Gateway) Dispatcher(name string) (*dispatch.Dispatcher, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s, ok := g.site.services[name]
+	if !ok {
+		return nil, false
+	}
+	return s.dispatcher, true
 }
 
 // configureSiteServices brings the services to the configuration and the
 // upstreams.
 func (g *Gateway) configureSiteServices() {
-	byService := make(map[string][]dynamic.Upstream)
+	byService := make(map[string][]site.Upstream)
 	for _, u := range g.site.upstreams {
-		byService[u.Service] = append(byService[u.Service], dynamic.Upstream{
-			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots,
-		})
+		byService[u.Service] = append(byService[u.Service], u)
 	}
 	for _, s := range g.site.config.Services {
 		upstreams := byService[s.Name]
-		slices.SortFunc(upstreams, func(a, b dynamic.Upstream) int { return strings.Compare(a.Name, b.Name) })
-		for i := range upstreams {
-			upstreams[i].MaxConnections = s.MaxConnections
-		}
-		g.site.services[s.Name].configure(dynamic.Service{
-			Name: s.Name, HealthPath: s.HealthPath, Upstreams: upstreams, RetryShare: siteRetryShare,
+		slices.SortFunc(upstreams, func(a, b site.Upstream) int { return strings.Compare(a.Name, b.Name) })
+		g.site.services[s.Name].configureSite(s, upstreams)
+	}
+}
+
+// configureSite brings a service of a site to its settings and upstreams.
+func (s *service) configureSite(settings site.Service, upstreams []site.Upstream) {
+	connected := make([]dynamic.Upstream, 0, len(upstreams))
+	placed := make([]loadbalancer.Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
+		connected = append(connected, dynamic.Upstream{
+			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, MaxConnections: settings.MaxConnections,
+		})
+		placed = append(placed, loadbalancer.Upstream{
+			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupLeft: u.WarmupLeft, Started: u.Started,
 		})
 	}
+	s.mu.Lock()
+	s.watch.path = settings.HealthPath
+	s.configureTransports(connected)
+	s.mu.Unlock()
+	s.dispatcher.SetUpstreams(placed)
 }
 
 // siteRetryShare is the share of extra sends among the calls of a service.
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -15,6 +15,12 @@
 	Zone    string
 	// Slots is the number of calls that the server runs at once.
 	Slots int
+	// WarmupLeft is how much longer the server says that it is slow after its
+	// start.
+	WarmupLeft time.Duration
+	// Started is the server's time of its start; a server that starts again may
+	// keep its name. Zero when it is not known.
+	Started time.Time
 }
 
 // Request tells what a call needs.
@@ -28,9 +34,12 @@
 	Bulk bool
 	// AnyZone lets Candidates return upstreams of other zones as well.
 	AnyZone bool
-	// StaleOnly keeps Candidates from returning upstreams whose load is known as
-	// of less than freshAge ago.
-	StaleOnly bool
+	// StaleAfter keeps Candidates from returning upstreams whose load is known as
+	// of less than that ago.
+	StaleAfter time.Duration
+	// Zone is the availability zone from which the call is sent; empty stands for
+	// the VM's own.
+	Zone string
 }
 
 // Choice is the upstream that a call is sent to.
@@ -119,10 +128,11 @@
 	b.ranked = b.ranked[:0]
 	for _, upstream := range upstreams {
 		e, ok := known[upstream.Name]
-		if !ok || e.upstream.Address != upstream.Address {
+		if !ok || !e.upstream.isSameStart(upstream) {
 			e = newEntry(b, at, len(known) == 0)
 		}
 		b.describe(e, upstream)
+		e.coldUntil = at + upstream.WarmupLeft
 		b.byName[upstream.Name] = e
 		b.ranked = append(b.ranked, e)
 	}
@@ -130,6 +140,11 @@
 	b.selectSubset()
 }
 
+// isSameStart tells whether u is the same start of the same server.
+func (u Upstream) isSameStart(other Upstream) bool {
+	return u.Address == other.Address && u.Started.Equal(other.Started)
+}
+
 // describe takes over the settings of an upstream.
 func (b *Balancer) describe(e *entry, upstream Upstream) {
 	e.upstream = upstream
@@ -172,7 +187,7 @@
 		if best == nil {
 			break
 		}
-		isWanted := !request.StaleOnly || !best.isFresh(at)
+		isWanted := request.StaleAfter == 0 || !best.isFresh(at, request.StaleAfter)
 		if isWanted && (best.zoneCost == 0 || request.AnyZone) {
 			choices = append(choices, best.choice(request))
 		}
@@ -283,9 +298,7 @@
 	}
 	at := b.since(now)
 	if result.HasReport {
-		load := result.Report.Running + result.Report.Queued
-		e.learnLoad(at, float64(load))
-		e.hear(at, load, result.Report.Slowness)
+		e.learnLoad(at, float64(result.Report.Running+result.Report.Queued))
 		b.learnSlowness(e, at, result.Report.Slowness)
 	}
 	wasOut := e.isOut()
--- a/internal/loadbalancer/entry.go
+++ b/internal/loadbalancer/entry.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/chart"
 )
 
@@ -30,14 +29,6 @@
 	// others is the load by other VMs' calls as of reportedAt, in calls.
 	others     float64
 	reportedAt time.Duration
-	// peers holds the sends in flight of other VMs by VM; peerInFlight is their
-	// sum.
-	peers        map[string]int
-	peerInFlight int
-	// heardReport is what the upstream itself last told this VM, as of
-	// heardReportAt.
-	heardReport   callheader.Report
-	heardReportAt time.Duration
 	// reportedSlowness is how long work takes at the upstream as of slownessAt,
 	// as a multiple of the usual; 0 before the first report.
 	reportedSlowness float64
@@ -54,6 +45,8 @@
 	pace   float64
 	isSlow bool
 
+	// coldUntil is when the upstream has warmed up by what it says itself.
+	coldUntil time.Duration
 	// warmFrom is the begin of the warm-up.
 	warmFrom time.Duration
 	// trialAt is when a suspect gets its next trial call, trialAfter the wait
@@ -79,15 +72,9 @@
 	return e
 }
 
-// ownInFlight returns the number of the VM's own sends in flight.
-func (e *entry) ownInFlight() int {
-	return len(e.starts) + e.bulk
-}
-
-// inFlight returns the number of sends in flight that the VM knows of: its own
-// and those that other VMs share.
+// inFlight returns the number of the VM's own sends in flight.
 func (e *entry) inFlight() int {
-	return e.ownInFlight() + e.peerInFlight
+	return len(e.starts) + e.bulk
 }
 
 func (e *entry) sent(at time.Duration, isBulk bool) {
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -3,8 +3,6 @@
 import (
 	"math"
 	"time"
-
-	"github.com/figfront/figfront/internal/callheader"
 )
 
 // learnReport takes over the load report of an answer. The answered call is in
@@ -15,19 +13,12 @@
 		load--
 	}
 	e.learnLoad(at, load)
-	e.hear(at, int(max(load, 0)), result.Report.Slowness)
 	b.learnSlowness(e, at, result.Report.Slowness)
 	b.background += backgroundWeight * (e.others - b.background)
 }
 
-// hear keeps the load that the upstream told this VM, for the other VMs.
-func (e *entry) hear(at time.Duration, load int, slowness float64) {
-	e.heardReport = callheader.Report{Running: load, Slowness: slowness}
-	e.heardReportAt = at
-}
-
-// learnLoad takes over a load. The calls that the VM knows of at any time, its
-// own and those that other VMs share, are taken out of it.
+// learnLoad takes over a load. The VM's own calls are taken out of it, because
+// the VM knows them at any time.
 func (e *entry) learnLoad(at time.Duration, load float64) {
 	e.others = max(load-float64(e.inFlight()), 0)
 	e.reportedAt = at
--- a/internal/loadbalancer/options.go
+++ b/internal/loadbalancer/options.go
@@ -13,6 +13,10 @@
 	// RemoteZoneCost is added to the expected wait of an upstream in another
 	// zone, in units of one call's service time. The default is 1.
 	RemoteZoneCost float64
+	// WarmUp is the time over which the share of a new or recovered upstream
+	// grows from MinWarmth to 1. The defaults are 8 s and 0.1.
+	WarmUp    time.Duration
+	MinWarmth float64
 	// SubsetSize is the number of upstreams that this VM uses; 0 means all.
 	SubsetSize int
 }
@@ -21,6 +25,12 @@
 	if o.RemoteZoneCost == 0 {
 		o.RemoteZoneCost = defaultRemoteZoneCost
 	}
+	if o.WarmUp == 0 {
+		o.WarmUp = defaultWarmUp
+	}
+	if o.MinWarmth == 0 {
+		o.MinWarmth = defaultMinWarmth
+	}
 	return o
 }
 
@@ -71,10 +81,10 @@
 
 // Times of the upstream's states.
 const (
-	// warmUp is the time over which the share of a new or recovered upstream
-	// grows from minWarmth to 1.
-	warmUp    = 8 * time.Second
-	minWarmth = 0.1
+	defaultWarmUp    = 8 * time.Second
+	defaultMinWarmth = 0.1
+	// coldSlowness is the slowness of an upstream that says that it is not warm.
+	coldSlowness = 2
 	// warmUpJitter is the longest delay before a warm-up.
 	warmUpJitter = time.Second
 	// firstTrialAfter and lastTrialAfter bound the time before a suspect gets a
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -33,8 +33,13 @@
 	maxQueued = 0
 	// loadMargin is by how much the estimated load may be off.
 	loadMargin = 0.35
-	// freshAge is the age up to which a load report need not be asked for again.
-	freshAge = 12 * time.Millisecond
+	// knownAge is the age up to which a load counts as known when a latency is
+	// learned from.
+	knownAge = 40 * time.Millisecond
+	// zonePenalty and bulkZonePenalty are the costs of another zone than the
+	// sender's, in units; a bulk call moves many bytes.
+	zonePenalty     = 0.15
+	bulkZonePenalty = 4
 	// timelyMargin is by how much an answer may take longer than expected and
 	// still be in time.
 	timelyMargin = 1.15
@@ -67,7 +72,7 @@
 			continue
 		}
 		if timelyMargin*expected <= float64(left.Objective) {
-			cost += e.zoneCost + tieNoise*b.random.Float64()
+			cost += b.zonePenalty(e, request) + tieNoise*b.random.Float64()
 			if timely == nil || cost < timelyCost {
 				timely, timelyCost = e, cost
 			}
@@ -92,14 +97,30 @@
 }
 
 // IsFresh tells whether the load of the chosen upstream is known as of less than
-// freshAge ago.
-func (b *Balancer) IsFresh(now time.Time, choice Choice) bool {
+// age ago.
+func (b *Balancer) IsFresh(now time.Time, choice Choice, age time.Duration) bool {
 	e, ok := b.byName[choice.Name]
-	return ok && e.isFresh(b.since(now))
+	return ok && e.isFresh(b.since(now), age)
 }
 
-func (e *entry) isFresh(at time.Duration) bool {
-	return e.reportedAt > 0 && at-e.reportedAt < freshAge
+func (e *entry) isFresh(at, age time.Duration) bool {
+	return e.reportedAt > 0 && at-e.reportedAt < age
+}
+
+// zonePenalty returns the cost of an upstream in another zone than the sender's.
+func (b *Balancer) zonePenalty(e *entry, request Request) float64 {
+	zone := request.Zone
+	if zone == "" {
+		zone = b.options.Zone
+	}
+	switch {
+	case e.upstream.Zone == zone:
+		return 0
+	case request.Bulk:
+		return bulkZonePenalty
+	default:
+		return zonePenalty
+	}
 }
 
 // mayPlace tells whether an upstream may get a call now: it is in use, was not
@@ -120,6 +141,9 @@
 // placeCost returns the expected time until an answer, in units.
 func (b *Balancer) placeCost(e *entry, at time.Duration) float64 {
 	cost := b.pace.at(b.load(e, at)) * b.expectedSlowness(e, at)
+	if at < e.coldUntil {
+		cost *= coldSlowness
+	}
 	if e.phase == phaseWarming {
 		cost /= e.warmth(at)
 	}
@@ -131,7 +155,7 @@
 	choice := e.choice(request)
 	choice.load = b.load(e, at)
 	choice.slowness = b.expectedSlowness(e, at)
-	choice.isLoadKnown = e.isFresh(at) && e.phase == phaseReady
+	choice.isLoadKnown = e.isFresh(at, knownAge) && e.phase == phaseReady && at >= e.coldUntil
 	return choice
 }
 
--- a/internal/loadbalancer/state.go
+++ b/internal/loadbalancer/state.go
@@ -139,15 +139,16 @@
 
 // advance ends the warm-up of a warming upstream whose time has passed.
 func (e *entry) advance(at time.Duration) {
-	if at >= e.warmFrom+warmUp {
+	if at >= e.warmFrom+e.balancer.options.WarmUp {
 		e.fire(eventWarmedUp, at)
 	}
 }
 
 // warmth is the share of its calls that a warming upstream gets.
 func (e *entry) warmth(at time.Duration) float64 {
-	passed := float64(at-e.warmFrom) / float64(warmUp)
-	return minWarmth + (1-minWarmth)*min(max(passed, 0), 1)
+	passed := float64(at-e.warmFrom) / float64(e.balancer.options.WarmUp)
+	least := e.balancer.options.MinWarmth
+	return least + (1-least)*min(max(passed, 0), 1)
 }
 
 // isOut tells whether the upstream gets no calls at all.
--- a/internal/measure/askbudget.go
+++ b/internal/measure/askbudget.go
@@ -10,7 +10,7 @@
 const (
 	// askShare is the part of the upstreams' limit that VMs plan to use, so that
 	// VMs whose counts of each other differ stay below it.
-	askShare = 0.9
+	askShare = 0.4
 	// askBurst is the time for which questions that were not asked are saved up.
 	askBurst = 500 * time.Millisecond
 	// expectedVMs is the number of VMs that share the limit while fewer are
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,12 +6,14 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
 	"google.golang.org/protobuf/proto"
 
 	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/platform"
@@ -22,7 +24,6 @@
 const (
 	topicBeat    = "mesh_beat"
 	topicRecords = "mesh_records"
-	topicLoad    = "mesh_load"
 )
 
 // Times of the mesh.
@@ -47,15 +48,12 @@
 	Zone string
 	// Address is where the other VMs reach this one, as IP:port.
 	Address string
-	// ReceiveLoad takes what a neighbour shares of the load of upstreams; nil
-	// stands for a neighbour that is gone.
-	ReceiveLoad func(vm string, share *api.LoadShare)
-	// Load returns what this VM shares of the load of upstreams.
-	Load func() *api.LoadShare
 	// Count takes the number of live VMs of the site.
 	Count    func(vms int)
 	Log      hclog.Logger
 	Counters *telemetry.Counters
+	// Dispatch places calls of other VMs; nil places none.
+	Dispatch api.DRPCDispatchServer
 	// Dialer opens connections to other VMs; nil stands for the network.
 	Dialer exchange.Dialer
 }
@@ -67,8 +65,6 @@
 	options Options
 	hub     *exchange.Hub
 	sets    map[string]*RecordSet
-	// loadChanged wakes the sharing of load.
-	loadChanged chan struct{}
 
 	mu   sync.Mutex
 	view *membership.View
@@ -96,14 +92,13 @@
 		return nil, err
 	}
 	return &Mesh{
-		options:     options,
-		hub:         exchange.NewHub(),
-		sets:        make(map[string]*RecordSet),
-		loadChanged: make(chan struct{}, 1),
-		view:        view,
-		cutOff:      make(map[string]bool),
-		followed:    make(map[string]context.CancelFunc),
-		revision:    uint64(time.Now().UnixNano()),
+		options:  options,
+		hub:      exchange.NewHub(),
+		sets:     make(map[string]*RecordSet),
+		view:     view,
+		cutOff:   make(map[string]bool),
+		followed: make(map[string]context.CancelFunc),
+		revision: uint64(time.Now().UnixNano()),
 	}, nil
 }
 
@@ -111,9 +106,8 @@
 // ctx ends.
 func (m *Mesh) Run(ctx context.Context, listener net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return exchange.Serve(ctx, listener, m) })
+	group.Go(func() error { return exchange.ServeDispatch(ctx, listener, m, m.options.Dispatch) })
 	group.Go(func() error { return m.beat(ctx) })
-	group.Go(func() error { return m.shareLoad(ctx) })
 	return group.Wait()
 }
 
@@ -225,6 +219,34 @@
 	return true
 }
 
+// InCharge returns the VM of the site that places the calls of a service, chosen
+// by rendezvous hashing among those that isAvoided does not rule out; false means
+// that it is this VM.
+func (m *Mesh) InCharge(service string, isAvoided func(vm string) bool) (dispatch.VM, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var best dispatch.VM
+	bestRank := uint64(0)
+	if !m.isLeaving {
+		bestRank = rank(service, m.options.VM)
+	}
+	for _, member := range m.view.Members() {
+		isGone := member.State == membership.StateDead || member.State == membership.StateLeaving
+		if isGone || isAvoided(member.VM) {
+			continue
+		}
+		if r := rank(service, member.VM); r > bestRank {
+			best, bestRank = dispatch.VM{Name: member.VM, Address: member.Address}, r
+		}
+	}
+	return best, best.Name != ""
+}
+
+// rank is the place of a VM in the rendezvous choice for a service.
+func rank(service, vm string) uint64 {
+	return xxhash.Sum64String(service + "/" + vm)
+}
+
 // maxReaders limits the VMs that are looked at for the reader of a zone.
 const maxReaders = 64
 
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -67,7 +67,7 @@
 	defer cancel(nil)
 	silence := time.AfterFunc(silenceLimit, func() { cancel(errStreamSilent) })
 	defer silence.Stop()
-	err = client.Stream(ctx, m.options.VM, []string{topicBeat, topicRecords, topicLoad}, func(message *api.Message) {
+	err = client.Stream(ctx, m.options.VM, []string{topicBeat, topicRecords}, func(message *api.Message) {
 		silence.Reset(silenceLimit)
 		if !heard {
 			m.options.Log.Info("neighbour reached", telemetry.FieldVM, vm)
@@ -87,7 +87,6 @@
 	m.view.Missed(time.Now(), vm)
 	delete(m.cutOff, vm)
 	m.mu.Unlock()
-	m.options.ReceiveLoad(vm, nil)
 }
 
 // receive takes one message of a neighbour.
@@ -98,11 +97,6 @@
 		err = m.receiveBeat(message.GetPayload())
 	case topicRecords:
 		err = m.receiveRecords(message)
-	case topicLoad:
-		var share api.LoadShare
-		if err = proto.Unmarshal(message.GetPayload(), &share); err == nil {
-			m.options.ReceiveLoad(vm, &share)
-		}
 	}
 	if err != nil {
 		m.options.Counters.Add(telemetry.GroupPeers, "message_malformed", 1)
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -36,6 +36,7 @@
 	GroupRevision = "revisions"
 	GroupPeers    = "peers"
 	GroupStore    = "store"
+	GroupDispatch = "dispatch"
 )
 
 func (c *Counters) group(name string) *expvar.Map {
