--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -28,9 +28,14 @@
 // by the last report, which counts less with age, the VM's own, and what
 // failures stand for.
 func (b *Balancer) load(e *entry, at time.Duration) float64 {
+	return b.callLoad(e, at) + e.errorLoad(at)
+}
+
+// callLoad is the part of load that calls make up.
+func (b *Balancer) callLoad(e *entry, at time.Duration) float64 {
 	mean := backgroundFactor * b.background
 	others := mean + decay(at-e.reportedAt)*(e.others-mean)
-	return others + float64(e.inFlight()) + e.errorLoad(at)
+	return others + float64(e.inFlight())
 }
 
 // learnSlowness takes over how slow an upstream says it is; 0 says nothing.
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -36,6 +36,9 @@
 	// knownAge is the age up to which a load counts as known when a latency is
 	// learned from.
 	knownAge = 40 * time.Millisecond
+	// errorPenalty is the cost of an error of an upstream, in units for each call
+	// that the error stands for.
+	errorPenalty = 0.1
 	// zonePenalty and bulkZonePenalty are the costs of another zone than the
 	// sender's, in units; a bulk call moves many bytes.
 	zonePenalty     = 0.15
@@ -72,7 +75,7 @@
 			continue
 		}
 		if timelyMargin*expected <= float64(left.Objective) {
-			cost += b.zonePenalty(e, request) + tieNoise*b.random.Float64()
+			cost += errorPenalty*e.errorLoad(at) + b.zonePenalty(e, request) + tieNoise*b.random.Float64()
 			if timely == nil || cost < timelyCost {
 				timely, timelyCost = e, cost
 			}
@@ -135,12 +138,12 @@
 	if e.phase == phaseSuspect && (request.NoTrial || !e.isTrialDue(at)) {
 		return false
 	}
-	return b.load(e, at)+1 <= e.slots+maxQueued+loadMargin
+	return b.callLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
 }
 
 // placeCost returns the expected time until an answer, in units.
 func (b *Balancer) placeCost(e *entry, at time.Duration) float64 {
-	cost := b.pace.at(b.load(e, at)) * b.expectedSlowness(e, at)
+	cost := b.pace.at(b.callLoad(e, at)) * b.expectedSlowness(e, at)
 	if at < e.coldUntil {
 		cost *= coldSlowness
 	}
@@ -153,7 +156,7 @@
 // placed returns the choice of an upstream with what was known of it.
 func (b *Balancer) placed(e *entry, at time.Duration, request Request) Choice {
 	choice := e.choice(request)
-	choice.load = b.load(e, at)
+	choice.load = b.callLoad(e, at)
 	choice.slowness = b.expectedSlowness(e, at)
 	choice.isLoadKnown = e.isFresh(at, knownAge) && e.phase == phaseReady && at >= e.coldUntil
 	return choice
