--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -19,8 +19,12 @@
 	// askLife ends a question. It goes on after askTimeout, because a busy
 	// upstream takes its time over a new connection, which is then of use.
 	askLife = time.Second
-	// pollShare is the part of the limit on questions that polling uses.
+	// pollShare is the largest part of the limit on questions that polling uses.
 	pollShare = 0.5
+	// pollsPerWork is how often an upstream is polled in the time that a call
+	// takes there, and maxPollInterval the longest time between two polls.
+	pollsPerWork    = 2
+	maxPollInterval = 100 * time.Millisecond
 	// remoteLife is how long a VM polls after a call of another VM.
 	remoteLife = time.Second
 	// pollIdle is the time between two looks whether to poll.
@@ -50,7 +54,7 @@
 // Ages up to which what is known of an upstream need not be asked for again: by
 // a VM that places the calls of all VMs, and by one that knows only its own.
 const (
-	freshInCharge = 60 * time.Millisecond
+	freshInCharge = 40 * time.Millisecond
 	freshAlone    = 12 * time.Millisecond
 )
 
@@ -100,6 +104,7 @@
 	request := r.pick()
 	request.StaleAfter = d.freshAgeLocked(now)
 	choices := d.balancer.Candidates(now, request, askCount)
+	d.asks.SetInCharge(now, d.isInChargeLocked(now))
 	granted := d.asks.Take(now, len(choices))
 	d.options.Counters.Add(telemetry.GroupProbes, "withheld", int64(len(choices)-granted))
 	return choices[:granted]
@@ -143,10 +148,12 @@
 func (d *Dispatcher) nextPoll(now time.Time) (loadbalancer.Upstream, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	perSecond := pollShare * d.options.AsksPerSecond * float64(len(d.upstreams))
-	if !d.isInChargeLocked(now) || perSecond == 0 {
+	perSecond := pollShare * d.options.AsksPerSecond
+	if !d.isInChargeLocked(now) || perSecond == 0 || len(d.upstreams) == 0 {
 		return loadbalancer.Upstream{}, pollIdle
 	}
+	interval := min(d.balancer.Unit()/pollsPerWork, maxPollInterval)
+	interval = max(interval, time.Duration(float64(time.Second)/perSecond))
 	d.next = (d.next + 1) % len(d.upstreams)
-	return d.upstreams[d.next], time.Duration(float64(time.Second) / perSecond)
+	return d.upstreams[d.next], interval / time.Duration(len(d.upstreams))
 }
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -185,13 +185,14 @@
 	return &api.PlaceCall{
 		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
 		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra,
+		Bytes: int64(r.Bytes),
 	}
 }
 
 func encodeEnd(id uint64, end End) *api.PlaceEnd {
 	encoded := &api.PlaceEnd{
 		Id: id, LatencyUs: end.Latency.Microseconds(), Cancelled: end.IsCancelled,
-		Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
+		Bytes: int64(end.Bytes), Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
 	}
 	if end.HasReport {
 		encoded.Report = &api.LoadReport{
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -158,7 +158,7 @@
 
 // pick describes the send to the balancer.
 func (r Request) pick() loadbalancer.Request {
-	return loadbalancer.Request{Zone: r.Zone, Exclude: r.Tried, NoTrial: r.NoTrial, Bulk: r.Bulk, AnyZone: true}
+	return loadbalancer.Request{Zone: r.Zone, Exclude: r.Tried, NoTrial: r.NoTrial, Bulk: r.Bulk, Bytes: r.Bytes, AnyZone: true}
 }
 
 // left returns the time that the call has. A call that does not wait for a
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -16,6 +16,8 @@
 	Zone string
 	// Bulk marks a call whose latency tells of its size.
 	Bulk bool
+	// Bytes is the length of the request's body.
+	Bytes int
 	// NoTrial keeps the call away from upstreams that are suspected.
 	NoTrial bool
 	// Tried names the upstreams that the call was sent to before.
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -239,6 +239,7 @@
 	return Request{
 		Zone:      call.GetZone(),
 		Bulk:      call.GetBulk(),
+		Bytes:     int(call.GetBytes()),
 		NoTrial:   call.GetNoTrial(),
 		Tried:     call.GetTried(),
 		Objective: arrived.Add(time.Duration(call.GetObjectiveUs()) * time.Microsecond),
@@ -253,6 +254,7 @@
 		IsCancelled: end.GetCancelled(),
 		Result: loadbalancer.Result{
 			Latency:  time.Duration(end.GetLatencyUs()) * time.Microsecond,
+			Bytes:    int(end.GetBytes()),
 			Failed:   end.GetFailed(),
 			Shed:     end.GetShed(),
 			Draining: end.GetDraining(),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -232,6 +232,7 @@
 	result.outcome = outcome.Ran
 	body, err := readAnswerBody(response)
 	result.body = body
+	seen.Bytes = len(body)
 	if err != nil {
 		_ = response.Body.Close()
 		seen.Failed = true
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -23,6 +23,7 @@
 	request := dispatch.Request{
 		Zone:      c.gateway.options.Zone,
 		Bulk:      c.route.rule.settings.Traffic == dynamic.Upload,
+		Bytes:     len(c.body),
 		NoTrial:   c.route.rule.settings.Traffic != dynamic.Lookup,
 		Tried:     c.tried,
 		Objective: c.arrived.Add(c.route.rule.objective),
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -37,6 +37,8 @@
 	// StaleAfter keeps Candidates from returning upstreams whose load is known as
 	// of less than that ago.
 	StaleAfter time.Duration
+	// Bytes is the length of the call's body.
+	Bytes int
 	// Zone is the availability zone from which the call is sent; empty stands for
 	// the VM's own.
 	Zone string
@@ -59,6 +61,8 @@
 type Result struct {
 	// Latency is the time since Sent.
 	Latency time.Duration
+	// Bytes is the length of the answer's body.
+	Bytes int
 	// Failed means an error, a refused connection or a server error.
 	Failed bool
 	// Shed means that the upstream refused the call.
@@ -101,6 +105,8 @@
 	// meanSlowness is the mean of what upstreams report; 0 before the first
 	// report.
 	meanSlowness float64
+	// meanAnswer is the mean length of an answer, in bytes.
+	meanAnswer float64
 	// unheardAt is when tryUnheard looks next.
 	unheardAt time.Duration
 	examined  uint64
@@ -246,6 +252,7 @@
 	}
 	at := b.since(now)
 	e.ended(at-result.Latency, choice.Bulk)
+	b.meanAnswer += meanAnswerWeight * (float64(result.Bytes) - b.meanAnswer)
 	if result.HasReport {
 		b.learnReport(e, at, result)
 	}
--- a/internal/loadbalancer/options.go
+++ b/internal/loadbalancer/options.go
@@ -54,6 +54,8 @@
 	// backgroundFactor corrects that mean: answers come less often from
 	// upstreams with a long queue.
 	backgroundFactor = 1.25
+	// meanAnswerWeight is the weight of one answer in the mean length.
+	meanAnswerWeight = 0.02
 	// meanSlownessWeight is the weight of one report in the mean slowness.
 	meanSlownessWeight = 0.02
 	// slownessLife is the age at which a reported slowness has lost all but 1/e
--- a/internal/loadbalancer/pace.go
+++ b/internal/loadbalancer/pace.go
@@ -1,6 +1,7 @@
 package loadbalancer
 
 import (
+	"slices"
 	"time"
 )
 
@@ -14,9 +15,11 @@
 	// sharedSlotStep is the assumed extra time for one more call below the
 	// number of slots.
 	sharedSlotStep = 0.2
-	// unitWeight and loadWeight are the weights of one answer in the unit and in
-	// the time at a load.
-	unitWeight = 0.03
+	// unitSamples is the number of answers whose median is the unit, and
+	// minUnitSamples the number from which on there is one.
+	unitSamples    = 63
+	minUnitSamples = 5
+	// loadWeight is the weight of one answer in the time at a load.
 	loadWeight = 0.05
 	// maxSample bounds one sample of the time at a load, in units.
 	maxSample = 8
@@ -26,8 +29,12 @@
 // when another one comes. Times are multiples of a unit, which is the time of an
 // upstream without other calls at its usual speed.
 type paceModel struct {
-	// unit is 0 before the first answer.
-	unit time.Duration
+	// unit is the median of samples; 0 before minUnitSamples. Answers of upstreams
+	// that turned slow meanwhile don't move it.
+	unit    time.Duration
+	samples []float64
+	// next is the place of the next sample.
+	next int
 	// byLoad is the time by load; it is set up for the slots of the upstreams.
 	byLoad [knownLoads]float64
 	slots  float64
@@ -65,12 +72,10 @@
 		return
 	}
 	usual := float64(latency) / slowness
-	sample := usual / m.at(load)
+	m.learnUnit(usual / m.at(load))
 	if m.unit == 0 {
-		m.unit = time.Duration(sample)
 		return
 	}
-	m.unit += time.Duration(unitWeight * (sample - float64(m.unit)))
 	index := min(int(load+0.5), knownLoads-1)
 	if index == 0 {
 		return
@@ -79,3 +84,18 @@
 	m.byLoad[index] += loadWeight * (units - m.byLoad[index])
 	m.byLoad[index] = max(m.byLoad[index], m.byLoad[index-1])
 }
+
+// learnUnit takes a sample of the unit.
+func (m *paceModel) learnUnit(sample float64) {
+	if len(m.samples) < unitSamples {
+		m.samples = append(m.samples, sample)
+	} else {
+		m.samples[m.next] = sample
+		m.next = (m.next + 1) % unitSamples
+	}
+	if len(m.samples) < minUnitSamples {
+		return
+	}
+	sorted := slices.Sorted(slices.Values(m.samples))
+	m.unit = time.Duration(sorted[len(sorted)/2])
+}
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -39,10 +39,11 @@
 	// errorPenalty is the cost of an error of an upstream, in units for each call
 	// that the error stands for.
 	errorPenalty = 0.1
-	// zonePenalty and bulkZonePenalty are the costs of another zone than the
-	// sender's, in units; a bulk call moves many bytes.
-	zonePenalty     = 0.15
-	bulkZonePenalty = 4
+	// bytesPerUnit is the number of bytes that cost as much between zones as one
+	// unit of time.
+	bytesPerUnit = 16 << 10
+	// zonePenalty is the cost of another zone without any bytes, in units.
+	zonePenalty = 0.03
 	// timelyMargin is by how much an answer may take longer than expected and
 	// still be in time.
 	timelyMargin = 1.15
@@ -116,14 +117,10 @@
 	if zone == "" {
 		zone = b.options.Zone
 	}
-	switch {
-	case e.upstream.Zone == zone:
+	if e.upstream.Zone == zone {
 		return 0
-	case request.Bulk:
-		return bulkZonePenalty
-	default:
-		return zonePenalty
 	}
+	return zonePenalty + (float64(request.Bytes)+b.meanAnswer)/bytesPerUnit
 }
 
 // mayPlace tells whether an upstream may get a call now: it is in use, was not
--- a/internal/measure/askbudget.go
+++ b/internal/measure/askbudget.go
@@ -8,9 +8,11 @@
 
 // Constants of an AskBudget.
 const (
-	// askShare is the part of the upstreams' limit that VMs plan to use, so that
-	// VMs whose counts of each other differ stay below it.
-	askShare = 0.4
+	// sharedPart is the part of the upstreams' limit that the VMs share which
+	// place their calls themselves, and inChargePart that of the VM which places
+	// those of all. What is left keeps VMs whose views differ below the limit.
+	sharedPart   = 0.2
+	inChargePart = 0.3
 	// askBurst is the time for which questions that were not asked are saved up.
 	askBurst = 500 * time.Millisecond
 	// expectedVMs is the number of VMs that share the limit while fewer are
@@ -26,6 +28,7 @@
 	perUpstream float64
 	upstreams   int
 	vms         int
+	isInCharge  bool
 	limiter     *rate.Limiter
 }
 
@@ -47,8 +50,20 @@
 	b.update(now)
 }
 
+// SetInCharge sets whether this VM places the calls of all VMs.
+func (b *AskBudget) SetInCharge(now time.Time, isInCharge bool) {
+	if b.isInCharge != isInCharge {
+		b.isInCharge = isInCharge
+		b.update(now)
+	}
+}
+
 func (b *AskBudget) update(now time.Time) {
-	perSecond := askShare * b.perUpstream * float64(b.upstreams) / float64(max(b.vms, expectedVMs))
+	part := sharedPart / float64(max(b.vms, expectedVMs))
+	if b.isInCharge {
+		part = inChargePart
+	}
+	perSecond := part * b.perUpstream * float64(b.upstreams)
 	b.limiter.SetLimitAt(now, rate.Limit(perSecond))
 	b.limiter.SetBurstAt(now, max(int(perSecond*askBurst.Seconds()), 1))
 }
