--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -23,7 +23,8 @@
 	// Wait means that no upstream would answer within the objective now, but one
 	// that becomes free may.
 	Wait
-	// Refuse means that no upstream would answer before the deadline.
+	// Refuse means that the objective can't be met and no free upstream would
+	// answer before the deadline.
 	Refuse
 )
 
@@ -93,8 +94,6 @@
 		return Choice{}, Wait
 	case late != nil:
 		return b.placed(late, at, request), Send
-	case float64(left.Deadline)*deadlineShare > float64(b.pace.unit):
-		return Choice{}, Wait
 	default:
 		return Choice{}, Refuse
 	}
