Log each call with what its sends were decided by, without ever waiting

Cause: a failed request could not be explained from the log, which said neither who chose the upstream nor by what; and a reader that stopped reading stopped calls.

The line of a call holds each send with the VM that placed it, load, slowness and age of the report, the expected and the real time, and the wait. Lines go to standard output through a bounded queue and a rate, above which they are dropped and counted.

--- a/cmd/figfront-admin/main.go
+++ b/cmd/figfront-admin/main.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return err
 	}
+	defer parts.Close()
 	client := platform.NewClient(settings.Platform, nil)
 	agents := admin.NewAgents(settings.VM.Name, nil)
 	a := admin.New(admin.Options{
--- a/cmd/figfront-agent/main.go
+++ b/cmd/figfront-agent/main.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return err
 	}
+	defer parts.Close()
 	client := platform.NewClient(settings.Platform, nil)
 	a, err := agent.New(agent.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Listen,
--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -27,6 +27,7 @@
 	if err != nil {
 		return err
 	}
+	defer parts.Close()
 	store := platform.NewClient(settings.Platform, nil)
 	claims, err := claim.NewStore(claim.Options{Table: store, Counters: parts.Counters, VM: settings.VM.Name})
 	if err != nil {
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -26,6 +26,8 @@
 // Client has the calls of this VM placed by another one. It is safe for
 // concurrent use.
 type Client struct {
+	// vm is the VM that places the calls.
+	vm     string
 	conn   *drpcconn.Conn
 	stream api.DRPCDispatch_PlaceClient
 	cancel context.CancelFunc
@@ -41,9 +43,9 @@
 	missed  int
 }
 
-// Dial opens a stream to the VM at address (IP:port).
-func Dial(ctx context.Context, address string, dialer exchange.Dialer) (*Client, error) {
-	conn, err := exchange.DialConn(ctx, address, dialer)
+// Dial opens a stream to a VM.
+func Dial(ctx context.Context, vm VM, dialer exchange.Dialer) (*Client, error) {
+	conn, err := exchange.DialConn(ctx, vm.Address, dialer)
 	if err != nil {
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
@@ -55,7 +57,7 @@
 		return nil, errors.Wrap(ErrUnavailable, err.Error())
 	}
 	c := &Client{
-		conn: conn, stream: stream, cancel: cancel, done: make(chan struct{}),
+		vm: vm.Name, conn: conn, stream: stream, cancel: cancel, done: make(chan struct{}),
 		pending: make(map[uint64]chan *api.PlaceReply),
 	}
 	go c.receive()
@@ -111,7 +113,13 @@
 		}
 		return Grant{}, Refusal{Reason: outcome.Reason(reply.GetReason())}
 	}
-	return Grant{Upstream: reply.GetUpstream(), end: func(end End) { c.end(id, end) }}, nil
+	return Grant{
+		Upstream: reply.GetUpstream(),
+		PlacedBy: c.vm,
+		Basis:    decodeBasis(reply.GetBasis()),
+		Waited:   time.Duration(reply.GetBasis().GetWaitedUs()) * time.Microsecond,
+		end:      func(end End) { c.end(id, end) },
+	}, nil
 }
 
 // maxReplies is the number of replies to one call: that it waits, and its end.
@@ -180,24 +188,3 @@
 	}
 	return nil
 }
-
-func encodeCall(id uint64, service string, r Request, now time.Time) *api.PlaceCall {
-	return &api.PlaceCall{
-		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
-		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra,
-		Bytes: int64(r.Bytes),
-	}
-}
-
-func encodeEnd(id uint64, end End) *api.PlaceEnd {
-	encoded := &api.PlaceEnd{
-		Id: id, LatencyUs: end.Latency.Microseconds(), Cancelled: end.IsCancelled,
-		Bytes: int64(end.Bytes), Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
-	}
-	if end.HasReport {
-		encoded.Report = &api.LoadReport{
-			Running: uint32(end.Report.Running), Queued: uint32(end.Report.Queued), Slowness: end.Report.Slowness,
-		}
-	}
-	return encoded
-}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -96,6 +96,7 @@
 // answer within the objective it lets the call wait for one, or refuses it at
 // once when the wait would be in vain.
 func (d *Dispatcher) Place(ctx context.Context, r Request) (Grant, error) {
+	arrived := time.Now()
 	wait := &waiter{dispatcher: d}
 	defer wait.end()
 	isLate := false
@@ -106,6 +107,7 @@
 		case err != nil:
 			return Grant{}, err
 		case verdict == loadbalancer.Send:
+			grant.Waited = time.Since(arrived)
 			return grant, nil
 		case verdict == loadbalancer.Refuse || r.Extra:
 			return Grant{}, Refusal{Reason: outcome.NoUpstream}
@@ -139,7 +141,7 @@
 	}
 	d.backlog.Sent(now)
 	d.balancer.Sent(now, choice)
-	return Grant{Upstream: choice.Name, end: func(end End) { d.end(choice, end) }}, verdict, nil
+	return Grant{Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM, end: func(end End) { d.end(choice, end) }}, verdict, nil
 }
 
 // end records how a send ended.
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -34,7 +34,12 @@
 // Grant is the upstream that a send goes to.
 type Grant struct {
 	Upstream string
-	end      func(End)
+	Basis    loadbalancer.Basis
+	// PlacedBy is the VM that chose the upstream.
+	PlacedBy string
+	// Waited is how long the call waited to be placed.
+	Waited time.Duration
+	end    func(End)
 }
 
 // End tells how the send ended. Each Grant has one End.
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -95,7 +95,7 @@
 func (r *Router) dial(vm VM) {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
-	client, err := Dial(ctx, vm.Address, r.dialer)
+	client, err := Dial(ctx, vm, r.dialer)
 	r.mu.Lock()
 	delete(r.dialing, vm)
 	if err != nil {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -8,8 +8,6 @@
 	"github.com/go-faster/errors"
 
 	api "github.com/figfront/figfront/api/exchange"
-	"github.com/figfront/figfront/internal/callheader"
-	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 )
 
@@ -155,7 +153,7 @@
 	if !s.recordGrant(call.GetId(), served, grant) {
 		return
 	}
-	s.reply(&api.PlaceReply{Id: call.GetId(), Upstream: grant.Upstream})
+	s.reply(&api.PlaceReply{Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant)})
 }
 
 // replyReason returns the reason that a VM is told.
@@ -233,35 +231,3 @@
 		s.cancel()
 	}
 }
-
-// decodeCall returns the request of another VM's call that has just arrived.
-func decodeCall(call *api.PlaceCall, arrived time.Time) Request {
-	return Request{
-		Zone:      call.GetZone(),
-		Bulk:      call.GetBulk(),
-		Bytes:     int(call.GetBytes()),
-		NoTrial:   call.GetNoTrial(),
-		Tried:     call.GetTried(),
-		Objective: arrived.Add(time.Duration(call.GetObjectiveUs()) * time.Microsecond),
-		Deadline:  arrived.Add(time.Duration(call.GetDeadlineUs()) * time.Microsecond),
-		Extra:     call.GetExtra(),
-	}
-}
-
-func decodeEnd(end *api.PlaceEnd) End {
-	report := end.GetReport()
-	return End{
-		IsCancelled: end.GetCancelled(),
-		Result: loadbalancer.Result{
-			Latency:  time.Duration(end.GetLatencyUs()) * time.Microsecond,
-			Bytes:    int(end.GetBytes()),
-			Failed:   end.GetFailed(),
-			Shed:     end.GetShed(),
-			Draining: end.GetDraining(),
-			Report: callheader.Report{
-				Running: int(report.GetRunning()), Queued: int(report.GetQueued()), Slowness: report.GetSlowness(),
-			},
-			HasReport: report != nil,
-		},
-	}
-}
--- /dev/null
+++ b/internal/dispatch/wire.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"time"
+
+	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/loadbalancer"
+)
+
+// encodeCall returns the message of a call that is to be placed.
+func encodeCall(id uint64, service string, r Request, now time.Time) *api.PlaceCall {
+	return &api.PlaceCall{
+		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
+		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra,
+		Bytes: int64(r.Bytes),
+	}
+}
+
+// encodeEnd returns the message of the end of a send.
+func encodeEnd(id uint64, end End) *api.PlaceEnd {
+	encoded := &api.PlaceEnd{
+		Id: id, LatencyUs: end.Latency.Microseconds(), Cancelled: end.IsCancelled,
+		Bytes: int64(end.Bytes), Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
+	}
+	if end.HasReport {
+		encoded.Report = &api.LoadReport{
+			Running: uint32(end.Report.Running), Queued: uint32(end.Report.Queued), Slowness: end.Report.Slowness,
+		}
+	}
+	return encoded
+}
+
+// decodeCall returns the request of another VM's call that has just arrived.
+func decodeCall(call *api.PlaceCall, arrived time.Time) Request {
+	return Request{
+		Zone:      call.GetZone(),
+		Bulk:      call.GetBulk(),
+		Bytes:     int(call.GetBytes()),
+		NoTrial:   call.GetNoTrial(),
+		Tried:     call.GetTried(),
+		Objective: arrived.Add(time.Duration(call.GetObjectiveUs()) * time.Microsecond),
+		Deadline:  arrived.Add(time.Duration(call.GetDeadlineUs()) * time.Microsecond),
+		Extra:     call.GetExtra(),
+	}
+}
+
+// decodeEnd returns the end of another VM's send.
+func decodeEnd(end *api.PlaceEnd) End {
+	report := end.GetReport()
+	return End{
+		IsCancelled: end.GetCancelled(),
+		Result: loadbalancer.Result{
+			Latency:  time.Duration(end.GetLatencyUs()) * time.Microsecond,
+			Bytes:    int(end.GetBytes()),
+			Failed:   end.GetFailed(),
+			Shed:     end.GetShed(),
+			Draining: end.GetDraining(),
+			Report: callheader.Report{
+				Running: int(report.GetRunning()), Queued: int(report.GetQueued()), Slowness: report.GetSlowness(),
+			},
+			HasReport: report != nil,
+		},
+	}
+}
+
+func encodeBasis(grant Grant) *api.PlaceBasis {
+	return &api.PlaceBasis{
+		Load: grant.Basis.Load, Slowness: grant.Basis.Slowness, AgeUs: grant.Basis.Age.Microseconds(),
+		ExpectedUs: grant.Basis.Expected.Microseconds(), WaitedUs: grant.Waited.Microseconds(),
+	}
+}
+
+func decodeBasis(basis *api.PlaceBasis) loadbalancer.Basis {
+	return loadbalancer.Basis{
+		Load: basis.GetLoad(), Slowness: basis.GetSlowness(),
+		Age:      time.Duration(basis.GetAgeUs()) * time.Microsecond,
+		Expected: time.Duration(basis.GetExpectedUs()) * time.Microsecond,
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -69,6 +69,7 @@
 		if err != nil {
 			return err
 		}
+		defer parts.Close()
 		e, err := newEntry(settings, adapt(settings), parts)
 		if err != nil {
 			return err
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -84,7 +84,9 @@
 // exchange sends the call once with body and reads the answer. ctx ends the
 // send; it is the call's own context or one below it.
 func (c *call) exchange(ctx context.Context, sent send, body requestBody) attemptResult {
+	place := c.trail.begin(sent)
 	result := c.exchangeOnce(ctx, sent, body)
+	c.trail.end(place, time.Since(sent.started), result)
 	if result.outcome != outcome.NotRun {
 		c.state.fire(eventMayHaveRun)
 	}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -41,6 +41,8 @@
 	attempts int
 	// state follows the call along its chart.
 	state *callState
+	// trail records the sends for the log.
+	trail *trail
 	// informational passes interim answers on.
 	informational *informational
 }
@@ -50,7 +52,7 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), informational: &informational{}, state: newCallState()}
+	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), informational: &informational{}, trail: &trail{}, state: newCallState()}
 	c.watchBody()
 	return c
 }
@@ -97,6 +99,14 @@
 	if upstream != "" {
 		args = append(args, telemetry.FieldUpstream, upstream)
 	}
+	if c.route.isSite {
+		args = append(args,
+			"route", c.route.rule.name, telemetry.FieldRevision, c.route.revision,
+			"objective_ms", c.route.rule.objective.Milliseconds(), "deadline_ms", c.deadline.Sub(c.arrived).Milliseconds())
+	}
+	if sends := c.trail.records(); len(sends) > 0 {
+		args = append(args, "sends", sends)
+	}
 	if reason != "" {
 		args = append(args, telemetry.FieldReason, string(reason))
 	}
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -21,6 +21,8 @@
 	path string
 	// isSite tells that the route is one of a site.
 	isSite bool
+	// revision is that of the site's configuration that the route is from.
+	revision uint64
 }
 
 func newRouteTable(teams map[string]*team) *routeTable {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -55,6 +55,8 @@
 // rule is the running state of one kind of traffic.
 type rule struct {
 	settings dynamic.Rule
+	// name is that of a site's route.
+	name string
 	// maxSends limits the upstreams that one call is sent to; 0 means no limit.
 	maxSends int
 	// objective is the latency within which an answer is worth most.
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -160,9 +160,10 @@
 
 // siteRoute is one route of a site in force.
 type siteRoute struct {
-	prefix string
-	rule   *rule
-	split  *split
+	prefix   string
+	revision uint64
+	rule     *rule
+	split    *split
 }
 
 func newHostRoutes(c site.Config, services map[string]*service) hostRoutes {
@@ -175,13 +176,15 @@
 			}
 		}
 		hosts[r.Host] = append(hosts[r.Host], &siteRoute{
-			prefix: r.Prefix,
-			split:  &split{targets: targets},
+			prefix:   r.Prefix,
+			revision: c.Version,
+			split:    &split{targets: targets},
 			rule: &rule{
 				settings: dynamic.Rule{
 					Traffic: r.Traffic, PathPrefix: r.Prefix, Deadline: r.Timeout,
 					Hedge: r.Traffic == dynamic.Lookup, MaxBody: c.Limits.MaxBodyBytes,
 				},
+				name:      r.Name,
 				maxSends:  r.MaxSends,
 				objective: r.Objective,
 				priority:  r.Priority,
@@ -203,7 +206,7 @@
 			continue
 		}
 		s, ok := candidate.split.next()
-		return route{service: s, rule: candidate.rule, path: path, isSite: true}, ok
+		return route{service: s, rule: candidate.rule, path: path, isSite: true, revision: candidate.revision}, ok
 	}
 	return route{}, false
 }
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -50,10 +50,9 @@
 	Address string
 	// Bulk is that of the Request.
 	Bulk bool
-	// load and slowness are those of the upstream when it was chosen;
-	// isLoadKnown tells whether they were known and not assumed.
-	load        float64
-	slowness    float64
+	// Basis is what the choice rests on; only Place sets it.
+	Basis Basis
+	// isLoadKnown tells whether load and slowness were known and not assumed.
 	isLoadKnown bool
 }
 
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -13,6 +13,18 @@
 	Deadline time.Duration
 }
 
+// Basis is what the choice of an upstream rests on.
+type Basis struct {
+	// Load counts the calls at the upstream.
+	Load float64
+	// Slowness is how long work takes there, as a multiple of the usual.
+	Slowness float64
+	// Age is the age of the upstream's last report; negative when there was none.
+	Age time.Duration
+	// Expected is the expected time until the answer; 0 while it is not known.
+	Expected time.Duration
+}
+
 // Verdict is the decision on a call at one moment.
 type Verdict int
 
@@ -152,8 +164,15 @@
 // placed returns the choice of an upstream with what was known of it.
 func (b *Balancer) placed(e *entry, at time.Duration, request Request) Choice {
 	choice := e.choice(request)
-	choice.load = b.callLoad(e, at)
-	choice.slowness = b.expectedSlowness(e, at)
+	choice.Basis = Basis{
+		Load:     b.callLoad(e, at),
+		Slowness: b.expectedSlowness(e, at),
+		Age:      at - e.reportedAt,
+		Expected: time.Duration(b.placeCost(e, at) * float64(b.pace.unit)),
+	}
+	if e.reportedAt == 0 {
+		choice.Basis.Age = -1
+	}
 	choice.isLoadKnown = e.isFresh(at, knownAge) && e.phase == phaseReady && at >= e.coldUntil
 	return choice
 }
@@ -161,7 +180,7 @@
 // learnPlaced takes the latency of an answer of an upstream that Place chose.
 func (b *Balancer) learnPlaced(choice Choice, latency time.Duration) {
 	if choice.isLoadKnown {
-		b.pace.learn(choice.load, choice.slowness, latency)
+		b.pace.learn(choice.Basis.Load, choice.Basis.Slowness, latency)
 	}
 }
 
--- a/internal/process/parts.go
+++ b/internal/process/parts.go
@@ -19,20 +19,39 @@
 	Log      hclog.Logger
 	Counters *telemetry.Counters
 	Life     *Life
+
+	lines  *telemetry.LineWriter
+	endLog context.CancelFunc
 }
 
+// logFlushTime is how long a process that ends waits for its last log lines to
+// be read.
+const logFlushTime = 200 * time.Millisecond
+
 // NewParts returns the parts of the process called name: a log on standard
-// error, published counters and the life of the process. It returns an error
+// output, published counters and the life of the process. It returns an error
 // when a chart is at fault. A process calls it once.
 func NewParts(name, logLevel string) (Parts, error) {
-	log := telemetry.NewLogger(name, logLevel, os.Stderr)
+	counters := telemetry.NewCounters()
+	counters.Publish(countersName)
+	lines := telemetry.NewLineWriter(os.Stdout, counters)
+	log := telemetry.NewLogger(name, logLevel, lines)
 	life, err := NewLife(log)
 	if err != nil {
 		return Parts{}, errors.Wrap(err, "load charts")
 	}
-	counters := telemetry.NewCounters()
-	counters.Publish(countersName)
-	return Parts{Log: log, Counters: counters, Life: life}, nil
+	ctx, cancel := context.WithCancel(context.Background())
+	go lines.Run(ctx)
+	return Parts{Log: log, Counters: counters, Life: life, lines: lines, endLog: cancel}, nil
+}
+
+// Close writes the last log lines.
+func (p Parts) Close() {
+	p.endLog()
+	select {
+	case <-p.lines.Ended():
+	case <-time.After(logFlushTime):
+	}
 }
 
 // StopAtEnd runs a planned stop of the server when ctx ends, which is when the
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -37,6 +37,7 @@
 	GroupPeers    = "peers"
 	GroupStore    = "store"
 	GroupDispatch = "dispatch"
+	GroupLog      = "log"
 )
 
 func (c *Counters) group(name string) *expvar.Map {
