Keep idle connections to a site's upstreams 4 s, a team's 2 s again

Cause: 8 s let a booking go over a connection idle for 4 s (TestBookingAvoidsOldConnections failed).

--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -150,7 +150,7 @@
 		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replyReason(err)})
 		return
 	}
-	if !s.recordGrant(call.GetId(), served, grant) {
+	if !s.recordGrant(served, grant) {
 		return
 	}
 	s.reply(&api.PlaceReply{Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant)})
@@ -167,7 +167,7 @@
 
 // recordGrant keeps the grant until the call ends. It returns false when it has
 // ended already.
-func (s *serverStream) recordGrant(id uint64, served *servedCall, grant Grant) bool {
+func (s *serverStream) recordGrant(served *servedCall, grant Grant) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if served.isEnded {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -47,15 +47,14 @@
 func (l *loop) run(ctx context.Context, take func(platform.Snapshot)) error {
 	for ctx.Err() == nil {
 		snapshot, err := l.source.Next(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err != nil {
+		switch {
+		case ctx.Err() != nil:
+		case err != nil:
 			l.failed(ctx, err)
-			continue
+		default:
+			l.succeeded()
+			take(snapshot)
 		}
-		l.succeeded()
-		take(snapshot)
 	}
 	return nil
 }
--- a/internal/gateway/resend_test.go
+++ b/internal/gateway/resend_test.go
@@ -74,7 +74,7 @@
 }
 
 func gatewayTransport(network *pipenet.Network) *http.Transport {
-	return newTransport(resendAddress, 2, network.Dial, nil).http
+	return newTransport(resendAddress, 2, idleConnTimeout, network.Dial, nil).http
 }
 
 // TestTransportResendsABookingByItself shows the fault that opaqueBody is for:
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -23,11 +23,13 @@
 
 // service is the running state of one service on this VM.
 type service struct {
-	team     string
-	name     string
-	dial     DialFunc
-	wrap     WrapFunc
-	counters *telemetry.Counters
+	team string
+	name string
+	dial DialFunc
+	wrap WrapFunc
+	// idleTimeout closes a connection to an upstream that carried nothing.
+	idleTimeout time.Duration
+	counters    *telemetry.Counters
 	// dispatcher places the calls of a site's service; nil for a team's.
 	dispatcher *dispatch.Dispatcher
 	// endPolls ends the dispatcher's questions to upstreams.
@@ -69,14 +71,15 @@
 	id := xxhash.Sum64String(teamName + "/" + name)
 	random := rand.New(rand.NewPCG(options.Seed, id))
 	s := &service{
-		team:      teamName,
-		name:      name,
-		dial:      options.Dial,
-		wrap:      options.WrapTransport,
-		counters:  options.Counters,
-		admission: newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
-		limits:    newUpstreamLimits(),
-		watch:     newUpstreamWatch(),
+		team:        teamName,
+		name:        name,
+		dial:        options.Dial,
+		wrap:        options.WrapTransport,
+		idleTimeout: idleConnTimeout,
+		counters:    options.Counters,
+		admission:   newAdmission(rand.New(rand.NewPCG(options.Seed+1, id))),
+		limits:      newUpstreamLimits(),
+		watch:       newUpstreamWatch(),
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, SubsetSize: options.SubsetSize,
 		}, random),
@@ -128,7 +131,7 @@
 		s.addresses[u.Name] = u.Address
 		known, ok := s.transports[u.Address]
 		if !ok || known.maxConnections != u.MaxConnections {
-			known = newTransport(u.Address, u.MaxConnections, s.dial, s.wrap)
+			known = newTransport(u.Address, u.MaxConnections, s.idleTimeout, s.dial, s.wrap)
 		}
 		transports[u.Address] = known
 	}
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -80,6 +80,7 @@
 // newSiteService returns a service of the site without upstreams.
 func (g *Gateway) newSiteService(name string) *service {
 	s := newService(siteTeam, name, g.options)
+	s.idleTimeout = siteIdleConnTimeout
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
 		VM: g.options.VM, Zone: g.options.Zone, Ask: s.ask,
 		AsksPerSecond: g.options.AsksPerSecond, RetryShare: siteRetryShare, Counters: g.options.Counters,
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -19,7 +19,10 @@
 	// idleConnTimeout closes a connection that carried nothing. It is short,
 	// so that a call goes only over a connection that carried bytes lately or
 	// over a new one: an older one may have gone silent.
-	idleConnTimeout = 8 * time.Second
+	idleConnTimeout = 2 * time.Second
+	// siteIdleConnTimeout is that at a site, whose upstreams charge for new
+	// connections with a slot's time.
+	siteIdleConnTimeout = 4 * time.Second
 	// continueTimeout is how long an upload waits for the upstream's consent
 	// before its body is sent.
 	continueTimeout = 300 * time.Millisecond
@@ -39,7 +42,9 @@
 	calls http.RoundTripper
 }
 
-func newTransport(address string, maxConnections int, dial DialFunc, wrap WrapFunc) *transport {
+func newTransport(
+	address string, maxConnections int, idle time.Duration, dial DialFunc, wrap WrapFunc,
+) *transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
@@ -51,7 +56,7 @@
 			DisableCompression:     true,
 			MaxIdleConnsPerHost:    maxConnections,
 			MaxConnsPerHost:        maxConnections,
-			IdleConnTimeout:        idleConnTimeout,
+			IdleConnTimeout:        idle,
 			ExpectContinueTimeout:  continueTimeout,
 			MaxResponseHeaderBytes: maxAnswerHeaderBytes,
 			Proxy:                  nil,
