Let a VM that starts while the store is away learn from its seeds

Every VM keeps the newest readings that it knows for others; a VM that starts asks the seeds of its settings beside the store.

--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -20,6 +20,8 @@
 	Operators string
 	// Exchange is where the other VMs reach this one.
 	Exchange string
+	// Seeds are addresses at which a few other VMs may be reached.
+	Seeds []string
 	// Store is the address of the platform's store.
 	Store string
 	// Heartbeat is the time between two writes of an upstream's entry.
@@ -50,6 +52,7 @@
 	section.RequiredAddress("ready", &e.Ready)
 	section.RequiredAddress("operators", &e.Operators)
 	section.RequiredAddress("exchange", &e.Exchange)
+	section.Addresses("seeds", &e.Seeds)
 	section.RequiredAddress("store", &e.Store)
 	section.Float("asks_per_second", &e.AsksPerSecond, 60, 0, 10000)
 	section.Duration("heartbeat", &e.Heartbeat, 1500*time.Millisecond, 100*time.Millisecond, time.Minute)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -24,6 +24,9 @@
 const (
 	topicBeat    = "mesh_beat"
 	topicRecords = "mesh_records"
+	// topicKnown carries the newest reading that a VM knows, whoever read it, for
+	// a VM that starts while the store is away.
+	topicKnown = "mesh_known"
 )
 
 // Times of the mesh.
@@ -48,6 +51,9 @@
 	Zone string
 	// Address is where the other VMs reach this one, as IP:port.
 	Address string
+	// Seeds are addresses of VMs that a VM asks at its start for what they know;
+	// any of them may be gone.
+	Seeds []string
 	// Count takes the number of live VMs of the site.
 	Count    func(vms int)
 	Log      hclog.Logger
@@ -108,6 +114,11 @@
 	group, ctx := errgroup.WithContext(ctx)
 	group.Go(func() error { return exchange.ServeDispatch(ctx, listener, m, m.options.Dispatch) })
 	group.Go(func() error { return m.beat(ctx) })
+	for _, seed := range m.options.Seeds {
+		if seed != m.options.Address {
+			group.Go(func() error { return m.askSeed(ctx, seed) })
+		}
+	}
 	return group.Wait()
 }
 
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -132,10 +132,19 @@
 	s.own = &snapshot
 	s.heardAt = time.Now()
 	s.mu.Unlock()
-	s.mesh.publish(topicRecords, s.name, encodeSnapshot(snapshot))
+	encoded := encodeSnapshot(snapshot)
+	s.mesh.publish(topicRecords, s.name, encoded)
+	s.mesh.publish(topicKnown, s.name, encoded)
 	return snapshot, nil
 }
 
+// isRead tells whether there is a reading of the set.
+func (s *RecordSet) isRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.own != nil
+}
+
 // read returns the rows as they are now. A fed set waits for a change of what is
 // known.
 func (s *RecordSet) read(ctx context.Context, own *platform.Snapshot) (platform.Snapshot, error) {
@@ -176,6 +185,7 @@
 	}
 	if set, ok := m.sets[message.GetKey()]; ok {
 		set.offer(decodeSnapshot(&encoded))
+		m.publish(topicKnown, message.GetKey(), &encoded)
 	}
 	return nil
 }
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -81,6 +81,53 @@
 	return heard, err
 }
 
+// seedTime limits the time for which a VM listens to a seed, and seedRounds how
+// often it turns to it.
+const (
+	seedTime   = 500 * time.Millisecond
+	seedRounds = 20
+)
+
+// askSeed takes what a VM knows until every record set has been read once.
+func (m *Mesh) askSeed(ctx context.Context, address string) error {
+	for range seedRounds {
+		if m.isComplete() {
+			return nil
+		}
+		m.listenToSeed(ctx, address)
+		select {
+		case <-time.After(reconnectPause):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) listenToSeed(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, seedTime)
+	defer cancel()
+	client := exchange.NewClient(address, m.options.Dialer)
+	err := client.Stream(ctx, m.options.VM, []string{topicKnown}, func(message *api.Message) {
+		if err := m.receiveRecords(message); err != nil {
+			m.options.Counters.Add(telemetry.GroupPeers, "message_malformed", 1)
+		}
+	})
+	if err != nil && ctx.Err() == nil {
+		m.options.Counters.Add(telemetry.GroupPeers, "seed_unreachable", 1)
+	}
+}
+
+// isComplete tells whether every record set has been read once.
+func (m *Mesh) isComplete() bool {
+	for _, set := range m.sets {
+		if !set.isRead() {
+			return false
+		}
+	}
+	return true
+}
+
 // missed records that a neighbour can't be reached.
 func (m *Mesh) missed(vm string) {
 	m.mu.Lock()
