--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -181,8 +181,8 @@
 	return d.balancer.Unit()
 }
 
-// remoteCall records that a call of another VM has come.
-func (d *Dispatcher) remoteCall(now time.Time) {
+// RemoteCall records that a call of another VM has come.
+func (d *Dispatcher) RemoteCall(now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.remoteAt = now
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -127,7 +127,7 @@
 	s.mu.Lock()
 	s.calls[call.GetId()] = served
 	s.mu.Unlock()
-	dispatcher.remoteCall(served.arrived)
+	dispatcher.RemoteCall(served.arrived)
 	go s.placeCall(ctx, dispatcher, call, served)
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -213,8 +213,8 @@
 	m.options.Count(live)
 }
 
-// isReader tells whether this VM reads the store for its zone.
-func (m *Mesh) isReader() bool {
+// IsReader tells whether this VM reads the store for its zone.
+func (m *Mesh) IsReader() bool {
 	now := time.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -96,7 +96,7 @@
 // untilOwnCall returns the time until this VM has to call the store; it is
 // looked at again at least each roleCheck.
 func (s *RecordSet) untilOwnCall() time.Duration {
-	isReader := s.mesh.isReader()
+	isReader := s.mesh.IsReader()
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
