Test a site at the gateway, and end its polls when the gateway closes

Cause: the polls of a gateway that was closed went on (found by the tests of the site: goroutines left in the bubble).

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -190,7 +190,7 @@
 	c.serve(route)
 }
 
-// Close closes the idle connections to all upstreams.
+// Close ends the polls of a site and closes the idle connections to all upstreams.
 func (g *Gateway) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -200,6 +200,6 @@
 		}
 	}
 	for _, s := range g.site.services {
-		s.close()
+		s.closeSite()
 	}
 }
--- /dev/null
+++ b/internal/gateway/site_test.go
@@ -0,0 +1,367 @@
+package gateway_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/dispatch"
+	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/pipenet"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// siteBench is a gateway that serves a site whose upstreams a test plays.
+type siteBench struct {
+	network  *pipenet.Network
+	counters *telemetry.Counters
+	gateway  *gateway.Gateway
+	client   *http.Client
+	servers  []*http.Server
+
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+const (
+	siteHost   = "shop.example"
+	siteTime   = 800 * time.Millisecond
+	siteAim    = 200 * time.Millisecond
+	siteBodies = 1000
+)
+
+// siteConfig has a route of each kind of traffic to service a, and one that is
+// split between a and b.
+func siteConfig(version uint64) site.Config {
+	route := func(prefix string, traffic dynamic.Traffic, targets ...site.Target) site.Route {
+		return site.Route{
+			Name: prefix, Host: siteHost, Prefix: prefix, Traffic: traffic, Timeout: siteTime, Objective: siteAim,
+			MaxSends: 2, Targets: targets,
+		}
+	}
+	return site.Config{
+		Version:  version,
+		Limits:   site.Limits{MaxBodyBytes: siteBodies},
+		Services: []site.Service{{Name: "a", HealthPath: "/health", MaxConnections: 50}, {Name: "b", HealthPath: "/health", MaxConnections: 50}},
+		Routes: []site.Route{
+			route("/look/", dynamic.Lookup, site.Target{Service: "a", Weight: 1}),
+			route("/look/deep/", dynamic.Lookup, site.Target{Service: "b", Weight: 1}),
+			route("/book/", dynamic.Booking, site.Target{Service: "a", Weight: 1}),
+			route("/up/", dynamic.Upload, site.Target{Service: "a", Weight: 1}),
+			route("/split/", dynamic.Lookup, site.Target{Service: "a", Weight: 90}, site.Target{Service: "b", Weight: 10}),
+		},
+	}
+}
+
+// withSite runs a test with two upstreams of each service, which serve calls with
+// handler.
+func withSite(t *testing.T, handler func(b *siteBench, w http.ResponseWriter, r *http.Request), run func(g *WithT, b *siteBench)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		b := &siteBench{network: pipenet.New(), counters: telemetry.NewCounters(), runs: make(map[string]int)}
+		own := func(string, func(string) bool) (dispatch.VM, bool) { return dispatch.VM{}, false }
+		b.gateway = gateway.New(gateway.Options{
+			VM: "vm", Zone: "z", Log: hclog.NewNullLogger(), Counters: b.counters, Dial: b.network.Dial, Seed: 1,
+			Router: dispatch.NewRouter(own, nil, hclog.NewNullLogger(), b.counters),
+		})
+		b.servers = append(b.servers, b.network.Serve(gatewayAddress, b.gateway))
+		for _, u := range siteUpstreams() {
+			b.servers = append(b.servers, b.network.Serve(u.Address, b.upstream(u, handler)))
+		}
+		b.client = &http.Client{Transport: &http.Transport{DialContext: b.network.Dial}}
+		run(NewWithT(t), b)
+		b.client.CloseIdleConnections()
+		b.gateway.Close()
+		for _, server := range b.servers {
+			_ = server.Close()
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
+func siteUpstreams() []site.Upstream {
+	var upstreams []site.Upstream
+	for i, service := range []string{"a", "a", "b", "b"} {
+		upstreams = append(upstreams, site.Upstream{
+			Name: fmt.Sprintf("%s%d", service, i), Service: service, Address: fmt.Sprintf("10.0.2.%d:80", i), Zone: "z", Slots: 2,
+		})
+	}
+	return upstreams
+}
+
+// upstream serves calls with handler and counts them; questions for its health
+// are answered at once.
+func (b *siteBench) upstream(u site.Upstream, handler func(*siteBench, http.ResponseWriter, *http.Request)) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(callheader.Load, callheader.Report{Slowness: 1}.String())
+		if r.URL.Path == "/health" {
+			return
+		}
+		_, _ = io.Copy(io.Discard, r.Body)
+		b.mu.Lock()
+		b.runs[u.Service]++
+		b.mu.Unlock()
+		handler(b, w, r)
+	})
+}
+
+func (b *siteBench) count(service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.runs[service]
+}
+
+// start puts the site in force.
+func (b *siteBench) start() {
+	b.gateway.ApplySite(siteConfig(1))
+	b.gateway.SetUpstreams(siteUpstreams())
+}
+
+// call sends a request and returns its answer.
+func (b *siteBench) call(method, path, body string) answer {
+	r, err := http.NewRequest(method, "http://"+gatewayAddress+path, strings.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	r.Host = siteHost
+	return sendWith(b.client, r)
+}
+
+// respond answers at once.
+func respond(_ *siteBench, w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "done")
+}
+
+func TestSiteRoutesByHostAndLongestPrefix(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		g.Expect(b.call(http.MethodGet, "/look/1", "").status).To(Equal(http.StatusServiceUnavailable), "no configuration yet")
+		b.start()
+		g.Expect(b.call(http.MethodGet, "/look/1?x=%2F&", "").status).To(Equal(http.StatusOK))
+		g.Expect(b.count("a")).To(Equal(1))
+		g.Expect(b.call(http.MethodGet, "/look/deep/1", "").status).To(Equal(http.StatusOK))
+		g.Expect(b.count("b")).To(Equal(1))
+		g.Expect(b.call(http.MethodGet, "/look", "").status).To(Equal(http.StatusNotFound))
+		g.Expect(b.call(http.MethodGet, "/other/", "").status).To(Equal(http.StatusNotFound))
+	})
+}
+
+func TestSplitFollowsItsWeights(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		b.start()
+		for range 200 {
+			g.Expect(b.call(http.MethodGet, "/split/x", "").status).To(Equal(http.StatusOK))
+		}
+		g.Expect(b.count("a")).To(Equal(180))
+		g.Expect(b.count("b")).To(Equal(20))
+	})
+}
+
+func TestOlderConfigurationIsNotPutInForce(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		b.start()
+		newer := siteConfig(7)
+		newer.Routes = newer.Routes[:1]
+		g.Expect(b.gateway.ApplySite(newer)).To(BeTrue())
+		g.Expect(b.gateway.ApplySite(siteConfig(6))).To(BeFalse())
+		g.Expect(b.gateway.ApplySite(siteConfig(7))).To(BeFalse())
+		g.Expect(b.call(http.MethodPost, "/book/1", "x").status).To(Equal(http.StatusNotFound))
+	})
+}
+
+func TestLeavingUpstreamOfASiteGetsNoCall(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		b.start()
+		b.gateway.SetUpstreams(siteUpstreams()[2:])
+		got := b.call(http.MethodGet, "/look/1", "")
+		g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(got.header.Get(outcome.HeaderOutcome)).To(Equal(string(outcome.NotRun)))
+		g.Expect(b.count("a")).To(BeZero())
+	})
+}
+
+// TestUpstreamThatIsSilentWhileItWorks covers a lookup over a kept connection
+// that carries nothing for more than half of the call's time: the upstream works,
+// and its work is not cut off.
+func TestUpstreamThatIsSilentWhileItWorks(t *testing.T) {
+	var cut atomic.Int32
+	work := func(_ *siteBench, w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-time.After(600 * time.Millisecond):
+			_, _ = io.WriteString(w, "done")
+		case <-r.Context().Done():
+			cut.Add(1)
+		}
+	}
+	withSite(t, work, func(g *WithT, b *siteBench) {
+		b.start()
+		for range 6 {
+			g.Expect(b.call(http.MethodGet, "/look/1", "").status).To(Equal(http.StatusOK))
+		}
+		g.Expect(cut.Load()).To(BeZero())
+	})
+}
+
+// TestRequestIsSentOnceOverABrokenConnection covers upstreams that close a kept
+// connection when a request comes: figfront counts each send, and net/http sends
+// none by itself.
+func TestRequestIsSentOnceOverABrokenConnection(t *testing.T) {
+	var isBroken atomic.Bool
+	breaks := func(_ *siteBench, w http.ResponseWriter, _ *http.Request) {
+		if isBroken.Load() {
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = io.WriteString(w, "done")
+	}
+	for _, method := range []string{http.MethodGet, http.MethodPost} {
+		withSite(t, breaks, func(g *WithT, b *siteBench) {
+			isBroken.Store(false)
+			b.start()
+			path := map[string]string{http.MethodGet: "/look/1", http.MethodPost: "/book/1"}[method]
+			for range 40 {
+				g.Expect(b.call(method, path, "").status).To(Equal(http.StatusOK))
+			}
+			before := b.count("a")
+			isBroken.Store(true)
+			g.Expect(b.call(method, path, "").status).To(Equal(http.StatusBadGateway))
+			sent := b.counters.Get(telemetry.GroupAttempts, "lookup") + b.counters.Get(telemetry.GroupAttempts, "booking")
+			g.Expect(b.count("a")).To(Equal(int(sent)), "every request that arrives was counted as a send")
+			if method == http.MethodPost {
+				g.Expect(b.count("a") - before).To(Equal(1))
+			}
+		})
+	}
+}
+
+// TestShedCallGoesToOneMoreUpstream covers upstreams that refuse every call: it
+// is offered to as many as its route allows and told as not run.
+func TestShedCallGoesToOneMoreUpstream(t *testing.T) {
+	shed := func(_ *siteBench, w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(callheader.Shed, "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	withSite(t, shed, func(g *WithT, b *siteBench) {
+		b.start()
+		got := b.call(http.MethodPost, "/book/1", "x")
+		g.Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(got.header.Get(outcome.HeaderOutcome)).To(Equal(string(outcome.NotRun)))
+		g.Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		g.Expect(b.count("a")).To(Equal(2))
+	})
+}
+
+func TestSiteAnswersByTheRoutesTimeout(t *testing.T) {
+	hang := func(_ *siteBench, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
+	withSite(t, hang, func(g *WithT, b *siteBench) {
+		b.start()
+		start := time.Now()
+		got := b.call(http.MethodPost, "/book/1", "x")
+		g.Expect(got.status).To(Equal(http.StatusGatewayTimeout))
+		g.Expect(time.Since(start)).To(BeNumerically("~", siteTime, 5*time.Millisecond))
+		g.Expect(b.count("a")).To(Equal(1), "it may have run and is not sent again")
+	})
+}
+
+func TestOversizedBodyReachesNoUpstream(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		b.start()
+		g.Expect(b.call(http.MethodPost, "/up/1", strings.Repeat("x", siteBodies+1)).status).
+			To(Equal(http.StatusRequestEntityTooLarge))
+		g.Expect(b.count("a")).To(BeZero())
+		g.Expect(b.call(http.MethodPost, "/up/1", strings.Repeat("x", siteBodies)).status).To(Equal(http.StatusOK))
+	})
+}
+
+// TestRefusedCallersReturnSpreadOut plays a service without upstreams: the times
+// after which callers may come back lie within the objective and apart.
+func TestRefusedCallersReturnSpreadOut(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		b.gateway.ApplySite(siteConfig(1))
+		b.gateway.SetUpstreams(nil)
+		seen := make(map[string]bool)
+		for range 50 {
+			got := b.call(http.MethodPost, "/book/1", "x")
+			after, err := time.ParseDuration(got.header.Get(outcome.HeaderRetryAfterMs) + "ms")
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(after).To(BeNumerically(">", 0))
+			g.Expect(after).To(BeNumerically("<=", siteAim/4))
+			seen[got.header.Get(outcome.HeaderRetryAfterMs)] = true
+		}
+		g.Expect(len(seen)).To(BeNumerically(">", 10))
+	})
+}
+
+// TestBookingsRunAtMostOnceAtASite plays upstreams that shed, break off, run and
+// fail at random, and compares what callers were told with what ran.
+func TestBookingsRunAtMostOnceAtASite(t *testing.T) {
+	for seed := range uint64(10) {
+		random := rand.New(rand.NewPCG(seed, 5))
+		var mu sync.Mutex
+		ran := make(map[string]int)
+		trouble := func(_ *siteBench, w http.ResponseWriter, r *http.Request) {
+			mu.Lock()
+			fate := random.IntN(5)
+			if fate != 0 {
+				ran[r.URL.Path]++
+			}
+			mu.Unlock()
+			switch fate {
+			case 0:
+				w.Header().Set(callheader.Shed, "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+			case 1:
+				panic(http.ErrAbortHandler)
+			case 2:
+				w.WriteHeader(http.StatusInternalServerError)
+			default:
+				_, _ = io.WriteString(w, "done")
+			}
+		}
+		withSite(t, trouble, func(g *WithT, b *siteBench) {
+			b.start()
+			for i := range 200 {
+				path := fmt.Sprintf("/book/%d", i)
+				got := b.call(http.MethodPost, path, "x")
+				g.Expect(ran[path]).To(BeNumerically("<=", 1), "%s ran twice", path)
+				if got.header.Get(outcome.HeaderOutcome) == string(outcome.NotRun) {
+					g.Expect(ran[path]).To(BeZero(), "%s was told as not run", path)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestCallerThatLeavesEndsTheWorkAtASite covers a caller that gives up.
+func TestCallerThatLeavesEndsTheWorkAtASite(t *testing.T) {
+	var cut atomic.Int32
+	hang := func(_ *siteBench, _ http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		cut.Add(1)
+	}
+	withSite(t, hang, func(g *WithT, b *siteBench) {
+		b.start()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+gatewayAddress+"/book/1", strings.NewReader("x"))
+		g.Expect(err).NotTo(HaveOccurred())
+		r.Host = siteHost
+		g.Expect(sendWith(b.client, r).err).To(HaveOccurred())
+		time.Sleep(10 * time.Millisecond)
+		g.Expect(cut.Load()).To(Equal(int32(1)))
+	})
+}
