--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -125,6 +125,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.Probed(time.Now(), name, result)
+	d.tellSlowedLocked(name, result.Report.Slowness)
 	d.wakeLocked()
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -57,6 +57,8 @@
 	next      int
 	// waiters are the calls that wait for a free upstream, oldest first.
 	waiters []*waiter
+	// live holds the sends under way by upstream.
+	live map[string]map[*liveSend]struct{}
 	// remoteAt is when a call of another VM came last.
 	remoteAt time.Time
 }
@@ -70,6 +72,7 @@
 		}, options.Random),
 		budget: retry.NewBudget(options.RetryShare),
 		asks:   measure.NewAskBudget(options.AsksPerSecond),
+		live:   make(map[string]map[*liveSend]struct{}),
 	}
 }
 
@@ -141,14 +144,20 @@
 	}
 	d.backlog.Sent(now)
 	d.balancer.Sent(now, choice)
-	return Grant{Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM, end: func(end End) { d.end(choice, end) }}, verdict, nil
+	live := d.beginLocked(choice)
+	return Grant{
+		Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM, Slowed: live.slowed,
+		end: func(end End) { d.end(live, end) },
+	}, verdict, nil
 }
 
 // end records how a send ended.
-func (d *Dispatcher) end(choice loadbalancer.Choice, end End) {
+func (d *Dispatcher) end(live *liveSend, end End) {
 	now := time.Now()
+	choice := live.choice
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	delete(d.live[choice.Name], live)
 	if end.IsCancelled {
 		d.balancer.Cancelled(now, choice, end.Latency)
 	} else {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -39,6 +39,9 @@
 	PlacedBy string
 	// Waited is how long the call waited to be placed.
 	Waited time.Duration
+	// Slowed is closed when the upstream turns slow while the send is under way;
+	// nil tells nothing.
+	Slowed <-chan struct{}
 	end    func(End)
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -64,7 +64,11 @@
 	vm    string
 }
 
+// callTime is how long a call of the store takes.
+const callTime = 4 * time.Millisecond
+
 func (r records) call() (uint64, <-chan struct{}, error) {
+	time.Sleep(callTime)
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	r.store.calls++
@@ -301,3 +305,21 @@
 		g.Expect(alone.seen()).To(BeZero(), "without seeds it knows nothing")
 	})
 }
+
+// TestSeedIsLeftAlone covers a VM that starts while the store answers, and one
+// that starts in an outage: the first asks no seed, the second asks it once.
+func TestSeedIsLeftAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		z := newZone(t, 3, true)
+		defer z.close()
+		const neighbours = 2
+		z.start(t, 6, true, []string{address(2)})
+		time.Sleep(5 * time.Second)
+		g.Expect(z.network.Dials(address(2))).To(Equal(neighbours))
+		z.store.setAway(every, true)
+		z.start(t, 7, true, []string{address(2)})
+		time.Sleep(5 * time.Second)
+		g.Expect(z.network.Dials(address(2))).To(Equal(neighbours + 1))
+	})
+}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -138,11 +138,11 @@
 	return snapshot, nil
 }
 
-// isRead tells whether there is a reading of the set.
+// isRead tells whether there has been a reading of the set.
 func (s *RecordSet) isRead() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.own != nil
+	return !s.heardAt.IsZero()
 }
 
 // read returns the rows as they are now. A fed set waits for a change of what is
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -88,18 +88,19 @@
 	seedRounds = 20
 )
 
-// askSeed takes what a VM knows until every record set has been read once.
+// askSeed takes what a VM knows until every record set has been read once. The
+// store, if it answers, is faster than the first pause.
 func (m *Mesh) askSeed(ctx context.Context, address string) error {
 	for range seedRounds {
-		if m.isComplete() {
-			return nil
-		}
-		m.listenToSeed(ctx, address)
 		select {
 		case <-time.After(reconnectPause):
 		case <-ctx.Done():
 			return nil
 		}
+		if m.isComplete() {
+			return nil
+		}
+		m.listenToSeed(ctx, address)
 	}
 	return nil
 }
@@ -112,6 +113,9 @@
 		if err := m.receiveRecords(message); err != nil {
 			m.options.Counters.Add(telemetry.GroupPeers, "message_malformed", 1)
 		}
+		if m.isComplete() {
+			cancel()
+		}
 	})
 	if err != nil && ctx.Err() == nil {
 		m.options.Counters.Add(telemetry.GroupPeers, "seed_unreachable", 1)
--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -18,11 +18,12 @@
 type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*listener
+	dials     map[string]int
 }
 
 // New returns a network without listeners.
 func New() *Network {
-	return &Network{listeners: make(map[string]*listener)}
+	return &Network{listeners: make(map[string]*listener), dials: make(map[string]int)}
 }
 
 // Listen returns a listener at an address, in place of an earlier one.
@@ -46,6 +47,7 @@
 func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l, ok := n.listeners[address]
+	n.dials[address]++
 	n.mu.Unlock()
 	if !ok {
 		return nil, ErrRefused
@@ -61,6 +63,13 @@
 	}
 }
 
+// Dials returns how often an address was dialled.
+func (n *Network) Dials(address string) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials[address]
+}
+
 // listener is a net.Listener at an address of a Network.
 type listener struct {
 	address  string
