Hedge a lookup when its upstream turns slow

The VM in charge tells the sender as soon as a poll shows it, and the lookup is hedged out of the same budget.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -40,7 +40,9 @@
 	mu      sync.Mutex
 	nextID  uint64
 	pending map[uint64]chan *api.PlaceReply
-	missed  int
+	// slowed holds what is closed when the upstream of a placed send turns slow.
+	slowed map[uint64]chan struct{}
+	missed int
 }
 
 // Dial opens a stream to a VM.
@@ -58,7 +60,7 @@
 	}
 	c := &Client{
 		vm: vm.Name, conn: conn, stream: stream, cancel: cancel, done: make(chan struct{}),
-		pending: make(map[uint64]chan *api.PlaceReply),
+		pending: make(map[uint64]chan *api.PlaceReply), slowed: make(map[uint64]chan struct{}),
 	}
 	go c.receive()
 	return c, nil
@@ -84,6 +86,10 @@
 		if err != nil {
 			return
 		}
+		if reply.GetReason() == replySlowed {
+			c.tellSlowed(reply.GetId())
+			continue
+		}
 		c.mu.Lock()
 		c.missed = 0
 		replies := c.pending[reply.GetId()]
@@ -94,12 +100,30 @@
 	}
 }
 
+// tellSlowed tells the sender of a call that its upstream has turned slow.
+func (c *Client) tellSlowed(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if slowed, ok := c.slowed[id]; ok {
+		close(slowed)
+		delete(c.slowed, id)
+	}
+}
+
+// dropSlowed forgets a send that has ended.
+func (c *Client) dropSlowed(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.slowed, id)
+}
+
 // Place has a call of a service placed.
 func (c *Client) Place(ctx context.Context, service string, r Request) (Grant, error) {
-	id, replies := c.open()
+	id, replies, slowed := c.open()
 	defer c.forget(id)
 	err := c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_Call{Call: encodeCall(id, service, r, time.Now())}})
 	if err != nil {
+		c.dropSlowed(id)
 		return Grant{}, err
 	}
 	reply, err := c.await(ctx, replies)
@@ -108,6 +132,7 @@
 		return Grant{}, err
 	}
 	if reply.GetUpstream() == "" {
+		c.dropSlowed(id)
 		if reply.GetReason() == replyUnknown {
 			return Grant{}, ErrUnavailable
 		}
@@ -118,6 +143,7 @@
 		PlacedBy: c.vm,
 		Basis:    decodeBasis(reply.GetBasis()),
 		Waited:   time.Duration(reply.GetBasis().GetWaitedUs()) * time.Microsecond,
+		Slowed:   slowed,
 		end:      func(end End) { c.end(id, end) },
 	}, nil
 }
@@ -125,13 +151,17 @@
 // maxReplies is the number of replies to one call: that it waits, and its end.
 const maxReplies = 2
 
-func (c *Client) open() (uint64, chan *api.PlaceReply) {
+// open returns the id of a call, and where its replies and the news that its
+// upstream has turned slow will come.
+func (c *Client) open() (uint64, chan *api.PlaceReply, chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nextID++
 	replies := make(chan *api.PlaceReply, maxReplies)
+	slowed := make(chan struct{})
 	c.pending[c.nextID] = replies
-	return c.nextID, replies
+	c.slowed[c.nextID] = slowed
+	return c.nextID, replies, slowed
 }
 
 func (c *Client) forget(id uint64) {
@@ -175,6 +205,7 @@
 
 // end tells how a send ended.
 func (c *Client) end(id uint64, end End) {
+	c.dropSlowed(id)
 	// A stream that has ended took its calls with it.
 	_ = c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_End{End: encodeEnd(id, end)}})
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -131,11 +131,13 @@
 	go s.placeCall(ctx, dispatcher, call, served)
 }
 
-// replyUnknown is the reason of a VM that does not know the service, and
-// replyWaiting that of a call that has arrived and waits.
+// replyUnknown is the reason of a VM that does not know the service, replyWaiting
+// that of a call that has arrived and waits, and replySlowed that of a call whose
+// upstream has turned slow since it was placed.
 const (
 	replyUnknown = "unknown"
 	replyWaiting = "waiting"
+	replySlowed  = "slowed"
 )
 
 // ackAfter is the time after which a VM is told that its call waits.
@@ -154,6 +156,11 @@
 		return
 	}
 	s.reply(&api.PlaceReply{Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant)})
+	select {
+	case <-grant.Slowed:
+		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replySlowed})
+	case <-ctx.Done():
+	}
 }
 
 // replyReason returns the reason that a VM is told.
--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -17,6 +17,7 @@
 	hedgeFailed     = "failed"
 	hedgeBudget     = "budget"
 	hedgeNoUpstream = "no_upstream"
+	hedgeSlowed     = "slowed"
 )
 
 // serveLookup serves a lookup.
@@ -92,11 +93,16 @@
 	r.start(sent, false)
 	late, stop := r.lateTimer()
 	defer stop()
+	slowed := sent.slowed()
 	for {
 		select {
 		case <-late:
 			late = nil
 			r.hedge()
+		case <-slowed:
+			slowed = nil
+			r.count(hedgeSlowed)
+			r.hedge()
 		case result := <-r.results:
 			if answer, ok := r.take(result); ok {
 				return answer, nil
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -23,6 +23,15 @@
 	isGivenUp *atomic.Bool
 }
 
+// slowed returns a channel that is closed when the upstream turns slow while the
+// send is under way; nil when nothing tells.
+func (s send) slowed() <-chan struct{} {
+	if s.grant == nil {
+		return nil
+	}
+	return s.grant.Slowed
+}
+
 // cancellable returns the send in a form that can be given up.
 func (s send) cancellable() send {
 	s.isGivenUp = new(atomic.Bool)
