--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -132,6 +132,9 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if r.Hedge && len(d.waiters) > 0 {
+		return Grant{}, loadbalancer.Refuse, nil
+	}
 	choice, verdict := d.balancer.Place(now, r.pick(), r.left(now, isLate))
 	if verdict != loadbalancer.Send {
 		return Grant{}, verdict, nil
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -29,6 +29,9 @@
 	// Extra marks a hedge or a retry, which the budget has to pay for and which
 	// does not wait.
 	Extra bool
+	// Hedge marks an extra send while the first one is still under way. It is not
+	// placed while other calls wait.
+	Hedge bool
 }
 
 // Grant is the upstream that a send goes to.
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -12,7 +12,7 @@
 func encodeCall(id uint64, service string, r Request, now time.Time) *api.PlaceCall {
 	return &api.PlaceCall{
 		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
-		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra,
+		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra, Hedge: r.Hedge,
 		Bytes: int64(r.Bytes),
 	}
 }
@@ -42,6 +42,7 @@
 		Objective: arrived.Add(time.Duration(call.GetObjectiveUs()) * time.Microsecond),
 		Deadline:  arrived.Add(time.Duration(call.GetDeadlineUs()) * time.Microsecond),
 		Extra:     call.GetExtra(),
+		Hedge:     call.GetHedge(),
 	}
 }
 
--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -142,7 +142,7 @@
 	if r.pending != 1 || len(r.runners) != 1 {
 		return
 	}
-	sent, problem := r.call.startSend()
+	sent, problem := r.call.startSendOf(hedgeSend)
 	switch {
 	case problem == nil:
 		r.count(hedgeSent)
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -29,6 +29,7 @@
 		Objective: c.arrived.Add(c.route.rule.objective),
 		Deadline:  c.deadline,
 		Extra:     kind != firstSend,
+		Hedge:     kind == hedgeSend,
 	}
 	grant, err := c.gateway.options.Router.Place(c.ctx, s.name, s.dispatcher, request)
 	if err != nil {
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -138,11 +138,6 @@
 // startSendPaid chooses the upstream of the next send. isPaid tells that the
 // budget has paid for it.
 func (c *call) startSendPaid(isPaid bool) (send, *outcome.Problem) {
-	if c.isSpent() {
-		p := outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.AttemptsSpent,
-			"the call was sent to as many upstreams as its route allows").WithRetryAfter(retryAfter)
-		return send{}, &p
-	}
 	kind := firstSend
 	switch {
 	case isPaid:
@@ -150,6 +145,16 @@
 	case c.attempts > 0:
 		kind = extraSend
 	}
+	return c.startSendOf(kind)
+}
+
+// startSendOf chooses the upstream of the next send, which is of the given kind.
+func (c *call) startSendOf(kind sendKind) (send, *outcome.Problem) {
+	if c.isSpent() {
+		p := outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.AttemptsSpent,
+			"the call was sent to as many upstreams as its route allows").WithRetryAfter(retryAfter)
+		return send{}, &p
+	}
 	sent, problem := c.chooseSend(kind)
 	if problem != nil {
 		return send{}, problem
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -53,6 +53,8 @@
 	extraSend
 	// paidSend is a retry for which payExtra has paid.
 	paidSend
+	// hedgeSend is an extra send while the first one is still under way.
+	hedgeSend
 )
 
 // startSend chooses an upstream and records the send.
