--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -22,9 +22,11 @@
 	// pollShare is the largest part of the limit on questions that polling uses.
 	pollShare = 0.5
 	// pollsPerWork is how often an upstream is polled in the time that a call
-	// takes there, and maxPollInterval the longest time between two polls.
-	pollsPerWork    = 2
-	maxPollInterval = 100 * time.Millisecond
+	// takes there, idlePollsPerWork how often while few slots are taken, and
+	// maxPollInterval the longest time between two polls.
+	pollsPerWork     = 2
+	idlePollsPerWork = 1
+	maxPollInterval  = 100 * time.Millisecond
 	// remoteLife is how long a VM polls after a call of another VM.
 	remoteLife = time.Second
 	// pollIdle is the time between two looks whether to poll.
@@ -153,7 +155,11 @@
 	if !d.isInChargeLocked(now) || perSecond == 0 || len(d.upstreams) == 0 {
 		return loadbalancer.Upstream{}, pollIdle
 	}
-	interval := min(d.balancer.Unit()/pollsPerWork, maxPollInterval)
+	polls := time.Duration(idlePollsPerWork)
+	if d.isBusyLocked() {
+		polls = pollsPerWork
+	}
+	interval := min(d.balancer.Unit()/polls, maxPollInterval)
 	interval = max(interval, time.Duration(float64(time.Second)/perSecond))
 	d.next = (d.next + 1) % len(d.upstreams)
 	return d.upstreams[d.next], interval / time.Duration(len(d.upstreams))
--- a/internal/dispatch/live.go
+++ b/internal/dispatch/live.go
@@ -40,3 +40,17 @@
 		close(live.slowed)
 	}
 }
+
+// busyShare is the share of the slots that are taken from which on a service
+// counts as busy.
+const busyShare = 0.25
+
+// isBusyLocked tells whether many of the upstreams' slots are taken.
+func (d *Dispatcher) isBusyLocked() bool {
+	slots, taken := 0, 0
+	for _, u := range d.upstreams {
+		slots += u.Slots
+		taken += len(d.live[u.Name])
+	}
+	return float64(taken) >= busyShare*float64(slots)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -210,8 +210,8 @@
 
 // Readings of the record sets.
 var (
-	configReading   = mesh.RecordOptions{Interval: 800 * time.Millisecond, Feed: true, Staleness: 1300 * time.Millisecond}
-	upstreamReading = mesh.RecordOptions{Interval: 700 * time.Millisecond, Staleness: 1100 * time.Millisecond}
+	configReading   = mesh.RecordOptions{Interval: 1200 * time.Millisecond, Feed: true, Staleness: 1600 * time.Millisecond}
+	upstreamReading = mesh.RecordOptions{Interval: 950 * time.Millisecond, Staleness: 1400 * time.Millisecond}
 	vmReading       = mesh.RecordOptions{Interval: 4 * time.Second, Staleness: 6 * time.Second}
 )
 
