--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -324,3 +324,18 @@
 		g.Expect(err).To(Equal(dispatch.Refusal{Reason: outcome.NoUpstream}), "a hedge does not wait")
 	})
 }
+
+// TestFirstCallFindsTheVMInCharge covers a VM that keeps its streams open.
+func TestFirstCallFindsTheVMInCharge(t *testing.T) {
+	withNetwork(t, func(g *WithT, _ *fleet, _ *network, router *dispatch.Router, own *dispatch.Dispatcher) {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { _ = router.Keep(ctx, func() []string { return []string{"s"} }) }()
+		time.Sleep(100 * time.Millisecond)
+		grant, err := router.Place(context.Background(), "s", own, patient())
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(grant.PlacedBy).To(Equal("boss"))
+		grant.End(dispatch.End{})
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -71,6 +71,25 @@
 	return grant, err
 }
 
+// keepInterval is the time between two looks whether every VM in charge is
+// reached.
+const keepInterval = 500 * time.Millisecond
+
+// Keep holds a stream to the VM in charge of each service, so that the first call
+// finds one, until ctx ends.
+func (r *Router) Keep(ctx context.Context, services func() []string) error {
+	for ctx.Err() == nil {
+		for _, service := range services() {
+			r.client(service)
+		}
+		select {
+		case <-time.After(keepInterval):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
 // client returns the stream to the VM in charge of a service; nil while there is
 // none. isOwn tells that this VM is in charge.
 func (r *Router) client(service string) (client *Client, isOwn bool) {
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -109,6 +109,17 @@
 	}
 }
 
+// SiteServices returns the names of the site's services.
+func (g *Gateway) SiteServices() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	names := make([]string, 0, len(g.site.services))
+	for name := range g.site.services {
+		names = append(names, name)
+	}
+	return names
+}
+
 // Dispatcher returns what places the calls of a service of the site.
 func (g *Gateway) Dispatcher(name string) (*dispatch.Dispatcher, bool) {
 	g.mu.Lock()
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -54,7 +54,7 @@
 	errorPenalty = 0.1
 	// bytesPerUnit is the number of bytes that cost as much between zones as one
 	// unit of time.
-	bytesPerUnit = 16 << 10
+	bytesPerUnit = 6 << 10
 	// zonePenalty is the cost of another zone without any bytes, in units.
 	zonePenalty = 0.03
 	// timelyMargin is by how much an answer may take longer than expected and
