Let slow suspects of services with bookings alone come back

Ruled out: leaked sends in flight (load 0 was known for the others) and the unit of time. Also: a poll cleared a failing upstream at once, thirty times a second.

The pace is measured by what was expected, a suspect that says that it is well may be tried by a booking when its trial is due, and a poll clears a suspect only then. TestSlowSuspectOfBookingsComesBack, TestSlowAnswersThatWereExpectedMakeNoSuspect and TestPolledSuspectWaitsForItsTrial fail without it.

--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -276,7 +276,7 @@
 		b.learnPlaced(choice, result.Latency)
 	default:
 		e.failures = 0
-		b.learnLatency(e, at, result.Latency)
+		b.learnLatency(e, at, choice, result.Latency)
 		b.learnPlaced(choice, result.Latency)
 	}
 }
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -99,13 +99,18 @@
 	return 1 + float64(at-e.starts[0])/float64(b.typical)
 }
 
-// learnLatency records the latency of an answer.
-func (b *Balancer) learnLatency(e *entry, at, latency time.Duration) {
+// learnLatency records the latency of an answer. The pace of an upstream that was
+// chosen with an expectation is measured by that: it is no fault of an upstream
+// that it had said that it is slow.
+func (b *Balancer) learnLatency(e *entry, at time.Duration, choice Choice, latency time.Duration) {
 	if b.typical == 0 {
 		b.typical = latency
 	}
 	ratio := b.ratio(latency)
 	b.typical += time.Duration(typicalWeight * (ratio - 1) * float64(b.typical))
+	if expected := choice.Basis.Expected; expected > 0 {
+		ratio = min(float64(latency)/float64(expected), maxPace)
+	}
 	e.learnPace(at, ratio)
 }
 
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -143,12 +143,18 @@
 	if e.isOut() || slices.Contains(request.Exclude, e.upstream.Name) {
 		return false
 	}
-	if e.phase == phaseSuspect && (request.NoTrial || !e.isTrialDue(at)) {
+	if e.phase == phaseSuspect && !e.mayTry(at, request) {
 		return false
 	}
 	return b.callLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
 }
 
+// mayTry tells whether a suspect may get a call. One that can't be sent a second
+// time tries it only while the upstream says that it is well.
+func (e *entry) mayTry(at time.Duration, request Request) bool {
+	return e.isTrialDue(at) && (!request.NoTrial || e.isFresh(at, knownAge))
+}
+
 // placeCost returns the expected time until an answer, in units.
 func (b *Balancer) placeCost(e *entry, at time.Duration) float64 {
 	cost := b.pace.at(b.callLoad(e, at)) * b.expectedSlowness(e, at)
--- a/internal/loadbalancer/place_test.go
+++ b/internal/loadbalancer/place_test.go
@@ -201,3 +201,72 @@
 	_, verdict = p.place("a", 200*time.Millisecond)
 	g.Expect(verdict).To(Equal(loadbalancer.Send))
 }
+
+// TestSlowSuspectOfBookingsComesBack plays a service that only gets calls that
+// can't be sent twice. An upstream that was slow over several answers gets calls
+// again once it says that it is fast.
+func TestSlowSuspectOfBookingsComesBack(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacing(1)
+	booking := loadbalancer.Request{Zone: "a", NoTrial: true}
+	left := loadbalancer.TimeLeft{Objective: 10 * time.Second, Deadline: 20 * time.Second}
+	place := func() (loadbalancer.Choice, bool) {
+		p.report("u0", 0, 1)
+		choice, verdict := p.Place(p.now, booking, left)
+		return choice, verdict == loadbalancer.Send
+	}
+	for range 6 {
+		choice, ok := place()
+		if !ok {
+			break
+		}
+		p.Sent(p.now, choice)
+		p.now = p.now.Add(10 * placeUnit)
+		p.Done(p.now, choice, loadbalancer.Result{Latency: 10 * placeUnit})
+	}
+	_, ok := place()
+	g.Expect(ok).To(BeFalse(), "it is a suspect")
+	p.now = p.now.Add(10 * time.Second)
+	choice, ok := place()
+	g.Expect(ok).To(BeTrue())
+	p.Sent(p.now, choice)
+	p.now = p.now.Add(placeUnit)
+	p.Done(p.now, choice, loadbalancer.Result{Latency: placeUnit})
+	_, ok = place()
+	g.Expect(ok).To(BeTrue(), "an ordinary answer clears it")
+}
+
+// TestSlowAnswersThatWereExpectedMakeNoSuspect covers an upstream that says that
+// it is slow and is.
+func TestSlowAnswersThatWereExpectedMakeNoSuspect(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacing(1)
+	for range 20 {
+		p.report("u0", 0, 7)
+		choice, verdict := p.place("a", 10*time.Second)
+		g.Expect(verdict).To(Equal(loadbalancer.Send))
+		p.Sent(p.now, choice)
+		p.now = p.now.Add(7 * placeUnit)
+		p.Done(p.now, choice, loadbalancer.Result{Latency: 7 * placeUnit})
+	}
+}
+
+// TestPolledSuspectWaitsForItsTrial covers an upstream that fails calls and says
+// that it is well, many times a second.
+func TestPolledSuspectWaitsForItsTrial(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacing(1)
+	sends := 0
+	for range 300 {
+		p.now = p.now.Add(30 * time.Millisecond)
+		p.report("u0", 0, 1)
+		choice, verdict := p.place("a", 200*time.Millisecond)
+		if verdict != loadbalancer.Send {
+			continue
+		}
+		sends++
+		p.Sent(p.now, choice)
+		p.Done(p.now, choice, loadbalancer.Result{Failed: true})
+	}
+	g.Expect(sends).To(BeNumerically("<=", 10), "two failures, then a trial a second or less")
+}
--- a/internal/loadbalancer/state.go
+++ b/internal/loadbalancer/state.go
@@ -166,7 +166,7 @@
 	if e.phase == phaseLeaving && sentAt < e.leftAt+drainHold {
 		return
 	}
-	if e.phase == phaseSuspect && e.isSlow {
+	if e.phase == phaseSuspect && (e.isSlow || at < e.trialAt) {
 		return
 	}
 	e.fire(eventProbeAnswered, at)
