--- a/internal/loadbalancer/place_test.go
+++ b/internal/loadbalancer/place_test.go
@@ -23,7 +23,9 @@
 
 func newPlacing(count int) *placing {
 	p := &placing{
-		Balancer: loadbalancer.New(loadbalancer.Options{VM: "vm", Zone: "a"}, rand.New(rand.NewPCG(1, 2))),
+		Balancer: loadbalancer.New(loadbalancer.Options{
+			VM: "vm", Zone: "a", WarmUp: 1500 * time.Millisecond, MinWarmth: 0.5,
+		}, rand.New(rand.NewPCG(1, 2))),
 		now:      time.Unix(1000, 0),
 	}
 	var upstreams []loadbalancer.Upstream
