Log what a refusal was decided by

Cause: the line of a refused call said no_upstream or queue_full and not what the VM in charge saw: upstreams, those with a free slot, calls that waited, the rate of sends and the unit of time.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -10,7 +10,6 @@
 
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/exchange"
-	"github.com/figfront/figfront/internal/outcome"
 )
 
 // Times of a Client.
@@ -136,7 +135,7 @@
 		if reply.GetReason() == replyUnknown {
 			return Grant{}, ErrUnavailable
 		}
-		return Grant{}, Refusal{Reason: outcome.Reason(reply.GetReason())}
+		return Grant{}, decodeRefusal(c.vm, reply)
 	}
 	return Grant{
 		Upstream: reply.GetUpstream(),
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
 
@@ -321,7 +322,12 @@
 		request := patient()
 		request.Extra = true
 		_, err := router.Place(context.Background(), "s", own, request)
-		g.Expect(err).To(Equal(dispatch.Refusal{Reason: outcome.NoUpstream}), "a hedge does not wait")
+		var refusal dispatch.Refusal
+		g.Expect(errors.As(err, &refusal)).To(BeTrue())
+		g.Expect(refusal.Reason).To(Equal(outcome.NoUpstream), "a hedge does not wait")
+		g.Expect(refusal.PlacedBy).To(Equal("boss"))
+		g.Expect(refusal.Basis.Upstreams).To(Equal(1))
+		g.Expect(refusal.Basis.Free).To(BeZero())
 	})
 }
 
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/measure"
@@ -108,20 +110,20 @@
 		grant, verdict, err := d.place(r, isLate)
 		switch {
 		case err != nil:
-			return Grant{}, err
+			return Grant{}, d.refusal(r, outcome.RetryBudget, arrived)
 		case verdict == loadbalancer.Send:
 			grant.Waited = time.Since(arrived)
 			return grant, nil
 		case verdict == loadbalancer.Refuse || r.Extra:
-			return Grant{}, Refusal{Reason: outcome.NoUpstream}
+			return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
 		case isLate:
-			return Grant{}, Refusal{Reason: outcome.QueueFull}
+			return Grant{}, d.refusal(r, outcome.QueueFull, arrived)
 		case !wait.begin(time.Until(r.Objective)):
 			isLate = true
 			continue
 		}
 		if !wait.next(ctx) {
-			return Grant{}, Refusal{Reason: outcome.QueueDeadline}
+			return Grant{}, d.refusal(r, outcome.QueueDeadline, arrived)
 		}
 	}
 }
@@ -140,7 +142,7 @@
 		return Grant{}, verdict, nil
 	}
 	if r.Extra && !d.budget.Take(now) {
-		return Grant{}, verdict, Refusal{Reason: outcome.RetryBudget}
+		return Grant{}, verdict, errBudgetSpent
 	}
 	if !r.Extra {
 		d.budget.FirstSend(now)
@@ -154,6 +156,28 @@
 	}, verdict, nil
 }
 
+// errBudgetSpent means that the budget does not pay for an extra send.
+var errBudgetSpent = errors.New("dispatch: retry budget spent")
+
+// refusal returns the refusal of a call that arrived at a time.
+func (d *Dispatcher) refusal(r Request, reason outcome.Reason, arrived time.Time) Refusal {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return Refusal{
+		Reason:   reason,
+		PlacedBy: d.options.VM,
+		Basis: RefusalBasis{
+			Upstreams:      len(d.upstreams),
+			Free:           d.balancer.Free(now, r.pick()),
+			Waiting:        len(d.waiters),
+			SendsPerSecond: d.backlog.SendsPerSecond(now),
+			Unit:           d.balancer.Unit(),
+			Waited:         now.Sub(arrived),
+		},
+	}
+}
+
 // end records how a send ended.
 func (d *Dispatcher) end(live *liveSend, end End) {
 	now := time.Now()
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -71,6 +71,25 @@
 // Refusal means that a call is not sent.
 type Refusal struct {
 	Reason outcome.Reason
+	// PlacedBy is the VM that refused it.
+	PlacedBy string
+	Basis    RefusalBasis
+}
+
+// RefusalBasis is what a refusal rests on.
+type RefusalBasis struct {
+	// Upstreams counts those of the service, and Free those with a free slot that
+	// the call may go to.
+	Upstreams int
+	Free      int
+	// Waiting counts the calls that wait.
+	Waiting int
+	// SendsPerSecond is the rate at which calls have lately been sent.
+	SendsPerSecond float64
+	// Unit is the time in which an upstream without other calls answers.
+	Unit time.Duration
+	// Waited is how long the call waited.
+	Waited time.Duration
 }
 
 // Error returns the reason.
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -8,7 +8,6 @@
 	"github.com/go-faster/errors"
 
 	api "github.com/figfront/figfront/api/exchange"
-	"github.com/figfront/figfront/internal/outcome"
 )
 
 // Server places the calls of other VMs.
@@ -149,7 +148,7 @@
 	ack.Stop()
 	if err != nil {
 		s.forget(call.GetId())
-		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replyReason(err)})
+		s.reply(encodeRefusal(call.GetId(), err))
 		return
 	}
 	if !s.recordGrant(served, grant) {
@@ -163,15 +162,6 @@
 	}
 }
 
-// replyReason returns the reason that a VM is told.
-func replyReason(err error) string {
-	var refusal Refusal
-	if errors.As(err, &refusal) {
-		return string(refusal.Reason)
-	}
-	return string(outcome.NoUpstream)
-}
-
 // recordGrant keeps the grant until the call ends. It returns false when it has
 // ended already.
 func (s *serverStream) recordGrant(served *servedCall, grant Grant) bool {
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -3,9 +3,12 @@
 import (
 	"time"
 
+	"github.com/go-faster/errors"
+
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/outcome"
 )
 
 // encodeCall returns the message of a call that is to be placed.
@@ -79,3 +82,34 @@
 		Expected: time.Duration(basis.GetExpectedUs()) * time.Microsecond,
 	}
 }
+
+// encodeRefusal returns the reply to a call that is not sent.
+func encodeRefusal(id uint64, err error) *api.PlaceReply {
+	var refusal Refusal
+	if !errors.As(err, &refusal) {
+		return &api.PlaceReply{Id: id, Reason: string(outcome.NoUpstream)}
+	}
+	basis := refusal.Basis
+	return &api.PlaceReply{
+		Id: id, Reason: string(refusal.Reason),
+		Refusal: &api.PlaceRefusal{
+			Upstreams: uint32(basis.Upstreams), Free: uint32(basis.Free), Waiting: uint32(basis.Waiting),
+			SendsPerSecond: basis.SendsPerSecond, UnitUs: basis.Unit.Microseconds(), WaitedUs: basis.Waited.Microseconds(),
+		},
+	}
+}
+
+// decodeRefusal returns the refusal that another VM replied.
+func decodeRefusal(vm string, reply *api.PlaceReply) Refusal {
+	basis := reply.GetRefusal()
+	return Refusal{
+		Reason:   outcome.Reason(reply.GetReason()),
+		PlacedBy: vm,
+		Basis: RefusalBasis{
+			Upstreams: int(basis.GetUpstreams()), Free: int(basis.GetFree()), Waiting: int(basis.GetWaiting()),
+			SendsPerSecond: basis.GetSendsPerSecond(),
+			Unit:           time.Duration(basis.GetUnitUs()) * time.Microsecond,
+			Waited:         time.Duration(basis.GetWaitedUs()) * time.Microsecond,
+		},
+	}
+}
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -107,6 +107,9 @@
 	if sends := c.trail.records(); len(sends) > 0 {
 		args = append(args, "sends", sends)
 	}
+	if refusal := c.trail.lastRefusal(); refusal != nil {
+		args = append(args, "refusal", refusal)
+	}
 	if reason != "" {
 		args = append(args, telemetry.FieldReason, string(reason))
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -48,6 +48,7 @@
 	var refusal dispatch.Refusal
 	switch {
 	case errors.As(err, &refusal):
+		c.trail.refuse(refusal)
 		return c.noSend(refusal.Reason)
 	case c.r.Context().Err() != nil:
 		return c.noSend(outcome.CallerGone)
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/outcome"
 )
 
@@ -12,6 +13,46 @@
 type trail struct {
 	mu    sync.Mutex
 	sends []sendRecord
+	// refusal is why the call was not sent, or not again; nil when nothing kept
+	// it.
+	refusal *refusalRecord
+}
+
+// refusalRecord is what a refusal was decided by.
+type refusalRecord struct {
+	// PlacedBy is the VM that refused the call.
+	PlacedBy string         `json:"placed_by,omitempty"`
+	Reason   outcome.Reason `json:"reason"`
+	// Upstreams counts those of the service, and Free those with a free slot.
+	Upstreams int `json:"upstreams"`
+	Free      int `json:"free"`
+	// Waiting counts the calls that waited.
+	Waiting int `json:"waiting"`
+	// SendsPerSecond is the rate at which calls had lately been sent.
+	SendsPerSecond float64 `json:"sends_per_second"`
+	// UnitMs is the time in which a free upstream answers, and WaitedMs how long
+	// the call waited, in milliseconds.
+	UnitMs   int64 `json:"unit_ms"`
+	WaitedMs int64 `json:"waited_ms"`
+}
+
+// refuse records a refusal.
+func (t *trail) refuse(refusal dispatch.Refusal) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refusal = &refusalRecord{
+		PlacedBy: refusal.PlacedBy, Reason: refusal.Reason,
+		Upstreams: refusal.Basis.Upstreams, Free: refusal.Basis.Free, Waiting: refusal.Basis.Waiting,
+		SendsPerSecond: refusal.Basis.SendsPerSecond,
+		UnitMs:         refusal.Basis.Unit.Milliseconds(), WaitedMs: refusal.Basis.Waited.Milliseconds(),
+	}
+}
+
+// lastRefusal returns the last refusal; nil when there was none.
+func (t *trail) lastRefusal() *refusalRecord {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refusal
 }
 
 // sendRecord is one send of a call: what it was decided by, and how it ended.
--- a/internal/limit/backlog.go
+++ b/internal/limit/backlog.go
@@ -39,12 +39,16 @@
 	return b.sends * math.Exp(-float64(now.Sub(b.sentAt))/float64(sendRateLife))
 }
 
+// SendsPerSecond returns the rate at which calls have lately been sent.
+func (b *Backlog) SendsPerSecond(now time.Time) float64 {
+	return b.decayed(now) / sendRateLife.Seconds()
+}
+
 // Enter lets a call wait that can be answered in time if it is sent within
 // patience. It returns false when the calls that wait already take longer. Each
 // successful Enter has one Leave.
 func (b *Backlog) Enter(now time.Time, patience time.Duration) bool {
-	perSecond := b.decayed(now) / sendRateLife.Seconds()
-	if float64(b.waiting) >= max(perSecond*patience.Seconds(), minBacklog) {
+	if float64(b.waiting) >= max(b.SendsPerSecond(now)*patience.Seconds(), minBacklog) {
 		return false
 	}
 	b.waiting++
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -134,6 +134,18 @@
 	return zonePenalty + (float64(request.Bytes)+b.meanAnswer)/bytesPerUnit
 }
 
+// Free returns the number of upstreams with a free slot that a call may go to.
+func (b *Balancer) Free(now time.Time, request Request) int {
+	at := b.since(now)
+	free := 0
+	for _, e := range b.entries {
+		if b.mayPlace(e, at, request) {
+			free++
+		}
+	}
+	return free
+}
+
 // mayPlace tells whether an upstream may get a call now: it is in use, was not
 // tried and is not full.
 func (b *Balancer) mayPlace(e *entry, at time.Duration, request Request) bool {
--- a/internal/loadbalancer/place_test.go
+++ b/internal/loadbalancer/place_test.go
@@ -26,7 +26,7 @@
 		Balancer: loadbalancer.New(loadbalancer.Options{
 			VM: "vm", Zone: "a", WarmUp: 1500 * time.Millisecond, MinWarmth: 0.5,
 		}, rand.New(rand.NewPCG(1, 2))),
-		now:      time.Unix(1000, 0),
+		now: time.Unix(1000, 0),
 	}
 	var upstreams []loadbalancer.Upstream
 	for i := range count {
