--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -114,6 +114,9 @@
 		args = append(args, telemetry.FieldReason, string(reason))
 	}
 	c.gateway.options.Log.Info("call", args...)
+	if c.route.service != nil {
+		c.gateway.options.Counters.Observe(telemetry.HistogramCall+"_"+string(c.route.rule.settings.Traffic), time.Since(c.arrived))
+	}
 }
 
 // isPastDeadline compares the deadline by wall clock, because the monotonic
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -35,6 +35,8 @@
 	if err != nil {
 		return send{}, c.notPlaced(err)
 	}
+	c.gateway.options.Counters.Observe(telemetry.HistogramWait, grant.Waited)
+	c.gateway.options.Counters.Observe(telemetry.HistogramReportAge, max(grant.Basis.Age, 0))
 	sent, ok := s.startGranted(grant, request.Bulk)
 	if !ok {
 		c.gateway.options.Counters.Add(telemetry.GroupDispatch, "upstream_unknown", 1)
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -38,6 +38,8 @@
 	GroupStore    = "store"
 	GroupDispatch = "dispatch"
 	GroupLog      = "log"
+	// GroupLatencies holds histograms.
+	GroupLatencies = "latencies"
 )
 
 func (c *Counters) group(name string) *expvar.Map {
