--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -41,6 +41,10 @@
 	recoveryShare = 0.5
 )
 
+// maxWaitShare is the largest part of the time to its objective that a call waits
+// for a free upstream. A caller that is refused then has time to come back.
+const maxWaitShare = 0.3
+
 // placeInterval is the longest time between two looks for a free upstream.
 const placeInterval = 8 * time.Millisecond
 
@@ -102,6 +106,7 @@
 // once when the wait would be in vain.
 func (d *Dispatcher) Place(ctx context.Context, r Request) (Grant, error) {
 	arrived := time.Now()
+	patience := time.Duration(maxWaitShare * float64(r.Objective.Sub(arrived)))
 	wait := &waiter{dispatcher: d}
 	defer wait.end()
 	isLate := false
@@ -118,7 +123,7 @@
 			return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
 		case isLate:
 			return Grant{}, d.refusal(r, outcome.QueueFull, arrived)
-		case !wait.begin(time.Until(r.Objective)):
+		case !wait.begin(patience - time.Since(arrived)):
 			isLate = true
 			continue
 		}
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -15,16 +15,19 @@
 	wake       chan struct{}
 }
 
-// begin lets the call wait if it can be sent within patience. It returns false
-// when too many wait already.
+// begin lets the call wait for the rest of its patience. It returns false when
+// that is used up, or when too many calls wait already.
 func (w *waiter) begin(patience time.Duration) bool {
+	if patience <= 0 {
+		return false
+	}
 	if w.isWaiting {
 		return true
 	}
 	d := w.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.backlog.Enter(time.Now(), patience-d.balancer.Unit()) {
+	if !d.backlog.Enter(time.Now(), patience) {
 		d.options.Counters.Add(telemetry.GroupDispatch, "backlog_full", 1)
 		return false
 	}
