Take bounds and the ratio of repeats from the settings; tell full queues from absent upstreams

Cause: a site with other bounds than the two of today would have been read too seldom; a call that could not be sent was told no_upstream although there were upstreams; a service without any kept its calls waiting.

--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -29,6 +29,13 @@
 	// AsksPerSecond limits the questions about its load that an upstream gets
 	// from all VMs in a second; 0 sets no limit.
 	AsksPerSecond float64
+	// RetryRatio is the part of its calls that a service may get again from all
+	// VMs together.
+	RetryRatio float64
+	// DrainBound is the time within which a leaving upstream gets no new call, and
+	// ConfigBound that within which a configuration is in force.
+	DrainBound  time.Duration
+	ConfigBound time.Duration
 	// MaxConnections limits the open connections of callers.
 	MaxConnections int
 	// MemoryMB is the memory that the process may use, in megabytes.
@@ -56,6 +63,9 @@
 	section.RequiredAddress("store", &e.Store)
 	section.Float("asks_per_second", &e.AsksPerSecond, 60, 0, 10000)
 	section.Duration("heartbeat", &e.Heartbeat, 1500*time.Millisecond, 100*time.Millisecond, time.Minute)
+	section.Float("retry_ratio", &e.RetryRatio, 0.2, 0, 1)
+	section.Duration("drain_bound", &e.DrainBound, 2*time.Second, 200*time.Millisecond, time.Minute)
+	section.Duration("config_bound", &e.ConfigBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
 	section.Int("memory_mb", &e.MemoryMB, 256, 32, 1<<20)
 	section.Duration("stop_lag", &e.StopLag, 2500*time.Millisecond, 0, time.Minute)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -125,7 +125,7 @@
 			l := statusLoad(perSecond, 1)
 			f.play(l, place)
 			end()
-			rate = float64(f.asks) / l.lasts.Seconds() / fleetSize
+			rate = float64(f.asked()) / l.lasts.Seconds() / fleetSize
 			time.Sleep(time.Minute)
 		})
 		return rate
@@ -345,3 +345,17 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestServiceWithoutUpstreamsRefusesAtOnce covers a service whose upstreams have
+// all left.
+func TestServiceWithoutUpstreamsRefusesAtOnce(t *testing.T) {
+	withNetwork(t, func(g *WithT, _ *fleet, _ *network, _ *dispatch.Router, own *dispatch.Dispatcher) {
+		own.SetUpstreams(nil)
+		start := time.Now()
+		_, err := own.Place(context.Background(), patient())
+		var refusal dispatch.Refusal
+		g.Expect(errors.As(err, &refusal)).To(BeTrue())
+		g.Expect(refusal.Reason).To(Equal(outcome.NoUpstream))
+		g.Expect(time.Since(start)).To(BeZero())
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -106,6 +106,9 @@
 // once when the wait would be in vain.
 func (d *Dispatcher) Place(ctx context.Context, r Request) (Grant, error) {
 	arrived := time.Now()
+	if !d.hasUpstreams() {
+		return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
+	}
 	patience := time.Duration(maxWaitShare * float64(r.Objective.Sub(arrived)))
 	wait := &waiter{dispatcher: d}
 	defer wait.end()
@@ -119,10 +122,10 @@
 		case verdict == loadbalancer.Send:
 			grant.Waited = time.Since(arrived)
 			return grant, nil
+		case isLate && !r.Extra:
+			return Grant{}, d.refusal(r, outcome.QueueFull, arrived)
 		case verdict == loadbalancer.Refuse || r.Extra:
 			return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
-		case isLate:
-			return Grant{}, d.refusal(r, outcome.QueueFull, arrived)
 		case !wait.begin(patience - time.Since(arrived)):
 			isLate = true
 			continue
@@ -204,16 +207,23 @@
 	return loadbalancer.Request{Zone: r.Zone, Exclude: r.Tried, NoTrial: r.NoTrial, Bulk: r.Bulk, Bytes: r.Bytes, AnyZone: true}
 }
 
-// left returns the time that the call has. A call that does not wait for a
-// timely answer has no objective.
+// left returns the time that the call has. For one that gives up its objective,
+// that lies in the past.
 func (r Request) left(now time.Time, isLate bool) loadbalancer.TimeLeft {
-	left := loadbalancer.TimeLeft{Deadline: r.Deadline.Sub(now)}
-	if !isLate {
-		left.Objective = r.Objective.Sub(now)
+	left := loadbalancer.TimeLeft{Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now)}
+	if isLate {
+		left.Objective = -1
 	}
 	return left
 }
 
+// hasUpstreams tells whether the service has any upstream.
+func (d *Dispatcher) hasUpstreams() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.upstreams) > 0
+}
+
 // Work returns the time in which an upstream without other calls answers; 0
 // before the first answer.
 func (d *Dispatcher) Work() time.Duration {
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -151,6 +151,13 @@
 	return loadbalancer.ProbeResult{Healthy: true, HasReport: true, Report: f.upstreams[address].report()}, true
 }
 
+// asked returns the number of questions so far.
+func (f *fleet) asked() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.asks
+}
+
 // dispatcher returns a Dispatcher for the fleet.
 func (f *fleet) dispatcher(vm string, seed uint64) *dispatch.Dispatcher {
 	d := dispatch.NewDispatcher(dispatch.Options{
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -104,8 +104,8 @@
 	e.gateway = gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.Upstreams,
-		AsksPerSecond: settings.AsksPerSecond,
-		Router:        e.router,
+		AsksPerSecond: settings.AsksPerSecond, RetryShare: retryShare * settings.RetryRatio,
+		Router: e.router,
 	})
 	e.start.open = parts.Life.Configured
 	var err error
@@ -174,7 +174,7 @@
 
 func (e *entry) configs() *follow.ConfigFollower {
 	return &follow.ConfigFollower{
-		Source: e.mesh.Records("config", e.adapter.Configs, configReading), Key: e.adapter.ConfigKey, Decode: e.adapter.DecodeConfig,
+		Source: e.mesh.Records("config", e.adapter.Configs, e.configReading()), Key: e.adapter.ConfigKey, Decode: e.adapter.DecodeConfig,
 		Apply: func(c site.Config) bool {
 			isApplied := e.gateway.ApplySite(c)
 			e.start.pass(&e.start.hasConfig)
@@ -186,7 +186,7 @@
 
 func (e *entry) upstreams() *follow.UpstreamFollower {
 	return &follow.UpstreamFollower{
-		Source: e.mesh.Records("upstreams", e.adapter.Servers, upstreamReading), Decode: e.adapter.DecodeUpstream, Heartbeat: e.settings.Heartbeat,
+		Source: e.mesh.Records("upstreams", e.adapter.Servers, e.upstreamReading()), Decode: e.adapter.DecodeUpstream, Heartbeat: e.settings.Heartbeat,
 		Apply: func(upstreams []site.Upstream) {
 			e.gateway.SetUpstreams(upstreams)
 			e.start.pass(&e.start.hasUpstreams)
@@ -209,13 +209,41 @@
 	Run(ctx context.Context) error
 }
 
-// Readings of the record sets.
-var (
-	configReading   = mesh.RecordOptions{Interval: 1200 * time.Millisecond, Feed: true, Staleness: 1600 * time.Millisecond}
-	upstreamReading = mesh.RecordOptions{Interval: 950 * time.Millisecond, Staleness: 1400 * time.Millisecond}
-	vmReading       = mesh.RecordOptions{Interval: 4 * time.Second, Staleness: 6 * time.Second}
+// Shares of a bound for readings: the time between two of them, and the age from
+// which on a VM reads for itself because the zone's reader has fallen silent.
+const (
+	drainInterval   = 0.475
+	drainStaleness  = 0.7
+	configInterval  = 0.6
+	configStaleness = 0.8
 )
 
+// vmReading is how the list of VMs is read.
+var vmReading = mesh.RecordOptions{Interval: 4 * time.Second, Staleness: 6 * time.Second}
+
+// upstreamReading returns how the servers' entries are read.
+func (e *entry) upstreamReading() mesh.RecordOptions {
+	bound := e.settings.DrainBound
+	return mesh.RecordOptions{Interval: part(bound, drainInterval), Staleness: part(bound, drainStaleness)}
+}
+
+// configReading returns how the configuration is read.
+func (e *entry) configReading() mesh.RecordOptions {
+	bound := e.settings.ConfigBound
+	return mesh.RecordOptions{
+		Interval: part(bound, configInterval), Staleness: part(bound, configStaleness), Feed: true,
+	}
+}
+
+// part returns a share of a time.
+func part(d time.Duration, share float64) time.Duration {
+	return time.Duration(share * float64(d))
+}
+
+// retryShare is the part of the ratio of repeats that the VM in charge plans
+// with; the rest is for VMs that place their calls themselves.
+const retryShare = 0.5
+
 // maxNeighbours limits the connections of other VMs.
 const maxNeighbours = 256
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -44,6 +44,8 @@
 	// AsksPerSecond limits the questions that an upstream of the site gets from
 	// all VMs in a second; 0 sets no limit.
 	AsksPerSecond float64
+	// RetryShare is the share of extra sends among the calls of a site's service.
+	RetryShare float64
 	// Router has the calls of a site placed by the VM in charge of their service.
 	Router *dispatch.Router
 	// Seed seeds the random choices.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -61,6 +61,8 @@
 	name string
 	// maxSends limits the upstreams that one call is sent to; 0 means no limit.
 	maxSends int
+	// maxHeader limits the request header, in bytes; 0 means no limit of its own.
+	maxHeader int
 	// objective is the latency within which an answer is worth most.
 	objective time.Duration
 	// priority is the rank of the calls; 0 is the most urgent.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -44,6 +44,8 @@
 	siteTime   = 800 * time.Millisecond
 	siteAim    = 200 * time.Millisecond
 	siteBodies = 1000
+	// siteHeaders limits request headers, in bytes.
+	siteHeaders = 2000
 )
 
 // siteConfig has a route of each kind of traffic to service a, and one that is
@@ -57,7 +59,7 @@
 	}
 	return site.Config{
 		Version:  version,
-		Limits:   site.Limits{MaxBodyBytes: siteBodies},
+		Limits:   site.Limits{MaxBodyBytes: siteBodies, MaxHeaderBytes: siteHeaders},
 		Services: []site.Service{{Name: "a", HealthPath: "/health", MaxConnections: 50}, {Name: "b", HealthPath: "/health", MaxConnections: 50}},
 		Routes: []site.Route{
 			route("/look/", dynamic.Lookup, site.Target{Service: "a", Weight: 1}),
@@ -78,7 +80,8 @@
 		own := func(string, func(string) bool) (dispatch.VM, bool) { return dispatch.VM{}, false }
 		b.gateway = gateway.New(gateway.Options{
 			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &b.log), Counters: b.counters, Dial: b.network.Dial, Seed: 1,
-			Router: dispatch.NewRouter(own, nil, hclog.NewNullLogger(), b.counters),
+			RetryShare: 0.1,
+			Router:     dispatch.NewRouter(own, nil, hclog.NewNullLogger(), b.counters),
 		})
 		b.servers = append(b.servers, b.network.Serve(gatewayAddress, b.gateway))
 		for _, u := range siteUpstreams() {
@@ -287,6 +290,22 @@
 	})
 }
 
+func TestOversizedHeaderReachesNoUpstream(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		b.start()
+		send := func(bytes int) int {
+			r, err := http.NewRequest(http.MethodPost, "http://"+gatewayAddress+"/book/1", strings.NewReader("x"))
+			g.Expect(err).NotTo(HaveOccurred())
+			r.Host = siteHost
+			r.Header.Set("X-Filler", strings.Repeat("x", bytes))
+			return sendWith(b.client, r).status
+		}
+		g.Expect(send(siteHeaders)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+		g.Expect(b.count("a")).To(BeZero())
+		g.Expect(send(siteHeaders - 500)).To(Equal(http.StatusOK))
+	})
+}
+
 // TestRefusedCallersReturnSpreadOut plays a service without upstreams: the times
 // after which callers may come back lie within the objective and apart.
 func TestRefusedCallersReturnSpreadOut(t *testing.T) {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -45,4 +45,5 @@
 	AttemptsSpent     Reason = "attempts_spent"
 	CallerGone        Reason = "caller_gone"
 	HeaderInvalid     Reason = "header_invalid"
+	HeaderTooLarge    Reason = "header_too_large"
 )
