--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -224,14 +224,6 @@
 	return len(d.upstreams) > 0
 }
 
-// Work returns the time in which an upstream without other calls answers; 0
-// before the first answer.
-func (d *Dispatcher) Work() time.Duration {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.balancer.Unit()
-}
-
 // RemoteCall records that a call of another VM has come.
 func (d *Dispatcher) RemoteCall(now time.Time) {
 	d.mu.Lock()
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -94,7 +94,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return transportError(err)
+		return TransportError(err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	if err := statusError(response.StatusCode); err != nil {
@@ -113,9 +113,9 @@
 	return nil
 }
 
-// transportError turns an error of the transport into an error of this layer. A
+// TransportError turns an error of an HTTP transport into one of this package. A
 // connection that could not be opened carried nothing.
-func transportError(err error) error {
+func TransportError(err error) error {
 	var opErr *net.OpError
 	if errors.As(err, &opErr) && opErr.Op == "dial" {
 		return errors.Wrap(ErrUnavailable, err.Error())
