Poll a silent upstream once at a time

Cause (read before landing): each poll of an upstream that is gone held a connection attempt for up to a second, thirty at a time for each such upstream.

--- a/internal/dispatch/ask.go
+++ b/internal/dispatch/ask.go
@@ -137,7 +137,7 @@
 	for ctx.Err() == nil {
 		upstream, pause := d.nextPoll(time.Now())
 		if upstream.Name != "" {
-			go d.ask(upstream.Name, upstream.Address, "poll")
+			go d.poll(upstream)
 		}
 		select {
 		case <-time.After(pause):
@@ -146,8 +146,17 @@
 	}
 }
 
+// poll asks an upstream that nextPoll has chosen.
+func (d *Dispatcher) poll(upstream loadbalancer.Upstream) {
+	d.ask(upstream.Name, upstream.Address, "poll")
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.polled, upstream.Name)
+}
+
 // nextPoll returns the upstream to be asked now, if any, and the time until the
-// next one.
+// next one. One that has not answered the last poll is passed over, so that
+// upstreams that are gone don't gather connections.
 func (d *Dispatcher) nextPoll(now time.Time) (loadbalancer.Upstream, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -161,6 +170,12 @@
 	}
 	interval := min(d.balancer.Unit()/polls, maxPollInterval)
 	interval = max(interval, time.Duration(float64(time.Second)/perSecond))
+	pause := interval / time.Duration(len(d.upstreams))
 	d.next = (d.next + 1) % len(d.upstreams)
-	return d.upstreams[d.next], interval / time.Duration(len(d.upstreams))
+	upstream := d.upstreams[d.next]
+	if _, isAwaited := d.polled[upstream.Name]; isAwaited {
+		return loadbalancer.Upstream{}, pause
+	}
+	d.polled[upstream.Name] = struct{}{}
+	return upstream, pause
 }
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +17,7 @@
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/exchange"
+	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/pipenet"
 	"github.com/figfront/figfront/internal/telemetry"
@@ -359,3 +362,33 @@
 		g.Expect(time.Since(start)).To(BeZero())
 	})
 }
+
+// TestSilentUpstreamIsPolledOnceAtATime covers upstreams that take questions and
+// never answer.
+func TestSilentUpstreamIsPolledOnceAtATime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		f := newFleet(3, 1)
+		var open, most atomic.Int32
+		ask := func(ctx context.Context, _ string) (loadbalancer.ProbeResult, bool) {
+			most.Store(max(most.Load(), open.Add(1)))
+			<-ctx.Done()
+			open.Add(-1)
+			return loadbalancer.ProbeResult{}, false
+		}
+		d := dispatch.NewDispatcher(dispatch.Options{
+			VM: "vm", Zone: "a", Ask: ask, AsksPerSecond: asksPerSecond,
+			Counters: telemetry.NewCounters(), Random: rand.New(rand.NewPCG(1, 1)),
+		})
+		d.SetUpstreams(f.list)
+		ctx, cancel := context.WithCancel(context.Background())
+		go d.Poll(ctx)
+		for range 100 {
+			d.RemoteCall(time.Now())
+			time.Sleep(100 * time.Millisecond)
+		}
+		cancel()
+		g.Expect(most.Load()).To(Equal(int32(len(f.list))))
+		time.Sleep(time.Minute)
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -61,6 +61,8 @@
 	// upstreams are those in use, and next is the one that is polled next.
 	upstreams []loadbalancer.Upstream
 	next      int
+	// polled holds the upstreams whose answer to a poll is awaited.
+	polled map[string]struct{}
 	// waiters are the calls that wait for a free upstream, oldest first.
 	waiters []*waiter
 	// live holds the sends under way by upstream.
@@ -79,6 +81,7 @@
 		budget: retry.NewBudget(options.RetryShare),
 		asks:   measure.NewAskBudget(options.AsksPerSecond),
 		live:   make(map[string]map[*liveSend]struct{}),
+		polled: make(map[string]struct{}),
 	}
 }
 
