Place a call again whose upstream this VM knows to be leaving

Cause (read before landing): a VM that had heard of a leaving upstream before the VM in charge refused the call as no_upstream, although others were free. TestUpstreamThatOnlyThePlacingVMKnows fails without it (503 instead of 200).

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -17,10 +17,33 @@
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
+// maxPlacings limits how often a send is placed anew because this VM does not know
+// the upstream that was chosen, or knows that it leaves.
+const maxPlacings = 3
+
 // placeSend has a call of a site placed and starts the send.
 func (c *call) placeSend(kind sendKind) (send, *outcome.Problem) {
 	s := c.route.service
-	request := dispatch.Request{
+	for range maxPlacings {
+		request := c.placeRequest(kind)
+		grant, err := c.gateway.options.Router.Place(c.ctx, s.name, s.dispatcher, request)
+		if err != nil {
+			return send{}, c.notPlaced(err)
+		}
+		c.gateway.options.Counters.Observe(telemetry.HistogramWait, grant.Waited)
+		c.gateway.options.Counters.Observe(telemetry.HistogramReportAge, max(grant.Basis.Age, 0))
+		if sent, ok := s.startGranted(grant, request.Bulk); ok {
+			return sent, nil
+		}
+		c.gateway.options.Counters.Add(telemetry.GroupDispatch, "upstream_unknown", 1)
+		c.tried = append(c.tried, grant.Upstream)
+	}
+	return send{}, c.noSend(outcome.NoUpstream)
+}
+
+// placeRequest describes the next send to what places it.
+func (c *call) placeRequest(kind sendKind) dispatch.Request {
+	return dispatch.Request{
 		Zone:      c.gateway.options.Zone,
 		Bulk:      c.route.rule.settings.Traffic == dynamic.Upload,
 		Bytes:     len(c.body),
@@ -31,18 +54,6 @@
 		Extra:     kind != firstSend,
 		Hedge:     kind == hedgeSend,
 	}
-	grant, err := c.gateway.options.Router.Place(c.ctx, s.name, s.dispatcher, request)
-	if err != nil {
-		return send{}, c.notPlaced(err)
-	}
-	c.gateway.options.Counters.Observe(telemetry.HistogramWait, grant.Waited)
-	c.gateway.options.Counters.Observe(telemetry.HistogramReportAge, max(grant.Basis.Age, 0))
-	sent, ok := s.startGranted(grant, request.Bulk)
-	if !ok {
-		c.gateway.options.Counters.Add(telemetry.GroupDispatch, "upstream_unknown", 1)
-		return send{}, c.noSend(outcome.NoUpstream)
-	}
-	return sent, nil
 }
 
 // notPlaced returns the problem of a call that was not placed.
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -21,6 +21,7 @@
 	"github.com/figfront/figfront/internal/config/site"
 	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/gateway"
+	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/pipenet"
 	"github.com/figfront/figfront/internal/telemetry"
@@ -198,6 +199,25 @@
 	})
 }
 
+// TestUpstreamThatOnlyThePlacingVMKnows covers a VM in charge that has not heard
+// yet that an upstream leaves: the call goes to another one.
+func TestUpstreamThatOnlyThePlacingVMKnows(t *testing.T) {
+	withSite(t, respond, func(g *WithT, b *siteBench) {
+		b.start()
+		placing, ok := b.gateway.Dispatcher("a")
+		g.Expect(ok).To(BeTrue())
+		placing.SetUpstreams([]loadbalancer.Upstream{
+			{Name: "a0", Address: "10.0.2.0:80", Zone: "far", Slots: 2},
+			{Name: "leaving", Address: "10.0.2.9:80", Zone: "z", Slots: 2},
+		})
+		time.Sleep(5 * time.Second)
+		for range 20 {
+			g.Expect(b.call(http.MethodPost, "/book/1", "x").status).To(Equal(http.StatusOK))
+		}
+		g.Expect(b.counters.Get(telemetry.GroupDispatch, "upstream_unknown")).To(BeNumerically(">", 0))
+	})
+}
+
 // TestUpstreamThatIsSilentWhileItWorks covers a lookup over a kept connection
 // that carries nothing for more than half of the call's time: the upstream works,
 // and its work is not cut off.
