Let a team's hedges draw on the retry budget again

Cause (found by reading the change): hedges became a kind of send of their own, and service.startSend asked the budget for the kind of retries alone. Sites were not touched: their dispatcher asks for every extra send.

--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -49,14 +49,20 @@
 const (
 	// firstSend earns a share of an extra one.
 	firstSend sendKind = iota
-	// extraSend is a hedge or a retry, which the budget has to pay for.
+	// extraSend is a retry, which the budget has to pay for.
 	extraSend
 	// paidSend is a retry for which payExtra has paid.
 	paidSend
-	// hedgeSend is an extra send while the first one is still under way.
+	// hedgeSend is an extra send while the first one is still under way, which the
+	// budget has to pay for as well.
 	hedgeSend
 )
 
+// isPaidByBudget tells whether the budget has to pay for the send when it starts.
+func (k sendKind) isPaidByBudget() bool {
+	return k == extraSend || k == hedgeSend
+}
+
 // startSend chooses an upstream and records the send.
 func (s *service) startSend(traffic dynamic.Traffic, exclude []string, kind sendKind) (send, sendError) {
 	now := time.Now()
@@ -66,7 +72,7 @@
 	if !ok {
 		return send{}, sendErrNoUpstream
 	}
-	if kind == extraSend && !s.budget.Take(now) {
+	if kind.isPaidByBudget() && !s.budget.Take(now) {
 		return send{}, sendErrBudget
 	}
 	if kind == firstSend {
