--- a/internal/callheader/callheader.go
+++ b/internal/callheader/callheader.go
@@ -20,8 +20,6 @@
 	// Upstream names the upstream that a call is for; another one at its address
 	// does not run it.
 	Upstream = "Figfront-Upstream"
-	// Moved marks the answer of another upstream than the one that a call is for.
-	Moved = "Figfront-Moved"
 	// Attempt carries the number of the send; a value above 1 marks a call
 	// that has been sent again on its way.
 	Attempt = "Figfront-Attempt"
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // Source returns one reading of a record set after the other.
@@ -77,16 +77,5 @@
 		l.log.Warn("dependency lost", fieldDependency, l.name, telemetry.FieldError, err)
 	}
 	l.pause = min(max(2*l.pause, firstPause), lastPause)
-	select {
-	case <-time.After(jitter(l.pause)):
-	case <-ctx.Done():
-	}
-}
-
-// jitterShare is the share by which a pause varies in each direction.
-const jitterShare = 0.15
-
-// jitter keeps VMs from calling the store in step.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
+	wait.For(ctx, wait.Jitter(l.pause))
 }
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -21,7 +21,7 @@
 // ownHeaders are set by figfront alone.
 var ownHeaders = []string{
 	callheader.Load, callheader.Shed, callheader.Draining, callheader.UploadID,
-	callheader.Timeout, callheader.Upstream, callheader.Moved,
+	callheader.Timeout, callheader.Upstream,
 	outcome.HeaderOutcome, outcome.HeaderReason, outcome.HeaderRequestID, outcome.HeaderRetryAfterMs,
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -65,8 +65,6 @@
 	maxHeader int
 	// objective is the latency within which an answer is worth most.
 	objective time.Duration
-	// priority is the rank of the calls; 0 is the most urgent.
-	priority int
 }
 
 func newService(teamName, name string, options Options) *service {
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // RecordSet is a record set of the store that the VMs of a zone read for each
@@ -62,11 +62,11 @@
 		if snapshot, ok := s.takeShared(); ok {
 			return snapshot, nil
 		}
-		wait := s.untilOwnCall()
-		if wait <= 0 {
+		pause := s.untilOwnCall()
+		if pause <= 0 {
 			return s.call(ctx)
 		}
-		timer := time.NewTimer(wait)
+		timer := time.NewTimer(pause)
 		select {
 		case <-s.arrived:
 		case <-timer.C:
@@ -114,7 +114,7 @@
 func (s *RecordSet) call(ctx context.Context) (platform.Snapshot, error) {
 	s.mu.Lock()
 	if !s.options.Feed {
-		s.turnAt = time.Now().Add(jitter(s.options.Interval))
+		s.turnAt = time.Now().Add(wait.Jitter(s.options.Interval))
 	}
 	own := s.own
 	s.mu.Unlock()
@@ -207,11 +207,3 @@
 	}
 	return snapshot
 }
-
-// jitterShare is the share by which a pause varies in each direction.
-const jitterShare = 0.15
-
-// jitter keeps VMs from calling the store in step.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration(float64(d) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
-}
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -1,8 +1,9 @@
-// Package wait waits for a time that a context can cut short.
+// Package wait waits for a time that a context can cut short, and varies times.
 package wait
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 )
 
@@ -17,3 +18,11 @@
 		return false
 	}
 }
+
+// jitterShare is the share by which Jitter varies a time in each direction.
+const jitterShare = 0.15
+
+// Jitter varies a time at random, so that VMs don't act in step.
+func Jitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
+}
