Sum up log lines that repeat

Cause: a fault that logs the same line many times a second (a neighbour lost, an entry that can't be read) took the rate of lines from the calls. A line that differs from one of the last second by its time alone is not written; once a second a line with the field "repeated" follows. log.repeated counts them.

--- a/internal/telemetry/linewriter.go
+++ b/internal/telemetry/linewriter.go
@@ -17,18 +17,21 @@
 	// linesPerSecond and lineBurst limit the lines that are taken.
 	linesPerSecond = 400
 	lineBurst      = 800
-	// dropReport is the time between two lines about lines that were dropped.
-	dropReport = time.Second
+	// reportInterval is the time between two reports of lines that were left out.
+	reportInterval = time.Second
 )
 
 // LineWriter writes log lines to another writer without ever making their author
-// wait: lines above a rate, and lines that find the queue full because nobody
-// reads, are dropped and counted. It is safe for concurrent use.
+// wait. A line that says the same as one of the last second is not written; how
+// often it came follows in one line. Lines above a rate, and lines that find the
+// queue full because nobody reads, are dropped and counted. It is safe for
+// concurrent use.
 type LineWriter struct {
 	out      io.Writer
 	lines    chan []byte
 	limiter  *rate.Limiter
 	counters *Counters
+	repeats  *repeats
 
 	mu      sync.Mutex
 	dropped int64
@@ -40,12 +43,16 @@
 func NewLineWriter(out io.Writer, counters *Counters) *LineWriter {
 	return &LineWriter{
 		out: out, counters: counters, lines: make(chan []byte, lineQueue),
-		limiter: rate.NewLimiter(linesPerSecond, lineBurst), ended: make(chan struct{}),
+		limiter: rate.NewLimiter(linesPerSecond, lineBurst), repeats: newRepeats(), ended: make(chan struct{}),
 	}
 }
 
 // Write takes one line. It never fails and never waits.
 func (w *LineWriter) Write(line []byte) (int, error) {
+	if w.repeats.isRepeat(line) {
+		w.counters.Add(GroupLog, "repeated", 1)
+		return len(line), nil
+	}
 	if !w.limiter.Allow() {
 		w.drop("rate")
 		return len(line), nil
@@ -68,14 +75,14 @@
 // Run writes the lines until ctx ends and the queue is empty.
 func (w *LineWriter) Run(ctx context.Context) {
 	defer close(w.ended)
-	report := time.NewTicker(dropReport)
+	report := time.NewTicker(reportInterval)
 	defer report.Stop()
 	for {
 		select {
 		case line := <-w.lines:
 			w.write(line)
 		case <-report.C:
-			w.reportDropped()
+			w.report()
 		case <-ctx.Done():
 			w.drain()
 			return
@@ -95,7 +102,7 @@
 		case line := <-w.lines:
 			w.write(line)
 		default:
-			w.reportDropped()
+			w.report()
 			return
 		}
 	}
@@ -107,6 +114,14 @@
 	}
 }
 
+// report writes what was left out since the last report.
+func (w *LineWriter) report() {
+	for _, line := range w.repeats.next() {
+		w.write(line)
+	}
+	w.reportDropped()
+}
+
 // reportDropped writes how many lines were dropped since the last report.
 func (w *LineWriter) reportDropped() {
 	w.mu.Lock()
