Tell in a call's line why it was not sent again, and measure the age of changes

Cause: the line of a failed call told how its sends ended, but not what kept it from another one (the counter kept_* has no id); an answer that was cut midway had no line with the id; no metric told how long a change of the configuration takes to be in force. not_sent_again tells the first, a line "answer cut" the second. Readings now carry the store's steady clock through the zone, and the histogram config_age is the time from the reading that held a change until it is in force at a VM.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -88,6 +88,8 @@
 	dispatch *dispatch.Server
 	router   *dispatch.Router
 	start    startGate
+	// storeClock is shared by the followers of the store.
+	storeClock follow.StoreClock
 	// store is the address of the store in use; only reload reads it.
 	store string
 }
@@ -180,7 +182,7 @@
 			e.start.pass(&e.start.hasConfig)
 			return isApplied
 		},
-		Log: e.parts.Log, Counters: e.parts.Counters,
+		Log: e.parts.Log, Counters: e.parts.Counters, Clock: &e.storeClock,
 	}
 }
 
@@ -191,7 +193,7 @@
 			e.gateway.SetUpstreams(upstreams)
 			e.start.pass(&e.start.hasUpstreams)
 		},
-		Log: e.parts.Log, Counters: e.parts.Counters,
+		Log: e.parts.Log, Counters: e.parts.Counters, Clock: &e.storeClock,
 	}
 }
 
@@ -200,7 +202,7 @@
 		Source:   e.mesh.Records("vms", e.adapter.VMs, vmReading),
 		Self:     platform.VM{Name: e.settings.VM.Name, Zone: e.settings.VM.Zone, Address: e.settings.Exchange},
 		Announce: e.adapter.Announce, Decode: e.adapter.DecodeVM, Apply: e.mesh.MergeVMs,
-		Log: e.parts.Log, Counters: e.parts.Counters,
+		Log: e.parts.Log, Counters: e.parts.Counters, Clock: &e.storeClock,
 	}
 }
 
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -21,6 +22,8 @@
 	Apply    func(c site.Config) bool
 	Log      hclog.Logger
 	Counters *telemetry.Counters
+	// Clock is shared by the followers of a store; nil measures no times.
+	Clock *StoreClock
 
 	// taken is the version of the row that was looked at last.
 	taken uint64
@@ -28,7 +31,7 @@
 
 // Run follows the configuration until ctx ends.
 func (f *ConfigFollower) Run(ctx context.Context) error {
-	return newLoop("config", f.Source, f.Log, f.Counters).run(ctx, f.take)
+	return newLoop("config", f.Source, f.Log, f.Counters, f.Clock).run(ctx, f.take)
 }
 
 // take puts the configuration of a reading in force. One that can't be read
@@ -38,6 +41,7 @@
 		if row.Key != f.Key || row.Version <= f.taken {
 			continue
 		}
+		isFirst := f.taken == 0
 		f.taken = row.Version
 		config, err := f.Decode(row.Value)
 		if err != nil {
@@ -46,6 +50,20 @@
 				"store_version", row.Version, telemetry.FieldError, err)
 			continue
 		}
-		f.Apply(config)
+		if f.Apply(config) && !isFirst {
+			f.observeAge(snapshot)
+		}
+	}
+}
+
+// observeAge records how old the reading that held a change was when the change
+// came in force. The store answers a waiting reader at once, so that this is the
+// time since the change was written, unless the store was out of reach then.
+func (f *ConfigFollower) observeAge(snapshot platform.Snapshot) {
+	if f.Clock == nil {
+		return
+	}
+	if age, ok := f.Clock.since(snapshot.StoreTime, time.Now()); ok {
+		f.Counters.Observe(telemetry.HistogramConfigAge, age)
 	}
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -34,13 +34,15 @@
 	source   Source
 	log      hclog.Logger
 	counters *telemetry.Counters
+	// clock may be nil.
+	clock *StoreClock
 
 	lostAt time.Time
 	pause  time.Duration
 }
 
-func newLoop(name string, source Source, log hclog.Logger, counters *telemetry.Counters) *loop {
-	return &loop{name: name, source: source, log: log, counters: counters}
+func newLoop(name string, source Source, log hclog.Logger, counters *telemetry.Counters, clock *StoreClock) *loop {
+	return &loop{name: name, source: source, log: log, counters: counters, clock: clock}
 }
 
 // run hands each reading to take until ctx ends.
@@ -52,7 +54,7 @@
 		case err != nil:
 			l.failed(ctx, err)
 		default:
-			l.succeeded()
+			l.succeeded(snapshot)
 			take(snapshot)
 		}
 	}
@@ -60,7 +62,10 @@
 }
 
 // succeeded records a reading.
-func (l *loop) succeeded() {
+func (l *loop) succeeded(snapshot platform.Snapshot) {
+	if l.clock != nil {
+		l.clock.observe(snapshot.StoreTime, time.Now())
+	}
 	l.counters.Add(telemetry.GroupStore, l.name+"_read", 1)
 	if !l.lostAt.IsZero() {
 		l.log.Info("dependency regained", fieldDependency, l.name, "lost_ms", time.Since(l.lostAt).Milliseconds())
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"testing"
 	"testing/synctest"
@@ -154,3 +155,43 @@
 		g.Expect(announced).To(Equal(3), "at the start and after each reading without the entry")
 	})
 }
+
+// TestAgeOfAChangeInForce plays a VM that hears changes from its zone's reader
+// 40 ms after the store's answer, and one reading that took longer.
+func TestAgeOfAChangeInForce(t *testing.T) {
+	const clock, hop, slow = 500 * time.Second, 40 * time.Millisecond, 340 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		counters := telemetry.NewCounters()
+		start := time.Now()
+		reading := func(after int, delay time.Duration, version uint64, value string) step {
+			stamped := clock + time.Duration(after)*time.Second - delay
+			return step{snapshot: platform.Snapshot{
+				Version: version, StoreTime: stamped, Rows: []platform.Row{row("config", version, value)},
+			}}
+		}
+		f := &follow.ConfigFollower{
+			Source: &script{steps: []step{
+				reading(1, 0, 1, "1"), reading(2, hop, 2, "2"), reading(3, slow, 3, "3"),
+			}},
+			Key: "config", Decode: decode, Log: hclog.NewNullLogger(), Counters: counters,
+			Apply: func(site.Config) bool { return true }, Clock: &follow.StoreClock{},
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		defer cancel()
+		g.Expect(f.Run(ctx)).To(Succeed())
+		g.Expect(time.Since(start)).To(Equal(10 * time.Second))
+		var page struct {
+			Latencies map[string]struct {
+				Count int64 `json:"count"`
+				P50Us int64 `json:"p50_us"`
+				MaxUs int64 `json:"max_us"`
+			} `json:"latencies"`
+		}
+		g.Expect(json.Unmarshal([]byte(counters.String()), &page)).To(Succeed())
+		age := page.Latencies[telemetry.HistogramConfigAge]
+		g.Expect(age.Count).To(Equal(int64(2)), "the first configuration is no change")
+		g.Expect(age.P50Us).To(BeNumerically("~", hop.Microseconds(), hop.Microseconds()/50))
+		g.Expect(age.MaxUs).To(BeNumerically("~", slow.Microseconds(), slow.Microseconds()/50))
+	})
+}
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -23,6 +23,8 @@
 	Heartbeat time.Duration
 	Log       hclog.Logger
 	Counters  *telemetry.Counters
+	// Clock is shared by the followers of a store; nil measures no times.
+	Clock *StoreClock
 
 	catalog *catalog.Catalog
 	// malformed holds the versions of the entries that could not be read.
@@ -33,7 +35,7 @@
 func (f *UpstreamFollower) Run(ctx context.Context) error {
 	f.catalog = catalog.New(f.Heartbeat)
 	f.malformed = make(map[string]uint64)
-	return newLoop("upstreams", f.Source, f.Log, f.Counters).run(ctx, f.take)
+	return newLoop("upstreams", f.Source, f.Log, f.Counters, f.Clock).run(ctx, f.take)
 }
 
 // take decodes a reading and hands over the upstreams in use.
--- a/internal/follow/vms.go
+++ b/internal/follow/vms.go
@@ -22,12 +22,14 @@
 	Apply    func(vms []platform.VM)
 	Log      hclog.Logger
 	Counters *telemetry.Counters
+	// Clock is shared by the followers of a store; nil measures no times.
+	Clock *StoreClock
 }
 
 // Run follows the list until ctx ends.
 func (f *VMFollower) Run(ctx context.Context) error {
 	f.announce(ctx)
-	return newLoop("vms", f.Source, f.Log, f.Counters).run(ctx, func(snapshot platform.Snapshot) {
+	return newLoop("vms", f.Source, f.Log, f.Counters, f.Clock).run(ctx, func(snapshot platform.Snapshot) {
 		f.take(ctx, snapshot)
 	})
 }
--- a/internal/gateway/answer.go
+++ b/internal/gateway/answer.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 // writeStall is how long a caller may take no byte of an answer before its
@@ -71,6 +72,8 @@
 func (c *call) passRest(writer io.Writer, a attemptResult) {
 	if _, err := io.Copy(writer, a.rest); err != nil {
 		c.gateway.options.Counters.Add(groupAnswers, "cut", 1)
+		c.gateway.options.Log.Warn("answer cut", telemetry.FieldRequestID, c.id,
+			telemetry.FieldUpstream, a.upstream, telemetry.FieldError, err)
 		panic(http.ErrAbortHandler)
 	}
 	setTrailer(c.w.Header(), a.response)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -110,6 +110,9 @@
 	if refusal := c.trail.lastRefusal(); refusal != nil {
 		args = append(args, "refusal", refusal)
 	}
+	if kept := c.trail.keptBy(); kept != "" {
+		args = append(args, "not_sent_again", kept)
+	}
 	if reason != "" {
 		args = append(args, telemetry.FieldReason, string(reason))
 	}
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -114,6 +114,7 @@
 
 // keep counts a failed send that is not sent again.
 func (c *call) keep(reason string) {
+	c.trail.keep(reason)
 	c.gateway.options.Counters.Add(telemetry.GroupRetries, keptPrefix+reason, 1)
 }
 
--- a/internal/gateway/trail.go
+++ b/internal/gateway/trail.go
@@ -16,6 +16,9 @@
 	// refusal is why the call was not sent, or not again; nil when nothing kept
 	// it.
 	refusal *refusalRecord
+	// kept is why the last failed send was not followed by another one; empty when
+	// no send failed.
+	kept string
 }
 
 // refusalRecord is what a refusal was decided by.
@@ -48,6 +51,20 @@
 	}
 }
 
+// keep records why a failed send was not followed by another one.
+func (t *trail) keep(reason string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.kept = reason
+}
+
+// keptBy returns why the last failed send was not followed by another one.
+func (t *trail) keptBy() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.kept
+}
+
 // lastRefusal returns the last refusal; nil when there was none.
 func (t *trail) lastRefusal() *refusalRecord {
 	t.mu.Lock()
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -191,7 +191,7 @@
 }
 
 func encodeSnapshot(snapshot platform.Snapshot) *api.RecordSnapshot {
-	encoded := &api.RecordSnapshot{Version: snapshot.Version}
+	encoded := &api.RecordSnapshot{Version: snapshot.Version, StoreTimeUs: snapshot.StoreTime.Microseconds()}
 	for _, row := range snapshot.Rows {
 		encoded.Records = append(encoded.Records, &api.Record{Key: row.Key, Version: row.Version, Value: row.Value})
 	}
@@ -199,7 +199,10 @@
 }
 
 func decodeSnapshot(encoded *api.RecordSnapshot) platform.Snapshot {
-	snapshot := platform.Snapshot{Version: encoded.GetVersion()}
+	snapshot := platform.Snapshot{
+		Version:   encoded.GetVersion(),
+		StoreTime: time.Duration(encoded.GetStoreTimeUs()) * time.Microsecond,
+	}
 	for _, row := range encoded.GetRecords() {
 		snapshot.Rows = append(snapshot.Rows, platform.Row{
 			Key: row.GetKey(), Version: row.GetVersion(), Value: row.GetValue(),
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -47,3 +47,10 @@
 	HeaderInvalid     Reason = "header_invalid"
 	HeaderTooLarge    Reason = "header_too_large"
 )
+
+// Reasons holds every reason.
+var Reasons = []Reason{
+	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
+	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
+	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
+}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -91,6 +91,8 @@
 	Rows []Row
 	// Version is that of the store at that moment; changes are read from it.
 	Version uint64
+	// StoreTime is what the store's steady clock showed; 0 when that is not known.
+	StoreTime time.Duration
 }
 
 // Change is a row that was written or deleted.
@@ -104,6 +106,8 @@
 	Changes []Change
 	// Version is the one from which to read on.
 	Version uint64
+	// StoreTime is what the store's steady clock showed; 0 when that is not known.
+	StoreTime time.Duration
 }
 
 // Records is a set of rows that others write and that this VM follows.
@@ -137,7 +141,7 @@
 		}
 		rows[change.Key] = change.Row
 	}
-	next := Snapshot{Version: max(s.Version, changes.Version)}
+	next := Snapshot{Version: max(s.Version, changes.Version), StoreTime: changes.StoreTime}
 	for _, key := range order {
 		if row, ok := rows[key]; ok {
 			next.Rows = append(next.Rows, row)
--- a/internal/telemetry/histogram.go
+++ b/internal/telemetry/histogram.go
@@ -26,6 +26,9 @@
 	HistogramWait = "place_wait"
 	// HistogramReportAge is the age of the report that a choice rested on.
 	HistogramReportAge = "report_age"
+	// HistogramConfigAge is the time from a change of the configuration until it is
+	// in force.
+	HistogramConfigAge = "config_age"
 )
 
 // Histogram counts times. It is safe for concurrent use.
--- a/internal/telemetry/linewriter_test.go
+++ b/internal/telemetry/linewriter_test.go
@@ -108,7 +108,7 @@
 			repeated += fields.Repeated
 		}
 		g.Expect(written).To(BeNumerically("<=", 2*(seconds+1)), "a line and its sum a second")
-		g.Expect(repeated + written - counted(out.String(), "repeated")).To(Equal(seconds*perSecond), "no line is lost")
+		g.Expect(repeated+written-counted(out.String(), "repeated")).To(Equal(seconds*perSecond), "no line is lost")
 		g.Expect(strings.Count(out.String(), `"@message":"call"`)).To(Equal(seconds))
 		g.Expect(counters.Get(telemetry.GroupLog, "repeated")).To(Equal(int64(repeated)))
 	})
