Let only strong VMs read the store and place calls for others

Ruled out: the store (it answered other VMs), its link alone (its zone's reader had sent 9 KB). A VM's entry now holds its capacity, the cores that it has, or less behind a narrow link (100 Mbit/s a core). Those with less than half of the greatest capacity of the live ones stand behind the others, both for the reader of a zone and for the VM in charge; without strong VMs nothing changes, nor on sites whose VMs are alike. Tests: TestWorkForOthersGoesToStrongVMs and TestWeakVMsReadForNobody failed with the share at 0.

--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -38,6 +38,10 @@
 	ConfigBound time.Duration
 	// MaxConnections limits the open connections of callers.
 	MaxConnections int
+	// Cores is the processor time that the VM has, and LinkMbps the bandwidth of its
+	// link in megabits per second.
+	Cores    float64
+	LinkMbps float64
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int
 	// StopLag is the time that the platform's balancer may go on sending new
@@ -67,6 +71,8 @@
 	section.Duration("drain_bound", &e.DrainBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Duration("config_bound", &e.ConfigBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
+	section.Float("cores", &e.Cores, 1, 0, 1024)
+	section.Float("link_mbps", &e.LinkMbps, 1000, 0, 1e6)
 	section.Int("memory_mb", &e.MemoryMB, 256, 32, 1<<20)
 	section.Duration("stop_lag", &e.StopLag, 2500*time.Millisecond, 0, time.Minute)
 	section.Duration("stop_timeout", &e.StopTimeout, 5*time.Second, time.Second, time.Hour)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,7 +113,7 @@
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Exchange,
-		Seeds: settings.Seeds, Dispatch: e.dispatch, Count: e.gateway.SetVMs,
+		Capacity: capacity(settings), Seeds: settings.Seeds, Dispatch: e.dispatch, Count: e.gateway.SetVMs,
 		Log: parts.Log, Counters: parts.Counters,
 	})
 	return e, err
@@ -164,6 +164,15 @@
 	return err
 }
 
+// mbpsPerCore is the bandwidth that the work for other VMs needs beside a core, in
+// megabits per second.
+const mbpsPerCore = 100
+
+// capacity returns how much work for others the VM can do, in cores.
+func capacity(settings *static.Entry) float64 {
+	return min(settings.Cores, settings.LinkMbps/mbpsPerCore)
+}
+
 // reload puts changed settings in force. The addresses that the process listens
 // at and the VM's name and zone hold until it starts again.
 func (e *entry) reload(settings *static.Entry) {
@@ -200,7 +209,7 @@
 func (e *entry) vms() *follow.VMFollower {
 	return &follow.VMFollower{
 		Source:   e.mesh.Records("vms", e.adapter.VMs, vmReading),
-		Self:     platform.VM{Name: e.settings.VM.Name, Zone: e.settings.VM.Zone, Address: e.settings.Exchange},
+		Self:     platform.VM{Name: e.settings.VM.Name, Zone: e.settings.VM.Zone, Address: e.settings.Exchange, Capacity: capacity(e.settings)},
 		Announce: e.adapter.Announce, Decode: e.adapter.DecodeVM, Apply: e.mesh.MergeVMs,
 		Log: e.parts.Log, Counters: e.parts.Counters, Clock: &e.storeClock,
 	}
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -84,7 +84,7 @@
 		b.gateway = gateway.New(gateway.Options{
 			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &b.log), Counters: b.counters, Dial: b.network.Dial, Seed: 1,
 			RetryShare: 0.1, AsksPerSecond: siteAsks,
-			Router:     dispatch.NewRouter(own, nil, hclog.NewNullLogger(), b.counters),
+			Router: dispatch.NewRouter(own, nil, hclog.NewNullLogger(), b.counters),
 		})
 		b.servers = append(b.servers, b.network.Serve(gatewayAddress, b.gateway))
 		for _, u := range siteUpstreams() {
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -39,6 +39,9 @@
 	// new VM takes its start in milliseconds since the Unix epoch.
 	Incarnation uint64
 	State       chart.State
+	// Capacity is how much work for others the VM can do, in cores; 0 means that it
+	// is not known.
+	Capacity float64
 }
 
 // Listed is an entry of the platform's list.
@@ -47,6 +50,8 @@
 	Zone    string
 	Address string
 	Leaving bool
+	// Capacity is that of a Member.
+	Capacity float64
 }
 
 // maxIncarnationAhead is how far an incarnation may lie in the future.
--- a/internal/membership/membership_test.go
+++ b/internal/membership/membership_test.go
@@ -274,3 +274,28 @@
 		Expect(moved).To(BeNumerically("<=", 8))
 	})
 })
+
+func TestWorkForOthersGoesToStrongVMs(t *testing.T) {
+	g := NewWithT(t)
+	const vms, strong = 40, 8
+	var members []membership.Member
+	for i := range vms {
+		capacity := 0.16
+		if i < strong {
+			capacity = 0.5 + 0.04*float64(i)
+		}
+		members = append(members, membership.Member{VM: fmt.Sprintf("vm-%d", i), Capacity: capacity})
+	}
+	chosen := make(map[string]bool)
+	for task := range 200 {
+		ranked := membership.Ranked(fmt.Sprintf("service-%d", task), members)
+		g.Expect(ranked).To(HaveLen(vms))
+		g.Expect(ranked[0].Capacity).To(BeNumerically(">=", 0.5))
+		chosen[ranked[0].VM] = true
+	}
+	g.Expect(chosen).To(HaveLen(strong), "the strong ones share the work")
+	weak := membership.Ranked("service", members[strong:])
+	g.Expect(weak).To(HaveLen(vms-strong), "without strong ones the others do it")
+	unknown := membership.Ranked("service", []membership.Member{{VM: "a"}, {VM: "b"}})
+	g.Expect(unknown).To(HaveLen(2))
+}
--- a/internal/membership/targets.go
+++ b/internal/membership/targets.go
@@ -101,37 +101,48 @@
 	return count
 }
 
-// candidate is a VM with its rank in a rendezvous choice.
-type candidate struct {
-	vm   string
-	rank uint64
-}
-
 // Readers returns the n VMs of this VM's zone that read the feed, chosen by
 // rendezvous hashing over the alive ones. Views that differ choose mostly the
 // same; an overlap is harmless.
 func (v *View) Readers(n int) []string {
-	var candidates []candidate
+	var candidates []Member
 	for _, r := range v.records {
 		if r.member.Zone == v.self.Zone && r.state() == StateAlive {
-			candidates = append(candidates, v.rank(r.member.VM))
+			candidates = append(candidates, r.member)
 		}
 	}
 	if v.self.State == StateAlive {
-		candidates = append(candidates, v.rank(v.self.VM))
+		candidates = append(candidates, v.self)
 	}
-	slices.SortFunc(candidates, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.rank, a.rank), cmp.Compare(a.vm, b.vm))
-	})
 	var readers []string
-	for _, c := range candidates[:min(n, len(candidates))] {
-		readers = append(readers, c.vm)
+	for _, c := range Ranked(v.self.Zone, candidates) {
+		readers = append(readers, c.VM)
 	}
-	return readers
+	return readers[:min(n, len(readers))]
 }
 
-func (v *View) rank(vm string) candidate {
-	return candidate{vm: vm, rank: xxhash.Sum64String(v.self.Zone + "/" + vm)}
+// strongShare is the part of the greatest capacity from which on a VM is strong.
+const strongShare = 0.5
+
+// Ranked orders VMs for a task by rendezvous hashing, the strong ones first. All
+// VMs that know the same others order them alike.
+func Ranked(task string, members []Member) []Member {
+	greatest := 0.0
+	for _, m := range members {
+		greatest = max(greatest, m.Capacity)
+	}
+	isWeak := func(m Member) int {
+		if m.Capacity < strongShare*greatest {
+			return 1
+		}
+		return 0
+	}
+	rank := func(m Member) uint64 { return xxhash.Sum64String(task + "/" + m.VM) }
+	ranked := slices.Clone(members)
+	slices.SortFunc(ranked, func(a, b Member) int {
+		return cmp.Or(cmp.Compare(isWeak(a), isWeak(b)), cmp.Compare(rank(b), rank(a)), cmp.Compare(a.VM, b.VM))
+	})
+	return ranked
 }
 
 // State returns the state of a VM, or false for an unknown one.
--- a/internal/membership/view.go
+++ b/internal/membership/view.go
@@ -115,6 +115,7 @@
 	}
 	for _, l := range list {
 		if l.VM == v.self.VM {
+			v.self.Capacity = l.Capacity
 			v.followList(l.Leaving)
 			continue
 		}
@@ -134,6 +135,7 @@
 		return false
 	}
 	r.isListed = true
+	r.member.Capacity = l.Capacity
 	isUnheard := r.state() == StateListed || r.state() == StateDead
 	if isUnheard && r.member.Address != l.Address {
 		v.move(r, l.Address)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 	"golang.org/x/sync/errgroup"
@@ -51,6 +50,8 @@
 	Zone string
 	// Address is where the other VMs reach this one, as IP:port.
 	Address string
+	// Capacity is how much work for others the VM can do, in cores.
+	Capacity float64
 	// Seeds are addresses of VMs that a VM asks at its start for what they know;
 	// any of them may be gone.
 	Seeds []string
@@ -90,7 +91,7 @@
 	view, err := membership.New(membership.Options{
 		Self: membership.Member{
 			VM: options.VM, Zone: options.Zone, Address: options.Address,
-			Incarnation: membership.NewIncarnation(time.Now()),
+			Incarnation: membership.NewIncarnation(time.Now()), Capacity: options.Capacity,
 		},
 		SuspicionTimeout: suspicionTimeout,
 	})
@@ -201,7 +202,9 @@
 func (m *Mesh) MergeVMs(vms []platform.VM) {
 	listed := make([]membership.Listed, 0, len(vms))
 	for _, vm := range vms {
-		listed = append(listed, membership.Listed{VM: vm.Name, Zone: vm.Zone, Address: vm.Address, Leaving: vm.Leaving})
+		listed = append(listed, membership.Listed{
+			VM: vm.Name, Zone: vm.Zone, Address: vm.Address, Leaving: vm.Leaving, Capacity: vm.Capacity,
+		})
 	}
 	m.mu.Lock()
 	refused := m.view.MergeList(time.Now(), listed)
@@ -231,31 +234,26 @@
 }
 
 // InCharge returns the VM of the site that places the calls of a service, chosen
-// by rendezvous hashing among those that isAvoided does not rule out; false means
-// that it is this VM.
+// by rendezvous hashing among the strong ones that isAvoided does not rule out;
+// false means that it is this VM.
 func (m *Mesh) InCharge(service string, isAvoided func(vm string) bool) (dispatch.VM, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var best dispatch.VM
-	bestRank := uint64(0)
+	var candidates []membership.Member
 	if !m.isLeaving {
-		bestRank = rank(service, m.options.VM)
+		candidates = append(candidates, m.view.Self())
 	}
 	for _, member := range m.view.Members() {
 		isGone := member.State == membership.StateDead || member.State == membership.StateLeaving
-		if isGone || isAvoided(member.VM) {
-			continue
-		}
-		if r := rank(service, member.VM); r > bestRank {
-			best, bestRank = dispatch.VM{Name: member.VM, Address: member.Address}, r
+		if !isGone && !isAvoided(member.VM) {
+			candidates = append(candidates, member)
 		}
 	}
-	return best, best.Name != ""
-}
-
-// rank is the place of a VM in the rendezvous choice for a service.
-func rank(service, vm string) uint64 {
-	return xxhash.Sum64String(service + "/" + vm)
+	ranked := membership.Ranked(service, candidates)
+	if len(ranked) == 0 || ranked[0].VM == m.options.VM {
+		return dispatch.VM{}, false
+	}
+	return dispatch.VM{Name: ranked[0].VM, Address: ranked[0].Address}, true
 }
 
 // maxReaders limits the VMs that are looked at for the reader of a zone.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -323,3 +323,34 @@
 		g.Expect(z.network.Dials(address(2))).To(Equal(neighbours + 1))
 	})
 }
+
+// TestWeakVMsReadForNobody covers a zone of which one VM is strong: it reads for
+// the others and places their calls.
+func TestWeakVMsReadForNobody(t *testing.T) {
+	const strong = 3
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		z := newZone(t, 6, false)
+		defer z.close()
+		var listed []platform.VM
+		for i, v := range z.vms {
+			vm := platform.VM{Name: v.name, Zone: "z", Address: address(i), Capacity: 0.16}
+			if i == strong {
+				vm.Capacity = 0.8
+			}
+			listed = append(listed, vm)
+		}
+		for _, v := range z.vms {
+			v.mesh.MergeVMs(listed)
+		}
+		time.Sleep(3 * time.Second)
+		g.Expect(z.reader(g).name).To(Equal(z.vms[strong].name))
+		for i, v := range z.vms {
+			inCharge, isOther := v.mesh.InCharge("service", func(string) bool { return false })
+			g.Expect(isOther).To(Equal(i != strong))
+			if isOther {
+				g.Expect(inCharge.Name).To(Equal(z.vms[strong].name))
+			}
+		}
+	})
+}
--- a/internal/mesh/snapshot_test.go
+++ b/internal/mesh/snapshot_test.go
@@ -31,8 +31,8 @@
 func largeConfig(random *rand.Rand) platform.Row {
 	var text strings.Builder
 	for i := range largeRoutes {
-		fmt.Fprintf(&text, `{"name":"r-%07x","prefix":"/%06x/%d/","routeType":"safe","timeoutS":2.5,"targetLatencyS":0.6,`+
-			`"priority":1,"attempts":2,"service":"s-%d"},`, random.Uint32()>>4, random.Uint32()>>8, i, i%3)
+		fmt.Fprintf(&text, `{"name":"r-%07x","prefix":"/%06x/%d/","kind":"lookup","deadline":2.5,"objective":0.6,`+
+			`"rank":1,"sends":2,"service":"s-%d"},`, random.Uint32()>>4, random.Uint32()>>8, i, i%3)
 	}
 	return platform.Row{Key: "config", Version: 1, Value: []byte(text.String())}
 }
@@ -42,7 +42,7 @@
 	var rows []platform.Row
 	for i := range largeUpstreams {
 		value := fmt.Sprintf(`{"address":"10.%d.%d.9:8080","born":%d,"info":{"service":"s-%d","version":"v1","zone":"z-%d","slots":2},`+
-			`"status":{"state":"ready","sequence":%d,"warmupLeftS":0}}`, i%7, i, 1773578380000+random.IntN(1e7), i%3, i%5, i%40)
+			`"status":{"state":"ready","writes":%d,"slow_for":0}}`, i%7, i, 1773578380000+random.IntN(1e7), i%3, i%5, i%40)
 		rows = append(rows, platform.Row{Key: fmt.Sprintf("i-%010x", random.Uint64()>>24), Version: uint64(i), Value: []byte(value)})
 	}
 	return rows
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -79,6 +79,9 @@
 	Address string `json:"address"`
 	// Leaving means that the platform is about to take the VM away.
 	Leaving bool `json:"leaving"`
+	// Capacity is how much work for others the VM can do, in cores; 0 means that it
+	// is not known.
+	Capacity float64 `json:"capacity,omitempty"`
 }
 
 // Membership is the platform's list of VMs, which lags behind.
