--- /dev/null
+++ b/cmd/figfront-soak/main.go
@@ -0,0 +1,82 @@
+// Command figfront-soak plays random faults against figfront-entry processes on
+// loopback and checks figfront's promises.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/figfront/figfront/internal/soak"
+)
+
+// arguments are those of the command line.
+type arguments struct {
+	Binary   string        `help:"Path of figfront-entry." default:"bin/figfront-entry"`
+	Seed     uint64        `help:"First seed; 0 draws one from the time."`
+	Seeds    int           `help:"Number of seeds, one after the other." default:"1"`
+	Duration time.Duration `help:"How long faults are injected for each seed." default:"12s"`
+	Calm     time.Duration `help:"Time without faults before and after them." default:"4s"`
+	Jobs     int           `help:"Runs at the same time; each has four processes." default:"2"`
+	Untimed  bool          `help:"Check only promises that have no time."`
+	Verbose  bool          `help:"Print each fault." short:"v"`
+}
+
+func main() {
+	var args arguments
+	kong.Parse(&args, kong.Description("Plays random faults against figfront-entry and checks its promises."))
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	failed, err := run(ctx, args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "figfront-soak:", err)
+		os.Exit(2)
+	}
+	if failed > 0 {
+		fmt.Fprintln(os.Stderr, "figfront-soak:", failed, "of", args.Seeds, "seeds broke a promise")
+		os.Exit(1)
+	}
+}
+
+// run plays the seeds, prints a JSON line for each and returns how many broke a
+// promise.
+func run(ctx context.Context, args arguments) (int, error) {
+	first := args.Seed
+	if first == 0 {
+		first = uint64(time.Now().Unix())
+	}
+	log := io.Discard
+	if args.Verbose {
+		log = os.Stderr
+	}
+	var mu sync.Mutex
+	failed := 0
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(args.Jobs)
+	for i := range args.Seeds {
+		group.Go(func() error {
+			result, err := soak.Play(ctx, soak.Options{
+				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm, Times: !args.Untimed, Log: log,
+			})
+			mu.Lock()
+			defer mu.Unlock()
+			if len(result.Violations) > 0 {
+				failed++
+			}
+			if encodeErr := json.NewEncoder(os.Stdout).Encode(result); encodeErr != nil {
+				return encodeErr
+			}
+			return err
+		})
+	}
+	return failed, group.Wait()
+}
