Soak: draw a part of the kinds, end with a change in quiet, hosts of its own

Cause: promises that ask for 3 s of quiet at a VM were hardly ever put to the test, since faults came to all VMs every half second. A run now draws 3 to 28 kinds, checks each VM by what was done to it alone, and ends with a leaving server and a version while nothing else happens. One run of 24 could not be played, "vm-1 does not serve": its log says that the port was taken, by an outgoing connection on 127.0.0.1 or another run. Each run now listens on a host of loopback of its own.

--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -101,7 +101,7 @@
 		c.seenVersion = max(c.seenVersion, version)
 	case answer.Status == http.StatusNotFound && version <= c.seenVersion:
 		c.run.ledger.Break("version never goes back", "", fmt.Sprintf("%s no longer knows version %d", c.vm.Name, version))
-	case answer.Status == http.StatusNotFound && sentAt.Sub(writtenAt) > configBound && c.run.isCalm(writtenAt):
+	case answer.Status == http.StatusNotFound && sentAt.Sub(writtenAt) > configBound && c.vm.isCalmSince(writtenAt.Add(-contactTime)):
 		c.run.breakTimed("configuration in force", fmt.Sprintf("%s does not know version %d after %v",
 			c.vm.Name, version, sentAt.Sub(writtenAt).Round(time.Millisecond)))
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -145,6 +146,17 @@
 	}
 }
 
+// leastKinds is the smallest number of kinds that a run draws from.
+const leastKinds = 3
+
+// drawKinds draws the kinds of a run: with few of them, what they do to each other
+// shows more clearly, and promises that ask for quiet elsewhere are put to the test.
+func drawKinds(random *rand.Rand) []fault {
+	kinds := slices.Clone(faults)
+	random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
+	return kinds[:leastKinds+random.IntN(len(kinds)-leastKinds+1)]
+}
+
 // between draws a time.
 func between(random *rand.Rand, low, high time.Duration) time.Duration {
 	return low + time.Duration(random.Int64N(int64(high-low)))
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -87,7 +87,7 @@
 	run.fleet = newFleet(run.store, run.ledger, rand.New(rand.NewPCG(options.Seed, 1)))
 	storeServer := httptest.NewServer(run.store.Handler())
 	defer storeServer.CloseClientConnections()
-	injected, err := run.play(ctx, random, vmOptions{binary: options.Binary, dir: dir, store: storeServer.Listener.Addr().String()})
+	injected, err := run.play(ctx, random, vmOptions{binary: options.Binary, dir: dir, host: newHost(), store: storeServer.Listener.Addr().String()})
 	run.end()
 	told, served := run.ledger.counts()
 	result := Result{Seed: options.Seed, Faults: injected, Requests: told, Served: served, Violations: run.ledger.Violations()}
@@ -124,8 +124,8 @@
 	}
 	wait(work, run.options.Calm)
 	injected := run.inject(work, random)
-	wait(work, run.options.Calm)
 	run.checkRecovery(work)
+	run.keep(run.changeInCalm(work))
 	run.checkLeaving()
 	return injected, nil
 }
@@ -142,7 +142,7 @@
 	}
 	addresses := make([]string, vmCount)
 	for i := range addresses {
-		address, err := freeAddress()
+		address, err := freeAddress(options.host)
 		if err != nil {
 			return err
 		}
@@ -188,8 +188,9 @@
 func (run *Run) inject(ctx context.Context, random *rand.Rand) int {
 	var ends sync.WaitGroup
 	injected := 0
+	kinds := drawKinds(random)
 	for until := time.Now().Add(run.options.Duration); time.Now().Before(until) && ctx.Err() == nil; injected++ {
-		f := faults[random.IntN(len(faults))]
+		f := kinds[random.IntN(len(kinds))]
 		length := between(random, minFaultTime, maxFaultTime)
 		pause := between(random, minFaultPause, maxFaultPause)
 		_, _ = fmt.Fprintf(run.options.Log, "%6.2f s  %s, %v\n", time.Since(run.began).Seconds(), f.name, length.Round(time.Millisecond))
@@ -214,13 +215,28 @@
 func (run *Run) checkRecovery(ctx context.Context) {
 	wait(ctx, run.options.Calm)
 	toldBefore, servedBefore := run.ledger.counts()
-	wait(ctx, run.options.Calm/2)
+	wait(ctx, run.options.Calm)
 	told, served := run.ledger.counts()
 	if share := float64(served-servedBefore) / float64(max(told-toldBefore, 1)); share < leastServed {
 		run.breakTimed("recovery", fmt.Sprintf("%.2f of %d requests served after the last fault", share, told-toldBefore))
 	}
 }
 
+// changeInCalm lets a server leave and writes a version while nothing else happens.
+func (run *Run) changeInCalm(ctx context.Context) error {
+	wait(ctx, contactTime)
+	if m := run.fleet.pick(); m != nil {
+		if err := run.fleet.leave(m); err != nil {
+			return err
+		}
+	}
+	if err := run.configs.writeNext(run); err != nil {
+		return err
+	}
+	wait(ctx, drainBound+lingerTime)
+	return nil
+}
+
 // checkLeaving expects that no VM that was left alone sent a request to a server
 // after the bound of its leaving.
 func (run *Run) checkLeaving() {
@@ -229,24 +245,13 @@
 			continue
 		}
 		for id, vm := range run.ledger.runsAfter(m.server.ID, m.leftAt.Add(drainBound)) {
-			if run.isCalm(m.leftAt) {
+			if vm.isCalmSince(m.leftAt.Add(-contactTime)) {
 				run.breakTimed("leaving server", fmt.Sprintf("%s ran %s, sent by %s", m.server.ID, id, vm.Name))
 			}
 		}
 	}
 }
 
-// isCalm tells whether nothing was done to any VM from contactTime before a time
-// until now: each may act for the others.
-func (run *Run) isCalm(from time.Time) bool {
-	for _, v := range run.vms {
-		if !v.isCalmSince(from.Add(-contactTime)) {
-			return false
-		}
-	}
-	return true
-}
-
 // breakTimed records a broken promise that has a time.
 func (run *Run) breakTimed(promise, detail string) {
 	if run.options.Times {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -7,6 +7,7 @@
 	"os/exec"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -44,8 +45,10 @@
 type vmOptions struct {
 	binary string
 	dir    string
-	store  string
-	seeds  string
+	// host is the address of loopback that the processes listen at.
+	host  string
+	store string
+	seeds string
 }
 
 // newVM returns a VM that is not started.
@@ -54,13 +57,23 @@
 	if err != nil {
 		return nil, err
 	}
-	front, err := freeAddress()
+	front, err := freeAddress(options.host)
 	return &VM{Name: name, Zone: zone, Front: front, options: options, exchange: exchange, store: store}, err
 }
 
-// freeAddress returns an address on loopback that nobody listens at.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// runs counts the runs of this process.
+var runs atomic.Uint32
+
+// newHost returns an address of loopback that this run has for itself: on 127.0.0.1
+// an outgoing connection may take a port before its process listens there.
+func newHost() string {
+	const firstNet, nets, hosts = 64, 128, 250
+	return fmt.Sprintf("127.%d.%d.%d", firstNet+os.Getpid()%nets, os.Getpid()/nets%hosts, runs.Add(1)%hosts+1)
+}
+
+// freeAddress returns an address on a host of loopback that nobody listens at.
+func freeAddress(host string) (string, error) {
+	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return "", err
 	}
@@ -107,11 +120,11 @@
 
 // writeSettings writes the process's settings file and returns its path.
 func (v *VM) writeSettings() (string, error) {
-	ready, err := freeAddress()
+	ready, err := freeAddress(v.options.host)
 	if err != nil {
 		return "", err
 	}
-	operators, err := freeAddress()
+	operators, err := freeAddress(v.options.host)
 	if err != nil {
 		return "", err
 	}
