Let calls wait by priority; compare placing with baselines and an all-knowing one

Cause: the priority of a route was decoded and not used, so that in a rush on a service that two kinds of request share, urgent calls fared like the others. A call no longer goes before a more urgent one that waits, the most urgent waiter is woken first, and when the backlog is full an urgent call takes the place of a less urgent one, which is refused at once.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -76,10 +76,14 @@
 // slots of those that are fast at a moment, less the calls during which an
 // upstream turns slow.
 func capacity(l load) float64 {
-	pairTime := pairFactor * l.work.Seconds()
 	fastSlots := fleetSize * fleetSlots * (1 - slowShare)
-	turnsSlow := pairTime / phaseTime.Seconds() * slowShare
-	return fastSlots / pairTime * (1 - turnsSlow)
+	return fastSlots / (pairFactor * l.work.Seconds()) * (1 - turnsSlow(l))
+}
+
+// turnsSlow returns the share of calls during which a fast upstream turns slow,
+// which nobody can know before.
+func turnsSlow(l load) float64 {
+	return pairFactor * l.work.Seconds() / phaseTime.Seconds() * slowShare
 }
 
 // TestRush plays 1.3 and 2.2 times the capacity. As many calls are answered in
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -113,7 +113,7 @@
 		return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
 	}
 	patience := time.Duration(maxWaitShare * float64(r.Objective.Sub(arrived)))
-	wait := &waiter{dispatcher: d}
+	wait := &waiter{dispatcher: d, priority: r.Priority}
 	defer wait.end()
 	isLate := false
 	for {
@@ -149,6 +149,9 @@
 		return Grant{}, loadbalancer.Refuse, nil
 	}
 	choice, verdict := d.balancer.Place(now, r.pick(), r.left(now, isLate))
+	if verdict == loadbalancer.Send && d.isAheadWaitingLocked(r.Priority) {
+		verdict = loadbalancer.Wait
+	}
 	if verdict != loadbalancer.Send {
 		return Grant{}, verdict, nil
 	}
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -44,11 +44,18 @@
 	seed  uint64
 	began time.Time
 
+	paceMu sync.Mutex
+	// paces holds the slowness of each phase so far.
+	paces []float64
+
 	mu      sync.Mutex
 	running int
 	queue   []chan struct{}
 	// most is the largest number of calls that waited.
 	most int
+	// coming counts the calls that the all-knowing baseline has sent and that have
+	// not been answered.
+	coming int
 }
 
 func newFleet(count int, seed uint64) *fleet {
@@ -65,11 +72,17 @@
 
 // slowness returns how much longer work takes at a server now.
 func (s *server) slowness(now time.Time) float64 {
-	phase := uint64(now.Sub(s.began) / phaseTime)
-	if rand.New(rand.NewPCG(s.seed, phase)).Float64() < slowShare {
-		return slowFactor
+	phase := int(now.Sub(s.began) / phaseTime)
+	s.paceMu.Lock()
+	defer s.paceMu.Unlock()
+	for len(s.paces) <= phase {
+		pace := 1.0
+		if rand.New(rand.NewPCG(s.seed, uint64(len(s.paces)))).Float64() < slowShare {
+			pace = slowFactor
+		}
+		s.paces = append(s.paces, pace)
 	}
-	return 1
+	return s.paces[phase]
 }
 
 // run works on a call until it is done or ctx ends. It returns whether it was
@@ -188,7 +201,9 @@
 	work      time.Duration
 	objective time.Duration
 	deadline  time.Duration
-	seed      uint64
+	// priority is that of every call.
+	priority int
+	seed     uint64
 }
 
 // play sends the load through place and returns what became of each call.
@@ -220,7 +235,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), l.deadline)
 	defer cancel()
 	grant, err := place(ctx, dispatch.Request{
-		Zone: "a", Objective: arrived.Add(l.objective), Deadline: arrived.Add(l.deadline),
+		Zone: "a", Objective: arrived.Add(l.objective), Deadline: arrived.Add(l.deadline), Priority: l.priority,
 	})
 	if err != nil {
 		return result{arrived: arrived, took: time.Since(arrived), isRefused: true}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -26,6 +26,9 @@
 	// nothing.
 	Objective time.Time
 	Deadline  time.Time
+	// Priority is the rank of the call; 0 is the most urgent. A call does not go
+	// before a more urgent one that waits.
+	Priority int
 	// Extra marks a hedge or a retry, which the budget has to pay for and which
 	// does not wait.
 	Extra bool
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -11,7 +11,10 @@
 // waiter is a call that waits for a free upstream.
 type waiter struct {
 	dispatcher *Dispatcher
+	priority   int
 	isWaiting  bool
+	// isReplaced tells that a more urgent call has taken the place.
+	isReplaced bool
 	wake       chan struct{}
 }
 
@@ -21,13 +24,14 @@
 	if patience <= 0 {
 		return false
 	}
-	if w.isWaiting {
-		return true
-	}
 	d := w.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if !d.backlog.Enter(time.Now(), patience) {
+	if w.isWaiting {
+		return !w.isReplaced
+	}
+	now := time.Now()
+	if !d.backlog.Enter(now, patience) && !d.replaceLocked(now, patience, w.priority) {
 		d.options.Counters.Add(telemetry.GroupDispatch, "backlog_full", 1)
 		return false
 	}
@@ -38,6 +42,31 @@
 	return true
 }
 
+// replaceLocked gives the place of the least urgent call that waits to one of a
+// priority. It returns false when none is less urgent.
+func (d *Dispatcher) replaceLocked(now time.Time, patience time.Duration, priority int) bool {
+	var least *waiter
+	for _, w := range d.waiters {
+		if w.priority > priority && (least == nil || w.priority > least.priority) {
+			least = w
+		}
+	}
+	if least == nil {
+		return false
+	}
+	least.isReplaced = true
+	d.removeLocked(least)
+	least.signal()
+	d.options.Counters.Add(telemetry.GroupDispatch, "replaced", 1)
+	return d.backlog.Enter(now, patience)
+}
+
+// isAheadWaitingLocked tells whether a call waits that is more urgent than one of
+// a priority.
+func (d *Dispatcher) isAheadWaitingLocked(priority int) bool {
+	return slices.ContainsFunc(d.waiters, func(w *waiter) bool { return w.priority < priority })
+}
+
 // next waits until an upstream may have become free. It returns false when the
 // caller has left or its deadline has passed.
 func (w *waiter) next(ctx context.Context) bool {
@@ -54,24 +83,38 @@
 
 // end takes the call out of those that wait.
 func (w *waiter) end() {
-	if !w.isWaiting {
-		return
-	}
 	d := w.dispatcher
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if w.isWaiting && !w.isReplaced {
+		d.removeLocked(w)
+	}
+}
+
+// removeLocked takes a call out of those that wait.
+func (d *Dispatcher) removeLocked(w *waiter) {
 	d.backlog.Leave()
 	d.waiters = slices.DeleteFunc(d.waiters, func(other *waiter) bool { return other == w })
 }
 
-// wakeLocked lets the call that has waited least look for an upstream: it is the
-// likeliest to be answered in time.
+// wakeLocked lets one call look for an upstream: of the most urgent ones that which
+// has waited least, the likeliest to be answered in time.
 func (d *Dispatcher) wakeLocked() {
-	if len(d.waiters) == 0 {
-		return
+	var first *waiter
+	for _, w := range d.waiters {
+		if first == nil || w.priority <= first.priority {
+			first = w
+		}
+	}
+	if first != nil {
+		first.signal()
 	}
+}
+
+// signal wakes the call.
+func (w *waiter) signal() {
 	select {
-	case d.waiters[len(d.waiters)-1].wake <- struct{}{}:
+	case w.wake <- struct{}{}:
 	default:
 	}
 }
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -16,7 +16,7 @@
 	return &api.PlaceCall{
 		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
 		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra, Hedge: r.Hedge,
-		Bytes: int64(r.Bytes),
+		Bytes: int64(r.Bytes), Priority: uint32(r.Priority),
 	}
 }
 
@@ -46,6 +46,7 @@
 		Deadline:  arrived.Add(time.Duration(call.GetDeadlineUs()) * time.Microsecond),
 		Extra:     call.GetExtra(),
 		Hedge:     call.GetHedge(),
+		Priority:  int(call.GetPriority()),
 	}
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -49,6 +49,7 @@
 		Bytes:     len(c.body),
 		NoTrial:   c.route.rule.settings.Traffic != dynamic.Lookup,
 		Tried:     c.tried,
+		Priority:  c.route.rule.priority,
 		Objective: c.arrived.Add(c.route.rule.objective),
 		Deadline:  c.deadline,
 		Extra:     kind != firstSend,
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -65,6 +65,8 @@
 	maxHeader int
 	// objective is the latency within which an answer is worth most.
 	objective time.Duration
+	// priority is the rank of a site's calls; 0 is the most urgent.
+	priority int
 }
 
 func newService(teamName, name string, options Options) *service {
--- a/internal/gateway/siteroute.go
+++ b/internal/gateway/siteroute.go
@@ -45,6 +45,7 @@
 				maxSends:  r.MaxSends,
 				maxHeader: c.Limits.MaxHeaderBytes,
 				objective: r.Objective,
+				priority:  r.Priority,
 			},
 		})
 	}
