Split the gateway's tests of answers and uploads

Silent connections and callers, bodies, limits of uploads and their delivery stand in files of their own now; no line of a test has changed.

--- /dev/null
+++ b/internal/gateway/bodies_test.go
@@ -0,0 +1,143 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// TestRefusalDoesNotWaitForTheBody: a caller that still sends is refused at
+// once.
+func TestRefusalDoesNotWaitForTheBody(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		v := b.vm("vm1", teamText)
+		conn, err := b.net.dial(context.Background(), "", v.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "POST /t/none/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n12345")
+		g.Expect(err).NotTo(HaveOccurred())
+		started := time.Now()
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(response.StatusCode).To(Equal(http.StatusNotFound))
+		g.Expect(time.Since(started)).To(BeZero())
+	})
+}
+
+// TestRefusedCallIsNotAskedForItsBody: a caller that waits for consent keeps
+// its body when the call is refused.
+func TestRefusedCallIsNotAskedForItsBody(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		v := b.vm("vm1", teamText)
+		client := &http.Client{Transport: &http.Transport{DialContext: b.net.dial, ExpectContinueTimeout: time.Minute}}
+		defer client.CloseIdleConnections()
+		for _, path := range []string{"/t/none/x", "/t/s/x"} {
+			body := &countingReader{left: 300 << 20}
+			r := request("PUT", v, path, body)
+			r.ContentLength = 300 << 20
+			r.Header.Set("Expect", "100-continue")
+			a := sendWith(client, r)
+			g.Expect(a.err).NotTo(HaveOccurred())
+			g.Expect(a.status).To(Or(Equal(404), Equal(413)))
+			g.Expect(body.read).To(BeZero())
+		}
+	})
+}
+
+// countingReader gives left bytes and counts them.
+type countingReader struct {
+	left, read int64
+}
+
+func (c *countingReader) Read(p []byte) (int, error) {
+	if c.left == 0 {
+		return 0, io.EOF
+	}
+	n := min(int64(len(p)), c.left)
+	c.left -= n
+	c.read += n
+	return int(n), nil
+}
+
+// TestLargeAndChunkedBodies: bodies of known and unknown length and a trailer
+// arrive whole, beyond what is held in memory.
+func TestLargeAndChunkedBodies(t *testing.T) {
+	const size = 3<<20 + 17
+	content := bytes.Repeat([]byte("0123456789abcdef"), size/16+1)[:size]
+	for _, length := range []string{"known", "unknown"} {
+		t.Run(length, func(t *testing.T) {
+			inBench(t, func(g *WithT, b *bench) {
+				b.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					if length == "known" {
+						w.Header().Set("Content-Length", fmt.Sprint(size))
+					}
+					body, _ := io.ReadAll(r.Body)
+					if len(body) > 0 {
+						_, _ = w.Write(body)
+					} else {
+						_, _ = w.Write(content)
+					}
+					if length == "unknown" {
+						w.Header().Set(http.TrailerPrefix+"X-Sum", "42")
+					}
+				}))
+				v := b.vm("vm1", teamText)
+				a := b.send(request("GET", v, "/t/s/x", nil))
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(bytes.Equal(a.body, content)).To(BeTrue())
+				if length == "unknown" {
+					g.Expect(a.trailer.Get("X-Sum")).To(Equal("42"))
+				}
+				r := request("PUT", v, "/t/s/x", io.MultiReader(bytes.NewReader(content)))
+				if length == "known" {
+					r.ContentLength = size
+				}
+				a = b.send(r)
+				g.Expect(a.err).NotTo(HaveOccurred())
+				g.Expect(a.status).To(Equal(200))
+				g.Expect(bytes.Equal(a.body, content)).To(BeTrue())
+			})
+		})
+	}
+}
+
+// TestSmallAnswerWithTrailer: the trailer of an answer that is held in memory
+// is passed on.
+func TestSmallAnswerWithTrailer(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		b.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, "whole")
+			_ = http.NewResponseController(w).Flush()
+			w.Header().Set(http.TrailerPrefix+"X-Sum", "42")
+		}))
+		v := b.vm("vm1", teamText)
+		a := b.send(request("GET", v, "/t/s/x", nil))
+		g.Expect(string(a.body)).To(Equal("whole"))
+		g.Expect(a.trailer.Get("X-Sum")).To(Equal("42"))
+	})
+}
+
+// TestUploadWithTrailer: the trailer of an upload of unknown length reaches the
+// upstream.
+func TestUploadWithTrailer(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var got http.Header
+		b.serve(upstream1, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			got = r.Trailer.Clone()
+		}))
+		v := b.vm("vm1", teamText)
+		r := request("PUT", v, "/t/s/x", io.MultiReader(strings.NewReader("body")))
+		r.Trailer = http.Header{"X-Sum": {"42"}}
+		a := b.send(r)
+		g.Expect(a.status).To(Equal(http.StatusOK))
+		g.Expect(got.Get("X-Sum")).To(Equal("42"))
+	})
+}
--- /dev/null
+++ b/internal/gateway/silence_test.go
@@ -0,0 +1,208 @@
+package gateway_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/upstreamstandin"
+	. "github.com/onsi/gomega"
+)
+
+// TestSilentConnectionBesideAWorkingOne: a lookup over a connection that went
+// silent is answered over another one within its deadline, and the upstream
+// stays in use.
+func TestSilentConnectionBesideAWorkingOne(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var conns atomic.Int64
+		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
+			isFirst := conns.Add(1) == 1
+			for i := 0; ; i++ {
+				if _, err := readRequest(in); err != nil {
+					return
+				}
+				if isFirst && i == 50 {
+					time.Sleep(time.Hour)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			}
+		})
+		v := b.vm("vm1", teamText)
+		for range 100 {
+			started := time.Now()
+			a := b.send(request("GET", v, "/t/s/x", nil))
+			g.Expect(time.Since(started)).To(BeNumerically("<=", 900*time.Millisecond))
+			g.Expect(a.status).To(Equal(http.StatusOK))
+		}
+		g.Expect(v.counters.Get("answers", "connection_silent")).To(BeEquivalentTo(1))
+	})
+}
+
+// TestSilentConnectionOfOneUpstream: a connection to an upstream goes silent
+// among working ones. Lookups get their answers elsewhere within their deadline,
+// and the upstream stays in use.
+func TestSilentConnectionOfOneUpstream(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var conns, answered atomic.Int64
+		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
+			isFirst := conns.Add(1) == 1
+			for i := 0; ; i++ {
+				if _, err := readRequest(in); err != nil {
+					return
+				}
+				if isFirst && i == 50 {
+					time.Sleep(time.Hour)
+				}
+				time.Sleep(5 * time.Millisecond)
+				answered.Add(1)
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			}
+		})
+		b.upstream("u2", upstream2, upstreamstandin.Switches{ServiceTime: 5 * time.Millisecond})
+		v := b.vm("vm1", teamText+secondUpstream)
+		for range 400 {
+			a := b.send(request("GET", v, "/t/s/x", nil))
+			g.Expect(a.status).To(Equal(http.StatusOK))
+		}
+		g.Expect(conns.Load()).To(BeNumerically(">=", 2))
+		g.Expect(answered.Load()).To(BeNumerically(">=", 100))
+	})
+}
+
+// TestSilentConnectionIsNotItsUpstream: a booking whose connection went silent
+// ends at its deadline as unknown; the other connections to the upstream are
+// closed and the upstream takes the next booking.
+func TestSilentConnectionIsNotItsUpstream(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var conns atomic.Int64
+		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
+			isFirst := conns.Add(1) == 1
+			for i := 0; ; i++ {
+				if _, err := readRequest(in); err != nil {
+					return
+				}
+				if isFirst && i == 1 {
+					time.Sleep(time.Hour)
+				}
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			}
+		})
+		v := b.vm("vm1", teamText)
+		g.Expect(b.send(request("POST", v, "/t/s/x", strings.NewReader("b"))).status).To(Equal(http.StatusOK))
+		a := b.send(request("POST", v, "/t/s/x", strings.NewReader("b")))
+		g.Expect(a.header.Get(outcome.HeaderOutcome)).To(Equal("unknown"))
+		g.Expect(v.counters.Get("answers", "connection_silent")).To(BeEquivalentTo(1))
+		g.Expect(b.send(request("POST", v, "/t/s/x", strings.NewReader("b"))).status).To(Equal(http.StatusOK))
+	})
+}
+
+// TestBookingAvoidsOldConnections: a booking never goes over a connection that
+// carried nothing for a while, because such a one may be silent.
+func TestBookingAvoidsOldConnections(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		b.net.script(upstream1, func(conn net.Conn, in *bufio.Reader) {
+			last := time.Now()
+			for {
+				if _, err := readRequest(in); err != nil {
+					return
+				}
+				if time.Since(last) > 3*time.Second {
+					time.Sleep(time.Hour)
+				}
+				last = time.Now()
+				_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+			}
+		})
+		v := b.vm("vm1", teamText)
+		for _, idle := range []time.Duration{0, time.Second, 4 * time.Second, 10 * time.Second, 25 * time.Second} {
+			time.Sleep(idle)
+			a := b.send(request("POST", v, "/t/s/x", strings.NewReader("b")))
+			g.Expect(a.status).To(Equal(http.StatusOK), idle.String())
+		}
+	})
+}
+
+// TestSilentCallerFreesItsPlace: a caller that falls silent in its body is given
+// up, and its upstream with it.
+func TestSilentCallerFreesItsPlace(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		u := b.upstream("u1", upstream1, upstreamstandin.Switches{})
+		v := b.vm("vm1", teamText)
+		conn, err := b.net.dial(context.Background(), "", v.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "PUT /t/s/x HTTP/1.1\r\nHost: h\r\nContent-Length: 100\r\n\r\n12345")
+		g.Expect(err).NotTo(HaveOccurred())
+		status := make(chan int, 1)
+		go func() {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				status <- 0
+				return
+			}
+			status <- response.StatusCode
+		}()
+		time.Sleep(35 * time.Second)
+		synctest.Wait()
+		g.Expect(status).To(Receive(Equal(http.StatusBadRequest)))
+		g.Expect(u.Counts().Ran).To(BeZero())
+		a := b.send(request("PUT", v, "/t/s/x", strings.NewReader("whole")))
+		g.Expect(a.status).To(Equal(200))
+	})
+}
+
+// TestCallerThatTakesNothing: an answer to a caller that stops reading is given
+// up after a while.
+func TestCallerThatTakesNothing(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		var ended atomic.Bool
+		b.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			defer ended.Store(true)
+			for range 100 {
+				if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+					return
+				}
+			}
+		}))
+		v := b.vm("vm1", strings.Replace(teamText, "deadline = 900ms", "deadline = 20m", 1))
+		conn, err := b.net.dial(context.Background(), "", v.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "GET /t/s/x HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		time.Sleep(40 * time.Second)
+		synctest.Wait()
+		g.Expect(ended.Load()).To(BeTrue())
+	})
+}
+
+// TestSlowCallerGetsTheWholeAnswer: a caller that reads 16 KiB a second, steadily,
+// gets all of an answer of 1 MiB.
+func TestSlowCallerGetsTheWholeAnswer(t *testing.T) {
+	inBench(t, func(g *WithT, b *bench) {
+		const size = 1<<20 - 1
+		b.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, size))
+		}))
+		v := b.vm("vm1", teamText)
+		conn, err := b.net.dial(context.Background(), "", v.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "GET /t/s/x HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		received := 0
+		for received < size {
+			n, err := io.ReadFull(response.Body, make([]byte, min(16<<10, size-received)))
+			received += n
+			g.Expect(err).NotTo(HaveOccurred(), "after %d bytes", received)
+			time.Sleep(time.Second)
+		}
+	})
+}
