Read a test's log while it is written

Cause: the call's line is written after its caller has left, while the test reads the buffer; nothing in the product.

--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -24,6 +24,7 @@
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/pipenet"
+	"github.com/figfront/figfront/internal/spectest"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -34,7 +35,7 @@
 	gateway  *gateway.Gateway
 	client   *http.Client
 	servers  []*http.Server
-	log      strings.Builder
+	log      spectest.Buffer
 
 	mu   sync.Mutex
 	runs map[string]int
--- a/internal/spectest/spectest.go
+++ b/internal/spectest/spectest.go
@@ -1,4 +1,5 @@
-// Package spectest runs a package's ginkgo specs in the same order every time.
+// Package spectest holds what tests share: it runs the ginkgo specs of a package in the
+// same order every time, and has a buffer for logs.
 // Only tests import it.
 package spectest
 
