--- a/internal/dispatch/baseline_test.go
+++ b/internal/dispatch/baseline_test.go
@@ -171,6 +171,7 @@
 // TestPlacingBeatsTheBaselines plays the load of the Split deployment's scale days:
 // the usual one and one above the capacity.
 func TestPlacingBeatsTheBaselines(t *testing.T) {
+	t.Parallel()
 	const seeds = 3
 	for _, perSecond := range []float64{130, 300} {
 		own := medianShare(t, perSecond, seeds, byOneVM)
--- a/internal/dispatch/compare_test.go
+++ b/internal/dispatch/compare_test.go
@@ -59,6 +59,7 @@
 // TestOneVMInChargeServesMoreThanManyAlone plays loads near and above the
 // capacity and compares the medians over five seeds.
 func TestOneVMInChargeServesMoreThanManyAlone(t *testing.T) {
+	t.Parallel()
 	for _, perSecond := range []float64{180, 300} {
 		g := NewWithT(t)
 		byOne := timelyShares(t, perSecond, func(f *fleet, seed uint64) (placeFunc, func()) {
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -90,6 +90,7 @@
 // time as there is capacity for, those that can't be are refused long before
 // their deadline, and no upstream gets a queue.
 func TestRush(t *testing.T) {
+	t.Parallel()
 	for _, overload := range []float64{1.3, 2.2} {
 		var shares []float64
 		for seed := range uint64(5) {
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -15,6 +15,7 @@
 // call escapes an upstream that turns slow; of the others the urgent ones are
 // answered in time.
 func TestUrgentCallsGoFirst(t *testing.T) {
+	t.Parallel()
 	var urgentShares, otherShares []float64
 	for seed := range uint64(5) {
 		synctest.Test(t, func(t *testing.T) {
