Limit the calls at an upstream to the number at which it does the most

Hypothesis: upstreams that slow down when they are nearly full do less work with all slots occupied than with one free. Change: the balancer learns the throughput by the number of running calls, from completed calls and the time at each number divided by the reported slowness, and gives an upstream no further call above the number with the highest throughput. Ruled out: the latency by load, as learned for each call, can't tell: calls that are placed at a load of two soon have a third beside them (1.50 against 1.66).

--- a/internal/dispatch/baseline_test.go
+++ b/internal/dispatch/baseline_test.go
@@ -113,7 +113,7 @@
 	best, bestTook := "", time.Duration(0)
 	for _, u := range f.list {
 		s := f.upstreams[u.Name]
-		if s.oracleSends >= fleetSlots {
+		if s.oracleSends >= f.model.slots {
 			continue
 		}
 		if took := s.predictDuration(meanWork); best == "" || took < bestTook {
@@ -130,10 +130,8 @@
 	at := begin
 	for {
 		slowdown := s.slowness(at)
-		if s.oracleSends > 0 {
-			slowdown *= bothBusyFactor
-		}
-		phaseLeft := phaseLength - at.Sub(s.began)%phaseLength
+		slowdown *= s.model.stretch(s.oracleSends + 1)
+		phaseLeft := s.model.phaseLength - at.Sub(s.began)%s.model.phaseLength
 		workTime := time.Duration(float64(work) * slowdown)
 		if workTime <= phaseLeft {
 			return at.Add(workTime).Sub(begin)
@@ -153,7 +151,7 @@
 	var shares []float64
 	for seed := range seeds {
 		synctest.Test(t, func(*testing.T) {
-			f := newFleet(fleetSize, seed)
+			f := newFleet(pairServers, fleetSize, seed)
 			placeCall, end := place(f, seed)
 			l := statusLoad(perSecond, seed)
 			l.duration = baselineDuration
--- a/internal/dispatch/compare_test.go
+++ b/internal/dispatch/compare_test.go
@@ -44,7 +44,7 @@
 	var shares []float64
 	for seed := range uint64(5) {
 		synctest.Test(t, func(*testing.T) {
-			f := newFleet(fleetSize, seed)
+			f := newFleet(pairServers, fleetSize, seed)
 			place, end := placing(f, seed)
 			l := statusLoad(perSecond, seed)
 			shares = append(shares, share(f.run(l, place), withinObjective(l)))
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -31,6 +31,15 @@
 	}
 }
 
+// deskLoad returns a load of lookups as in a deployment whose upstreams have four
+// slots.
+func deskLoad(perSecond float64, seed uint64) load {
+	return load{
+		perSecond: perSecond, duration: 12 * time.Second, work: 240 * time.Millisecond,
+		objective: 600 * time.Millisecond, deadline: 2 * time.Second, seed: seed,
+	}
+}
+
 // asCoordinator returns a function that places calls at a Dispatcher as if
 // another VM had sent them, and the function that stops the Dispatcher's
 // probes.
@@ -58,7 +67,7 @@
 	for seed := range uint64(5) {
 		synctest.Test(t, func(t *testing.T) {
 			g := NewWithT(t)
-			f := newFleet(fleetSize, seed)
+			f := newFleet(pairServers, fleetSize, seed)
 			place, end := asCoordinator(f.dispatcher("vm", seed))
 			l := statusLoad(90, seed)
 			results := f.run(l, place)
@@ -77,15 +86,16 @@
 // capacity returns the calls a second that all upstreams together can answer in
 // time: the slots of the upstreams that are fast at a given moment, less the
 // calls during which an upstream becomes slow.
-func capacity(l load) float64 {
-	fastSlots := fleetSize * fleetSlots * (1 - slowShare)
-	return fastSlots / (bothBusyFactor * l.work.Seconds()) * (1 - slowTransitionShare(l))
+func (m serverModel) capacity(l load) float64 {
+	calls := m.bestConcurrency()
+	fastSlots := float64(fleetSize*calls) * (1 - m.slowShare)
+	return fastSlots / (m.stretch(calls) * l.work.Seconds()) * (1 - m.slowTransitionShare(l))
 }
 
 // slowTransitionShare returns the share of calls during which a fast upstream
 // becomes slow. No placement can predict these.
-func slowTransitionShare(l load) float64 {
-	return bothBusyFactor * l.work.Seconds() / phaseLength.Seconds() * slowShare
+func (m serverModel) slowTransitionShare(l load) float64 {
+	return m.stretch(m.bestConcurrency()) * l.work.Seconds() / m.phaseLength.Seconds() * m.slowShare
 }
 
 // TestRush runs loads of 1.3 and 2.2 times the capacity. As many calls as there
@@ -93,12 +103,24 @@
 // early, and no upstream may build up a queue.
 func TestRush(t *testing.T) {
 	t.Parallel()
+	runRush(t, pairServers, statusLoad)
+}
+
+// TestRushAtServersThatSlowDownWhenFull runs the loads of TestRush at upstreams that
+// do the most work with one slot free.
+func TestRushAtServersThatSlowDownWhenFull(t *testing.T) {
+	t.Parallel()
+	runRush(t, deskServers, deskLoad)
+}
+
+func runRush(t *testing.T, model serverModel, newLoad func(perSecond float64, seed uint64) load) {
+	t.Helper()
 	for _, overload := range []float64{1.3, 2.2} {
 		var shares []float64
 		for seed := range uint64(5) {
-			l := statusLoad(overload*capacity(statusLoad(0, 0)), seed)
+			l := newLoad(overload*model.capacity(newLoad(0, 0)), seed)
 			synctest.Test(t, func(t *testing.T) {
-				f := newFleet(fleetSize, seed)
+				f := newFleet(model, fleetSize, seed)
 				place, end := asCoordinator(f.dispatcher("vm", seed))
 				results := f.run(l, place)
 				end()
@@ -121,7 +143,7 @@
 	isLost := func(r result) bool { return !r.isServed && !r.isRefused }
 	g.Expect(share(results, isLost)).To(BeNumerically("<=", 0.02), "a call that is sent gets an answer")
 	for name, s := range f.upstreams {
-		g.Expect(s.maxQueued).To(BeNumerically("<=", fleetSlots), name)
+		g.Expect(s.maxQueued).To(BeNumerically("<=", f.model.slots), name)
 	}
 }
 
@@ -131,7 +153,7 @@
 	probeRate := func(perSecond float64) float64 {
 		var rate float64
 		synctest.Test(t, func(*testing.T) {
-			f := newFleet(fleetSize, 1)
+			f := newFleet(pairServers, fleetSize, 1)
 			place, end := asCoordinator(f.dispatcher("vm", 1))
 			l := statusLoad(perSecond, 1)
 			f.run(l, place)
@@ -192,11 +214,11 @@
 }
 
 // withNetwork runs a test with a coordinator, a Router on another VM, and local,
-// the Dispatcher of that VM. The fleet has one upstream with fleetSlots slots.
+// the Dispatcher of that VM. The fleet has one upstream of the model pairServers.
 func withNetwork(t *testing.T, run func(g *WithT, f *fleet, n *network, router *dispatch.Router, local *dispatch.Dispatcher)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(1, 1)
+		f := newFleet(pairServers, 1, 1)
 		n := newNetwork(f)
 		defer n.close()
 		router := n.router()
@@ -277,7 +299,7 @@
 func TestUnresponsiveCoordinatorDelaysNoCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newFleet(fleetSize, 1)
+		f := newFleet(pairServers, fleetSize, 1)
 		n := &network{Network: pipenet.New(), cancel: func() {}}
 		listener := n.Listen(coordinatorAddress)
 		go acceptAndDiscard(listener)
@@ -383,7 +405,7 @@
 func TestUnansweredProbeIsNotRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		f := newFleet(3, 1)
+		f := newFleet(pairServers, 3, 1)
 		var open, most atomic.Int32
 		probe := func(ctx context.Context, _ string) (loadbalancer.ProbeResult, bool) {
 			most.Store(max(most.Load(), open.Add(1)))
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -13,25 +13,55 @@
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
-// Behavior of the simulated upstreams, modeled on the users' services.
 const (
-	fleetSlots = 2
-	// phaseLength is the time after which an upstream draws a new speed.
-	// slowShare is the share of phases that are slower by slowFactor.
-	phaseLength = 500 * time.Millisecond
-	slowShare   = 0.35
-	slowFactor  = 7.0
-	// bothBusyFactor is how much longer work takes while both slots are
-	// occupied.
-	bothBusyFactor = 1.7
 	// workStep is the time resolution of the simulated work.
 	workStep = time.Millisecond
 	// oneWayLatency is the time of a message between a VM and an upstream.
 	oneWayLatency = time.Millisecond
 )
 
+// serverModel describes the upstreams of a simulated service.
+type serverModel struct {
+	// slots is the number of calls that an upstream runs at once.
+	slots int
+	// fullFactor is how much longer work takes while all slots are occupied.
+	fullFactor float64
+	// phaseLength is the time after which an upstream draws a new speed.
+	// slowShare is the share of phases that are slower by slowFactor.
+	phaseLength time.Duration
+	slowShare   float64
+	slowFactor  float64
+}
+
+// Models of the users' services.
+var (
+	// pairServers run two calls at once, and most with both slots occupied.
+	pairServers = serverModel{slots: 2, fullFactor: 1.7, phaseLength: 500 * time.Millisecond, slowShare: 0.35, slowFactor: 7}
+	// deskServers run four calls at once, and most with one slot free.
+	deskServers = serverModel{slots: 4, fullFactor: 1.7, phaseLength: 300 * time.Millisecond, slowShare: 0.25, slowFactor: 4}
+)
+
+// stretch returns how much longer work takes while an upstream runs a number of
+// calls.
+func (m serverModel) stretch(calls int) float64 {
+	if calls >= m.slots {
+		return m.fullFactor
+	}
+	return 1
+}
+
+// bestConcurrency returns the number of calls at which an upstream does the most
+// work.
+func (m serverModel) bestConcurrency() int {
+	if float64(m.slots)/m.fullFactor > float64(m.slots-1) {
+		return m.slots
+	}
+	return m.slots - 1
+}
+
 // fleet simulates the upstreams of one service in virtual time.
 type fleet struct {
+	model     serverModel
 	upstreams map[string]*simUpstream
 	list      []loadbalancer.Upstream
 
@@ -39,9 +69,10 @@
 	probes int
 }
 
-// simUpstream simulates one upstream. It runs fleetSlots calls at once and
-// queues the others.
+// simUpstream simulates one upstream. It queues the calls for which no slot is
+// free.
 type simUpstream struct {
+	model serverModel
 	seed  uint64
 	began time.Time
 
@@ -59,13 +90,13 @@
 	oracleSends int
 }
 
-func newFleet(count int, seed uint64) *fleet {
-	f := &fleet{upstreams: make(map[string]*simUpstream)}
+func newFleet(model serverModel, count int, seed uint64) *fleet {
+	f := &fleet{model: model, upstreams: make(map[string]*simUpstream)}
 	for i := range count {
 		name := fmt.Sprintf("u%d", i)
-		f.upstreams[name] = &simUpstream{seed: seed*1000 + uint64(i), began: time.Now()}
+		f.upstreams[name] = &simUpstream{model: model, seed: seed*1000 + uint64(i), began: time.Now()}
 		f.list = append(f.list, loadbalancer.Upstream{
-			Name: name, Address: name, Zone: string(rune('a' + i%4)), Slots: fleetSlots,
+			Name: name, Address: name, Zone: string(rune('a' + i%4)), Slots: model.slots,
 		})
 	}
 	return f
@@ -73,13 +104,13 @@
 
 // slowness returns how much longer work takes at the given time.
 func (s *simUpstream) slowness(now time.Time) float64 {
-	phase := int(now.Sub(s.began) / phaseLength)
+	phase := int(now.Sub(s.began) / s.model.phaseLength)
 	s.slowdownMu.Lock()
 	defer s.slowdownMu.Unlock()
 	for len(s.slowdowns) <= phase {
 		slowdown := 1.0
-		if rand.New(rand.NewPCG(s.seed, uint64(len(s.slowdowns)))).Float64() < slowShare {
-			slowdown = slowFactor
+		if rand.New(rand.NewPCG(s.seed, uint64(len(s.slowdowns)))).Float64() < s.model.slowShare {
+			slowdown = s.model.slowFactor
 		}
 		s.slowdowns = append(s.slowdowns, slowdown)
 	}
@@ -97,9 +128,7 @@
 		time.Sleep(workStep)
 		s.mu.Lock()
 		slowdown := s.slowness(time.Now())
-		if s.running > 1 {
-			slowdown *= bothBusyFactor
-		}
+		slowdown *= s.model.stretch(s.running)
 		s.mu.Unlock()
 		left -= float64(workStep) / slowdown
 	}
@@ -109,7 +138,7 @@
 // acquireSlot waits in the queue for a slot. It returns false when ctx ends first.
 func (s *simUpstream) acquireSlot(ctx context.Context) bool {
 	s.mu.Lock()
-	if s.running < fleetSlots {
+	if s.running < s.model.slots {
 		s.running++
 		s.mu.Unlock()
 		return true
--- a/internal/dispatch/priority_test.go
+++ b/internal/dispatch/priority_test.go
@@ -20,9 +20,9 @@
 	var urgentShares, otherShares []float64
 	for seed := range uint64(5) {
 		synctest.Test(t, func(t *testing.T) {
-			f := newFleet(fleetSize, seed)
+			f := newFleet(pairServers, fleetSize, seed)
 			place, end := asCoordinator(f.dispatcher("vm", seed))
-			full := capacity(statusLoad(0, 0))
+			full := pairServers.capacity(statusLoad(0, 0))
 			urgent, others := statusLoad(full/3, seed), statusLoad(1.5*full, seed+100)
 			others.priority = 1
 			var urgentResults, otherResults []result
@@ -40,6 +40,6 @@
 	slices.Sort(urgentShares)
 	slices.Sort(otherShares)
 	t.Logf("timely share: urgent %.3f, others %.3f", urgentShares[2], otherShares[2])
-	target := goodputTarget * (1 - slowTransitionShare(statusLoad(0, 0)))
+	target := goodputTarget * (1 - pairServers.slowTransitionShare(statusLoad(0, 0)))
 	NewWithT(t).Expect(urgentShares[2]).To(BeNumerically(">=", target), "median of five seeds")
 }
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -104,6 +104,8 @@
 	meanLatency time.Duration
 	// latencyModel models the latency of the upstreams by their load.
 	latencyModel latencyModel
+	// concurrency models the throughput of the upstreams by their load.
+	concurrency concurrencyModel
 	// meanOthersLoad is the mean load of an upstream caused by other VMs'
 	// calls.
 	meanOthersLoad float64
@@ -248,9 +250,13 @@
 
 // Sent records that a call is sent to the chosen upstream.
 func (b *Balancer) Sent(now time.Time, choice Choice) {
-	if e, ok := b.byName[choice.Name]; ok {
-		e.addSend(b.since(now), choice.Bulk)
+	e, ok := b.byName[choice.Name]
+	if !ok {
+		return
 	}
+	at := b.since(now)
+	b.observeConcurrency(e, at, false)
+	e.addSend(at, choice.Bulk)
 }
 
 // Done records how a send ended. Each Sent needs exactly one Done or Cancelled.
@@ -260,6 +266,7 @@
 		return
 	}
 	at := b.since(now)
+	b.observeConcurrency(e, at, !result.Shed && !result.Failed)
 	e.removeSend(at-result.Latency, choice.Bulk)
 	b.meanResponseBytes += responseBytesWeight * (float64(result.Bytes) - b.meanResponseBytes)
 	if result.HasReport {
@@ -299,6 +306,7 @@
 		return
 	}
 	at := b.since(now)
+	b.observeConcurrency(e, at, false)
 	e.removeSend(at-elapsed, choice.Bulk)
 	if !choice.Bulk {
 		b.recordCancelled(e, at, elapsed)
@@ -314,6 +322,7 @@
 	}
 	at := b.since(now)
 	if result.HasReport {
+		b.observeConcurrency(e, at, false)
 		e.recordLoad(at, float64(result.Report.Running+result.Report.Queued))
 		b.recordSlowness(e, at, result.Report.Slowness)
 	}
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -164,7 +164,7 @@
 	if e.phase == phaseSuspect && !e.isTrialAllowed(at, request) {
 		return false
 	}
-	return b.callLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
+	return b.callLoad(e, at)+1 <= float64(b.concurrency.limit(e.upstream.Slots))+maxQueued+loadMargin
 }
 
 // isTrialAllowed reports whether a suspect may get the call as its trial call. A
