Keep slow phases out of the latency by load

Cause: the latency at a load is a mean, the base latency a median of latencies divided by it. Responses of upstreams that became slow between report and start raise the mean, that lowers the base latency, and that raises the mean in units of it again. Change: one response moves the latency at a load by a limited step, so that it follows the median as well. Ruled out: the base latency from responses at a load of 0 alone. Test: with a call beside each call and every eighth response four times as slow, the base latency fell from 60 to 20 ms; now it stays within a tenth (TestSlowPhasesDoNotDistortLatencyByLoad).

--- a/internal/loadbalancer/latencymodel.go
+++ b/internal/loadbalancer/latencymodel.go
@@ -21,10 +21,11 @@
 	maxBaseSamples = 63
 	minBaseSamples = 5
 	// loadWeight is the weight of one response in the latency at a load.
-	loadWeight = 0.05
-	// maxRelativeLatency limits one sample of the latency at a load, in units
-	// of the base latency.
-	maxRelativeLatency = 8
+	loadWeight = 0.2
+	// maxLatencyError limits by how much one response may differ from the
+	// latency at a load, in units of the base latency. It keeps slow phases that
+	// were not reported in time out of the model.
+	maxLatencyError = 0.1
 )
 
 // latencyModel learns how long an upstream takes to respond, by the number of
@@ -86,8 +87,8 @@
 	if index == 0 {
 		return
 	}
-	relative := min(normalized/float64(m.base), maxRelativeLatency)
-	m.byLoad[index] += loadWeight * (relative - m.byLoad[index])
+	excess := normalized/float64(m.base) - m.byLoad[index]
+	m.byLoad[index] += loadWeight * min(max(excess, -maxLatencyError), maxLatencyError)
 	m.byLoad[index] = max(m.byLoad[index], m.byLoad[index-1])
 }
 
--- a/internal/loadbalancer/place_test.go
+++ b/internal/loadbalancer/place_test.go
@@ -88,6 +88,31 @@
 	g.Expect(p.BaseLatency()).To(BeNumerically("~", baseLatency, baseLatency/10))
 }
 
+// TestSlowPhasesDoNotDistortLatencyByLoad checks that the base latency and the
+// expected latency at a load of one barely change in a busy time, when every call
+// finds another one at its upstream and every eighth response takes four times as
+// long because its upstream became slow.
+func TestSlowPhasesDoNotDistortLatencyByLoad(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacementTest(1)
+	for i := range 200 {
+		p.report("u0", 1, 1)
+		choice, verdict := p.place("a", 10*time.Second)
+		g.Expect(verdict).To(Equal(loadbalancer.Send))
+		p.Sent(p.now, choice)
+		latency := baseLatency
+		if i%8 == 0 {
+			latency = 4 * baseLatency
+		}
+		p.now = p.now.Add(latency)
+		p.Done(p.now, choice, loadbalancer.Result{Latency: latency})
+	}
+	g.Expect(p.BaseLatency()).To(BeNumerically("~", baseLatency, baseLatency/10))
+	p.report("u0", 1, 1)
+	choice, _ := p.place("a", 10*time.Second)
+	g.Expect(choice.Basis.Expected).To(BeNumerically("~", baseLatency, baseLatency/10))
+}
+
 func TestCallGoesToFastestUpstream(t *testing.T) {
 	g := NewWithT(t)
 	p := newPlacementTest(4)
