Use upstreams that report no load without probing them before sends

Cause: on a service without load reports no report is ever fresh. Change: after twenty answers without a report a service counts as reporting none. Its calls are placed by the coordinator's own calls in flight, the latency by load is learned from those, and periodic probes only check its health, twice a second.

And hedge at the latest start that can meet the objective

Hypothesis: a VM's own quantile of latencies comes late (half a minute on 14 VMs) and may lie beyond the moment at which a second send can still be in time. Change: a lookup that its coordinator placed is hedged when a typical second send, with a fifth to spare, would just meet the objective, unless most first sends would still be under way then.

--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -30,6 +30,9 @@
 	busyProbesPerBaseLatency = 2
 	idleProbesPerBaseLatency = 1
 	maxProbeInterval         = 100 * time.Millisecond
+	// healthProbeInterval is the time between two periodic probes of an upstream
+	// that doesn't report its load, which only show whether it is healthy.
+	healthProbeInterval = 500 * time.Millisecond
 	// coordinatorTTL is how long a VM acts as the coordinator after a call of
 	// another VM.
 	coordinatorTTL = time.Second
@@ -49,11 +52,15 @@
 }
 
 // hasFreshChoice reports whether the request could be sent now and the load of
-// the upstream that would be chosen is fresh.
+// the upstream that would be chosen is fresh. Probes of upstreams that don't
+// report their load are of no use either.
 func (d *Dispatcher) hasFreshChoice(r Request, ignoreObjective bool) bool {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if !d.balancer.ReportsLoad() {
+		return true
+	}
 	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, ignoreObjective))
 	return verdict == loadbalancer.Send && d.balancer.IsFresh(now, choice, d.maxLoadAgeLocked(now))
 }
@@ -181,6 +188,9 @@
 		probesPerBaseLatency = busyProbesPerBaseLatency
 	}
 	interval := min(d.balancer.BaseLatency()/probesPerBaseLatency, maxProbeInterval)
+	if !d.balancer.ReportsLoad() {
+		interval = healthProbeInterval
+	}
 	interval = max(interval, time.Duration(float64(time.Second)/probesPerSecond))
 	pause := interval / time.Duration(len(d.upstreams))
 	d.lastProbed = (d.lastProbed + 1) % len(d.upstreams)
--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/hedge"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -93,7 +94,7 @@
 		return attemptResult{}, problem
 	}
 	h.start(sent, false)
-	late, stop := h.hedgeTimer()
+	late, stop := h.hedgeTimer(sent)
 	defer stop()
 	slowed := sent.slowed()
 	for {
@@ -113,11 +114,10 @@
 	}
 }
 
-// hedgeTimer returns a channel that receives when the response is late enough
-// for a hedge. The channel is nil until the service has observed enough
-// latencies.
-func (h *hedgedLookup) hedgeTimer() (late <-chan time.Time, stop func()) {
-	delay, ok := h.call.route.service.hedgeDelay()
+// hedgeTimer returns a channel that receives when it is time for a hedge of the
+// first send. The channel is nil until the service has observed enough latencies.
+func (h *hedgedLookup) hedgeTimer(first send) (late <-chan time.Time, stop func()) {
+	delay, ok := h.call.hedgeDelay(first)
 	if !ok {
 		return nil, func() {}
 	}
@@ -125,6 +125,19 @@
 	return timer.C, func() { timer.Stop() }
 }
 
+// hedgeDelay returns the time from the first send to its hedge: until the latest
+// start at which a second send is expected to meet the objective. Where there is
+// none, it is the time after which a response counts as late.
+func (c *call) hedgeDelay(first send) (time.Duration, bool) {
+	if first.grant != nil {
+		objective := c.arrived.Add(c.route.rule.objective).Sub(first.started)
+		if delay, ok := hedge.LatestStart(objective, first.grant.Basis.Typical()); ok {
+			return delay, true
+		}
+	}
+	return c.route.service.hedgeDelay()
+}
+
 // start runs one send in a goroutine, on a copy of the call with a context of its
 // own.
 func (h *hedgedLookup) start(sent send, isHedge bool) {
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -110,6 +110,8 @@
 	// meanSlowness is the mean of the reported slowness; 0 before the first
 	// report.
 	meanSlowness float64
+	// withoutReport is the number of answers since the last load report.
+	withoutReport int
 	// meanResponseBytes is the mean length of a response body.
 	meanResponseBytes float64
 	// nextUnheardCheck is when suspectUnheard runs next.
@@ -262,6 +264,9 @@
 	at := b.since(now)
 	e.removeSend(at-result.Latency, choice.Bulk)
 	b.meanResponseBytes += responseBytesWeight * (float64(result.Bytes) - b.meanResponseBytes)
+	if !result.Failed && !result.Shed {
+		b.countReport(result.HasReport)
+	}
 	if result.HasReport {
 		b.recordReport(e, at, result)
 	}
@@ -313,6 +318,9 @@
 		return
 	}
 	at := b.since(now)
+	if result.IsHealthy {
+		b.countReport(result.HasReport)
+	}
 	if result.HasReport {
 		e.recordLoad(at, float64(result.Report.Running+result.Report.Queued))
 		b.recordSlowness(e, at, result.Report.Slowness)
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -17,6 +17,26 @@
 	b.meanOthersLoad += othersLoadWeight * (e.othersLoad - b.meanOthersLoad)
 }
 
+// maxAnswersWithoutReport is the number of answers without a load report after
+// which the upstreams of a service count as reporting none.
+const maxAnswersWithoutReport = 20
+
+// countReport records whether an answer carried a load report.
+func (b *Balancer) countReport(hasReport bool) {
+	if hasReport {
+		b.withoutReport = 0
+		return
+	}
+	b.withoutReport++
+}
+
+// ReportsLoad reports whether the upstreams report their load. If they don't, a
+// probe shows nothing about it, and the VM's own calls in flight are all that is
+// known.
+func (b *Balancer) ReportsLoad() bool {
+	return b.withoutReport < maxAnswersWithoutReport
+}
+
 // recordLoad records a reported load. It subtracts the VM's own calls, whose
 // number the VM always knows exactly.
 func (e *entry) recordLoad(at time.Duration, load float64) {
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -28,6 +28,12 @@
 	Expected time.Duration
 }
 
+// Typical returns the expected latency at an upstream with the same load that is
+// not slow; 0 while the base latency is not known.
+func (b Basis) Typical() time.Duration {
+	return time.Duration(float64(b.Expected) / max(b.Slowness, 1))
+}
+
 // Verdict is the decision on a call at one moment.
 type Verdict int
 
@@ -202,7 +208,8 @@
 	if e.reportedAt == 0 {
 		choice.Basis.Age = -1
 	}
-	choice.isLoadKnown = e.isFresh(at, maxReportAge) && e.phase == phaseReady && at >= e.coldUntil
+	isLoadKnown := e.isFresh(at, maxReportAge) || !b.ReportsLoad()
+	choice.isLoadKnown = isLoadKnown && e.phase == phaseReady && at >= e.coldUntil
 	return choice
 }
 
