Let a coordinator use the constant part of the retry bound

Change: a coordinator allows, in any ten seconds, three quarters of the users' ratio of its first sends and three tenths of the constant that the bound adds (setting retry_slack); hedges may use half of that. The rest of the bound covers VMs that place calls themselves and a second coordinator. Test: a burst of shed calls gets all that is allowed, no window exceeds it (random histories), hedges leave retries their part. Telling callers that come back by their deadline: not possible, callers' first deadlines differ by 15%.

--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -34,6 +34,9 @@
 	// RetryRatio limits the retries to a service from all VMs together, as a fraction
 	// of the service's calls.
 	RetryRatio float64
+	// RetrySlack is the number of retries to a service from all VMs together that
+	// are allowed in ten seconds in addition to RetryRatio.
+	RetrySlack float64
 	// DrainBound is the maximum time until a leaving upstream gets no new calls, and
 	// ConfigBound the maximum time until a new configuration is active.
 	DrainBound  time.Duration
@@ -71,6 +74,7 @@
 	section.Float("asks_per_second", &e.ProbesPerUpstream, 60, 0, 10000)
 	section.Duration("heartbeat", &e.UpstreamHeartbeatInterval, 1500*time.Millisecond, 100*time.Millisecond, time.Minute)
 	section.Float("retry_ratio", &e.RetryRatio, 0.2, 0, 1)
+	section.Float("retry_slack", &e.RetrySlack, 0, 0, 1e6)
 	section.Duration("drain_bound", &e.DrainBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Duration("config_bound", &e.ConfigBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -155,6 +155,30 @@
 	}
 }
 
+// TestNoCallWaitsForProbesThatShowNothing runs a load of a third of the capacity at
+// upstreams that report no load: after the first second no call waits for a probe,
+// and upstreams are probed for their health alone.
+func TestNoCallWaitsForProbesThatShowNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		model := keptDesk
+		model.reportsNothing = true
+		f := newFleet(model, fleetSize, 1)
+		place, end := asCoordinator(f.dispatcher("vm", 1))
+		warmUp := deskLoad(50, 1)
+		warmUp.duration = time.Second
+		f.run(warmUp, place)
+		probes := f.probeCount()
+		l := deskLoad(50, 2)
+		results := f.run(l, place)
+		end()
+		g.Expect(share(results, func(r result) bool { return r.placed > 0 })).To(BeZero())
+		probesPerUpstream := float64(f.probeCount()-probes) / l.duration.Seconds() / fleetSize
+		g.Expect(probesPerUpstream).To(BeNumerically("<=", 0.05*probesPerSecond))
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestProbeRateIsIndependentOfCallRate checks that the probe rate stays within its
 // limit at 44 calls a second and at ten times that rate.
 func TestProbeRateIsIndependentOfCallRate(t *testing.T) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -29,10 +29,10 @@
 	// ProbesPerUpstream limits the probes per second that one upstream receives from
 	// all VMs together; 0 means no limit.
 	ProbesPerUpstream float64
-	// RetryShare is the largest ratio of extra sends to first sends.
-	RetryShare float64
-	Counters   *telemetry.Counters
-	Random     *rand.Rand
+	// RetryLimits limits the extra sends that this VM places as the coordinator.
+	RetryLimits retry.Limits
+	Counters    *telemetry.Counters
+	Random      *rand.Rand
 }
 
 // Slow start of an upstream that recovers from failures. A new upstream reports
@@ -55,11 +55,14 @@
 type Dispatcher struct {
 	options Options
 
-	mu          sync.Mutex
-	balancer    *loadbalancer.Balancer
-	retryBudget *retry.Budget
-	backlog     limit.Backlog
-	probeBudget *measure.ProbeBudget
+	mu       sync.Mutex
+	balancer *loadbalancer.Balancer
+	// retryBudget limits the extra sends that this VM places for itself, and
+	// sharedRetryBudget those that it places as the coordinator.
+	retryBudget       *retry.Budget
+	sharedRetryBudget *retry.WindowBudget
+	backlog           limit.Backlog
+	probeBudget       *measure.ProbeBudget
 	// upstreams lists the upstreams of the service. lastProbed is the index of
 	// the last one whose turn for a periodic probe came.
 	upstreams  []loadbalancer.Upstream
@@ -82,10 +85,11 @@
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, WarmUp: recoveryWarmUp, MinWarmUpShare: minRecoveryShare,
 		}, options.Random),
-		retryBudget:   retry.NewBudget(options.RetryShare),
-		probeBudget:   measure.NewProbeBudget(options.ProbesPerUpstream),
-		inFlight:      make(map[string]map[*inFlightSend]struct{}),
-		awaitingProbe: make(map[string]struct{}),
+		retryBudget:       retry.NewBudget(options.RetryLimits.Share),
+		sharedRetryBudget: retry.NewWindowBudget(options.RetryLimits),
+		probeBudget:       measure.NewProbeBudget(options.ProbesPerUpstream),
+		inFlight:          make(map[string]map[*inFlightSend]struct{}),
+		awaitingProbe:     make(map[string]struct{}),
 	}
 }
 
@@ -163,12 +167,9 @@
 	if verdict != loadbalancer.Send {
 		return Grant{}, verdict, nil
 	}
-	if r.Extra && !d.retryBudget.Take(now) {
+	if !d.recordSendLocked(now, r) {
 		return Grant{}, verdict, errBudgetSpent
 	}
-	if !r.Extra {
-		d.retryBudget.FirstSend(now)
-	}
 	d.backlog.Sent(now)
 	d.balancer.Sent(now, choice)
 	send := d.addSendLocked(choice)
@@ -178,6 +179,23 @@
 	}, verdict, nil
 }
 
+// recordSendLocked records a send in the retry budgets. It returns false when an
+// extra send is not covered.
+func (d *Dispatcher) recordSendLocked(now time.Time, r Request) bool {
+	switch {
+	case !r.Extra:
+		d.retryBudget.FirstSend(now)
+		d.sharedRetryBudget.FirstSend(now)
+		return true
+	case !d.isCoordinatorLocked(now):
+		return d.retryBudget.Take(now)
+	case r.Hedge:
+		return d.sharedRetryBudget.TakeHedge(now)
+	default:
+		return d.sharedRetryBudget.Take(now)
+	}
+}
+
 // errBudgetSpent means that the retry budget does not cover an extra send.
 var errBudgetSpent = errors.New("dispatch: retry budget spent")
 
@@ -211,7 +229,9 @@
 		d.balancer.Cancelled(now, choice, end.Latency)
 	} else {
 		d.balancer.Done(now, choice, end.Result)
-		d.retryBudget.RecordResult(!end.Failed && !end.Shed)
+		isAnswered := !end.Failed && !end.Shed
+		d.retryBudget.RecordResult(isAnswered)
+		d.sharedRetryBudget.RecordResult(isAnswered)
 	}
 	d.wakeOneLocked()
 }
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -10,6 +10,7 @@
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -33,6 +34,8 @@
 	slowFactor  float64
 	// isSpeedKept means that a call runs at the speed of its start to its end.
 	isSpeedKept bool
+	// reportsNothing means that answers carry no load report.
+	reportsNothing bool
 }
 
 // Models of the users' services.
@@ -213,6 +216,9 @@
 	f.probes++
 	f.mu.Unlock()
 	time.Sleep(2 * oneWayLatency)
+	if f.model.reportsNothing {
+		return loadbalancer.ProbeResult{IsHealthy: true}, true
+	}
 	return loadbalancer.ProbeResult{IsHealthy: true, HasReport: true, Report: f.upstreams[address].report()}, true
 }
 
@@ -226,7 +232,7 @@
 // dispatcher returns a Dispatcher for the fleet.
 func (f *fleet) dispatcher(vm string, seed uint64) *dispatch.Dispatcher {
 	d := dispatch.NewDispatcher(dispatch.Options{
-		VM: vm, Zone: "a", Probe: f.probe, ProbesPerUpstream: probesPerSecond, RetryShare: 0.1,
+		VM: vm, Zone: "a", Probe: f.probe, ProbesPerUpstream: probesPerSecond, RetryLimits: retry.Limits{Share: 0.1},
 		Counters: telemetry.NewCounters(), Random: rand.New(rand.NewPCG(seed, 7)),
 	})
 	d.SetUpstreams(f.list)
@@ -245,6 +251,8 @@
 type result struct {
 	arrived time.Time
 	took    time.Duration
+	// placed is the time from the arrival until the call was sent.
+	placed time.Duration
 	// isServed means that the call was answered before its deadline.
 	isServed  bool
 	isRefused bool
@@ -303,7 +311,7 @@
 	end := dispatch.End{IsCancelled: !isDone}
 	end.Latency = time.Since(sent)
 	grant.End(end)
-	return result{arrived: arrived, took: time.Since(arrived), isServed: isDone}
+	return result{arrived: arrived, took: time.Since(arrived), placed: sent.Sub(arrived), isServed: isDone}
 }
 
 // share returns the share of results for which matches returns true.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/figfront/figfront/internal/mesh"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
+	"github.com/figfront/figfront/internal/retry"
 )
 
 // Adapter translates between figfront and a platform. Its functions have to be safe
@@ -113,8 +114,11 @@
 	e.gateway = gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport,
-		ProbesPerUpstream: settings.ProbesPerUpstream, RetryShare: coordinatorRetryShare * settings.RetryRatio,
-		Router: e.router,
+		ProbesPerUpstream: settings.ProbesPerUpstream, Router: e.router,
+		RetryLimits: retry.Limits{
+			Share:    coordinatorRetryShare * settings.RetryRatio,
+			Constant: coordinatorSlackShare * settings.RetrySlack,
+		},
 	})
 	e.readiness.onReady = parts.Lifecycle.Configured
 	var err error
@@ -265,8 +269,13 @@
 }
 
 // coordinatorRetryShare is the share of RetryRatio, the ratio of retries to calls,
-// that a service's coordinator may use; the rest is for VMs that place calls locally.
-const coordinatorRetryShare = 0.5
+// that a service's coordinator may use, and coordinatorSlackShare that of RetrySlack.
+// The rest is for VMs that place calls locally and for a second coordinator while the
+// VMs do not agree on one.
+const (
+	coordinatorRetryShare = 0.75
+	coordinatorSlackShare = 0.3
+)
 
 // maxPeerConnections limits the connections from other VMs.
 const maxPeerConnections = 256
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/upload"
 )
@@ -44,9 +45,9 @@
 	// ProbesPerUpstream limits the probes that one upstream of the site receives
 	// from all VMs, per second; 0 means no limit.
 	ProbesPerUpstream float64
-	// RetryShare is the allowed ratio of extra sends (hedges and retries) to
-	// calls for a service of the site.
-	RetryShare float64
+	// RetryLimits limits the extra sends (hedges and retries) to a service of the
+	// site.
+	RetryLimits retry.Limits
 	// Router requests the placement of a site's calls from the coordinator of
 	// their service.
 	Router *dispatch.Router
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -79,7 +79,7 @@
 	s.idleTimeout = siteIdleConnTimeout
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
-		ProbesPerUpstream: g.options.ProbesPerUpstream, RetryShare: g.options.RetryShare, Counters: g.options.Counters,
+		ProbesPerUpstream: g.options.ProbesPerUpstream, RetryLimits: g.options.RetryLimits, Counters: g.options.Counters,
 		Random: rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
 	})
 	s.dispatcher.SetLiveVMs(g.site.vms)
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -24,6 +24,7 @@
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/pipenet"
+	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/spectest"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -84,7 +85,7 @@
 		selfCoordinator := func(string, func(string) bool) (dispatch.VM, bool) { return dispatch.VM{}, false }
 		env.gateway = gateway.New(gateway.Options{
 			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &env.log), Counters: env.counters, Dial: env.network.Dial, Seed: 1,
-			RetryShare: 0.1, ProbesPerUpstream: siteProbesPerSecond,
+			RetryLimits: retry.Limits{Share: 0.1}, ProbesPerUpstream: siteProbesPerSecond,
 			Router: dispatch.NewRouter(selfCoordinator, nil, hclog.NewNullLogger(), env.counters),
 		})
 		env.servers = append(env.servers, env.network.Serve(gatewayAddress, env.gateway))
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -20,16 +20,6 @@
 	minExtraSends = 1
 )
 
-// Outage detection.
-const (
-	// outageFailureRate is the fraction of failed sends above which the whole
-	// service counts as failing, so that extra sends are useless.
-	outageFailureRate = 0.75
-	// resultWeight is the weight of one result in the moving average of
-	// failed sends.
-	resultWeight = 1.0 / 50
-)
-
 // Budget limits the extra sends, hedges and retries together, of one service on
 // one VM. Each first send adds share tokens and each extra send takes one. In
 // each Window that ends with an extra send, the extra sends do not exceed
@@ -40,8 +30,7 @@
 	share  float64
 	tokens float64
 	sends  sendWindow
-	// failureRate is the moving average of failed sends, from 0 to 1.
-	failureRate float64
+	outage outageDetector
 }
 
 // NewBudget returns a Budget that allows share extra sends per first send, at
@@ -65,7 +54,7 @@
 // Take takes a token for one extra send. It returns false, and takes none, when
 // the budget is exhausted or the whole service is failing.
 func (b *Budget) Take(now time.Time) bool {
-	if b.tokens < 1 || b.failureRate > outageFailureRate {
+	if b.tokens < 1 || b.outage.isOutage() {
 		return false
 	}
 	bucket := b.sends.bucketAt(now)
@@ -82,9 +71,5 @@
 // RecordResult records the result of a send for the detection of an outage; ok
 // means that the upstream responded and neither failed nor refused the call.
 func (b *Budget) RecordResult(ok bool) {
-	sample := 1.0
-	if ok {
-		sample = 0
-	}
-	b.failureRate += resultWeight * (sample - b.failureRate)
+	b.outage.record(ok)
 }
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -133,7 +133,13 @@
 	}
 }
 
-func drawHistory(t *rapid.T, b *retry.Budget) []event {
+// extraSendLimiter is implemented by both budgets.
+type extraSendLimiter interface {
+	FirstSend(now time.Time)
+	Take(now time.Time) bool
+}
+
+func drawHistory(t *rapid.T, b extraSendLimiter) []event {
 	now := epoch
 	var history []event
 	phases := rapid.IntRange(1, 6).Draw(t, "phases")
