--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -189,29 +189,6 @@
 	return best.choice(request), true
 }
 
-// Candidates returns at most count upstreams of lowest cost that are not
-// suspects, for a caller that probes them before it picks. Without AnyZone they
-// are in this VM's zone, because a probe of another zone would take longer than
-// its result is worth.
-func (b *Balancer) Candidates(now time.Time, request Request, count int) []Choice {
-	at := b.since(now)
-	request.NoTrial = true
-	request.Exclude = slices.Clone(request.Exclude)
-	choices := make([]Choice, 0, count)
-	for len(choices) < count {
-		best := b.lowestCost(at, request, false)
-		if best == nil {
-			break
-		}
-		needsProbe := request.StaleAfter == 0 || !best.isFresh(at, request.StaleAfter)
-		if needsProbe && (best.zoneCost == 0 || request.AnyZone) {
-			choices = append(choices, best.choice(request))
-		}
-		request.Exclude = append(request.Exclude, best.upstream.Name)
-	}
-	return choices
-}
-
 func (e *entry) choice(request Request) Choice {
 	return Choice{Name: e.upstream.Name, Address: e.upstream.Address, Bulk: request.Bulk}
 }
