Remove the hedge on the news that an upstream has become slow

A call keeps the speed of its start at the servers of all deployments, so that a second send on the news of a slow phase is work for nothing; a lookup that is really late is hedged at its latest start anyway. Conclusion: removed with its messages.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -36,12 +36,9 @@
 	// sendMu serializes stream.Send.
 	sendMu sync.Mutex
 
-	mu      sync.Mutex
-	nextID  uint64
-	pending map[uint64]chan *api.PlaceReply
-	// slowed holds, by call id, the channel that is closed when the upstream of
-	// a placed send becomes slow.
-	slowed        map[uint64]chan struct{}
+	mu            sync.Mutex
+	nextID        uint64
+	pending       map[uint64]chan *api.PlaceReply
 	missedReplies int
 }
 
@@ -60,7 +57,7 @@
 	}
 	c := &Client{
 		vm: vm.Name, conn: conn, stream: stream, cancel: cancel, done: make(chan struct{}),
-		pending: make(map[uint64]chan *api.PlaceReply), slowed: make(map[uint64]chan struct{}),
+		pending: make(map[uint64]chan *api.PlaceReply),
 	}
 	go c.receive()
 	return c, nil
@@ -86,10 +83,6 @@
 		if err != nil {
 			return
 		}
-		if reply.GetReason() == replySlowed {
-			c.notifySlowed(reply.GetId())
-			continue
-		}
 		c.mu.Lock()
 		c.missedReplies = 0
 		replies := c.pending[reply.GetId()]
@@ -100,33 +93,14 @@
 	}
 }
 
-// notifySlowed notifies the sender of a call that its upstream has become slow.
-func (c *Client) notifySlowed(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if slowed, ok := c.slowed[id]; ok {
-		close(slowed)
-		delete(c.slowed, id)
-	}
-}
-
-// removeSlowed removes the slowed channel of a call that has ended or was not
-// placed.
-func (c *Client) removeSlowed(id uint64) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.slowed, id)
-}
-
 // Place asks the other VM to place a call of a service. It returns a Refusal
 // when that VM refuses the call, an error that wraps ErrUnavailable when there
 // is no decision, and the error of ctx when ctx ends first.
 func (c *Client) Place(ctx context.Context, service string, r Request) (Grant, error) {
-	id, replies, slowed := c.register()
+	id, replies := c.register()
 	defer c.unregister(id)
 	err := c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_Call{Call: encodeCall(id, service, r, time.Now())}})
 	if err != nil {
-		c.removeSlowed(id)
 		return Grant{}, err
 	}
 	reply, err := c.awaitDecision(ctx, replies)
@@ -135,7 +109,6 @@
 		return Grant{}, err
 	}
 	if reply.GetUpstream() == "" {
-		c.removeSlowed(id)
 		if reply.GetReason() == replyUnknownService {
 			return Grant{}, ErrUnavailable
 		}
@@ -146,7 +119,6 @@
 		PlacedBy: c.vm,
 		Basis:    decodeBasis(reply.GetBasis()),
 		Waited:   time.Duration(reply.GetBasis().GetWaitedUs()) * time.Microsecond,
-		Slowed:   slowed,
 		end:      func(end End) { c.sendEnd(id, end) },
 	}, nil
 }
@@ -155,17 +127,14 @@
 // waits, and the decision.
 const maxReplies = 2
 
-// register returns the id of a new call, the channel of its replies and the
-// channel that is closed when its upstream becomes slow.
-func (c *Client) register() (uint64, chan *api.PlaceReply, chan struct{}) {
+// register returns the id of a new call and the channel of its replies.
+func (c *Client) register() (uint64, chan *api.PlaceReply) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.nextID++
 	replies := make(chan *api.PlaceReply, maxReplies)
-	slowed := make(chan struct{})
 	c.pending[c.nextID] = replies
-	c.slowed[c.nextID] = slowed
-	return c.nextID, replies, slowed
+	return c.nextID, replies
 }
 
 func (c *Client) unregister(id uint64) {
@@ -210,7 +179,6 @@
 
 // sendEnd reports the end of a call to the other VM.
 func (c *Client) sendEnd(id uint64, end End) {
-	c.removeSlowed(id)
 	// An error needs no handling: when the stream ends, the server ends all its
 	// calls.
 	_ = c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_End{End: encodeEnd(id, end)}})
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -72,8 +72,8 @@
 	awaitingProbe map[string]struct{}
 	// waiters holds the calls that wait for a free upstream, oldest first.
 	waiters []*waiter
-	// inFlight holds the sends in flight, by upstream name.
-	inFlight map[string]map[*inFlightSend]struct{}
+	// inFlight is the number of sends in flight.
+	inFlight int
 	// lastRemoteCall is when the last call of another VM arrived.
 	lastRemoteCall time.Time
 }
@@ -88,7 +88,6 @@
 		retryBudget:       retry.NewBudget(options.RetryLimits.Share),
 		sharedRetryBudget: retry.NewWindowBudget(options.RetryLimits),
 		probeBudget:       measure.NewProbeBudget(options.ProbesPerUpstream),
-		inFlight:          make(map[string]map[*inFlightSend]struct{}),
 		awaitingProbe:     make(map[string]struct{}),
 	}
 }
@@ -172,10 +171,10 @@
 	}
 	d.backlog.Sent(now)
 	d.balancer.Sent(now, choice)
-	send := d.addSendLocked(choice)
+	d.inFlight++
 	return Grant{
-		Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM, Slowed: send.slowed,
-		end: func(end End) { d.recordEnd(send, end) },
+		Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM,
+		end: func(end End) { d.recordEnd(choice, end) },
 	}, verdict, nil
 }
 
@@ -219,12 +218,11 @@
 }
 
 // recordEnd records how a send ended and wakes a waiting call.
-func (d *Dispatcher) recordEnd(send *inFlightSend, end End) {
+func (d *Dispatcher) recordEnd(choice loadbalancer.Choice, end End) {
 	now := time.Now()
-	choice := send.choice
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	delete(d.inFlight[choice.Name], send)
+	d.inFlight--
 	if end.IsCancelled {
 		d.balancer.Cancelled(now, choice, end.Latency)
 	} else {
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -145,7 +145,6 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.Probed(time.Now(), name, result)
-	d.notifySlowedLocked(name, result.Report.Slowness)
 	d.wakeOneLocked()
 }
 
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -51,9 +51,6 @@
 	PlacedBy string
 	// Waited is how long the call waited for its placement.
 	Waited time.Duration
-	// Slowed is closed when the upstream reports during the send that it has
-	// become slow. It may be nil.
-	Slowed <-chan struct{}
 	end    func(End)
 }
 
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -134,13 +134,11 @@
 	go s.placeCall(ctx, dispatcher, call, served)
 }
 
-// Reasons of replies that are not refusals: the VM does not know the service,
-// the call waits to be placed, or the upstream of a placed call has become
-// slow.
+// Reasons of replies that are not refusals: the VM does not know the service, or
+// the call waits to be placed.
 const (
 	replyUnknownService = "unknown"
 	replyWaiting        = "waiting"
-	replySlowed         = "slowed"
 )
 
 // ackDelay is the time after which a VM gets a notice that its call waits.
@@ -159,11 +157,6 @@
 		return
 	}
 	s.reply(&api.PlaceReply{Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant)})
-	select {
-	case <-grant.Slowed:
-		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replySlowed})
-	case <-ctx.Done():
-	}
 }
 
 // recordGrant keeps the grant until the call ends. If the call has already
--- a/internal/gateway/lookup.go
+++ b/internal/gateway/lookup.go
@@ -18,7 +18,6 @@
 	hedgeFailed     = "failed"
 	hedgeBudget     = "budget"
 	hedgeNoUpstream = "no_upstream"
-	hedgeSlowed     = "slowed"
 )
 
 // serveLookup serves a lookup, hedged if its rule allows that.
@@ -96,16 +95,11 @@
 	h.start(sent, false)
 	late, stop := h.hedgeTimer(sent)
 	defer stop()
-	slowed := sent.slowed()
 	for {
 		select {
 		case <-late:
 			late = nil
 			h.hedge()
-		case <-slowed:
-			slowed = nil
-			h.countHedge(hedgeSlowed)
-			h.hedge()
 		case result := <-h.results:
 			if final, ok := h.handleResult(result); ok {
 				return final, nil
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -23,15 +23,6 @@
 	isAbandoned *atomic.Bool
 }
 
-// slowed returns a channel that is closed when the upstream becomes slow during
-// the send; nil when nothing watches for that.
-func (s send) slowed() <-chan struct{} {
-	if s.grant == nil {
-		return nil
-	}
-	return s.grant.Slowed
-}
-
 // cancellable returns a copy of the send that can be abandoned.
 func (s send) cancellable() send {
 	s.isAbandoned = new(atomic.Bool)
