--- /dev/null
+++ b/internal/loadbalancer/results.go
@@ -0,0 +1,89 @@
+package loadbalancer
+
+import (
+	"time"
+)
+
+// Sent records that a call is sent to the chosen upstream.
+func (b *Balancer) Sent(now time.Time, choice Choice) {
+	if e, ok := b.byName[choice.Name]; ok {
+		e.addSend(b.since(now), choice.Bulk)
+	}
+}
+
+// Done records how a send ended. Each Sent needs exactly one Done or Cancelled.
+func (b *Balancer) Done(now time.Time, choice Choice, result Result) {
+	e, ok := b.byName[choice.Name]
+	if !ok {
+		return
+	}
+	at := b.since(now)
+	e.removeSend(at-result.Latency, choice.Bulk)
+	b.meanResponseBytes += responseBytesWeight * (float64(result.Bytes) - b.meanResponseBytes)
+	if !result.Failed && !result.Shed {
+		b.countReport(result.HasReport)
+	}
+	if result.HasReport {
+		b.recordReport(e, at, result)
+	}
+	b.recordResult(e, at, choice, result)
+	if result.Draining {
+		e.fire(eventDrainSeen, at)
+		e.isDrainSeenLocally = true
+	}
+	if e.isOutOfUse() {
+		b.selectSubset()
+	}
+}
+
+func (b *Balancer) recordResult(e *entry, at time.Duration, choice Choice, result Result) {
+	switch {
+	case result.Shed:
+		e.addPenalty(at)
+	case result.Failed:
+		e.recordFailure(at)
+	case choice.Bulk:
+		e.recordBulkResponse(at)
+		b.recordPlacedLatency(choice, result.Latency)
+	default:
+		e.failures = 0
+		b.recordLatency(e, at, choice, result.Latency)
+		b.recordPlacedLatency(choice, result.Latency)
+	}
+}
+
+// Cancelled records that a send was given up after the elapsed time, because
+// the caller left or a hedge won.
+func (b *Balancer) Cancelled(now time.Time, choice Choice, elapsed time.Duration) {
+	e, ok := b.byName[choice.Name]
+	if !ok {
+		return
+	}
+	at := b.since(now)
+	e.removeSend(at-elapsed, choice.Bulk)
+	if !choice.Bulk {
+		b.recordCancelled(e, at, elapsed)
+	}
+}
+
+// Probed records the result of a probe. A probe without an answer is recorded
+// as not Healthy.
+func (b *Balancer) Probed(now time.Time, name string, result ProbeResult) {
+	e, ok := b.byName[name]
+	if !ok {
+		return
+	}
+	at := b.since(now)
+	if result.IsHealthy {
+		b.countReport(result.HasReport)
+	}
+	if result.HasReport {
+		e.recordLoad(at, float64(result.Report.Running+result.Report.Queued))
+		b.recordSlowness(e, at, result.Report.Slowness)
+	}
+	wasOut := e.isOutOfUse()
+	e.recordProbe(at, b.since(result.Sent), result.IsHealthy)
+	if wasOut != e.isOutOfUse() {
+		b.selectSubset()
+	}
+}
