--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -30,6 +30,7 @@
 	// all VMs together; 0 means no limit.
 	ProbesPerUpstream float64
 	// RetryLimits limits the extra sends that this VM places as the coordinator.
+	// Its Share also limits those that it places locally.
 	RetryLimits retry.Limits
 	Counters    *telemetry.Counters
 	Random      *rand.Rand
@@ -57,12 +58,12 @@
 
 	mu       sync.Mutex
 	balancer *loadbalancer.Balancer
-	// retryBudget limits the extra sends that this VM places for itself, and
-	// sharedRetryBudget those that it places as the coordinator.
-	retryBudget       *retry.Budget
-	sharedRetryBudget *retry.WindowBudget
-	backlog           limit.Backlog
-	probeBudget       *measure.ProbeBudget
+	// localRetryBudget limits the extra sends that this VM places for itself, and
+	// coordinatorRetryBudget those that it places as the coordinator.
+	localRetryBudget       *retry.Budget
+	coordinatorRetryBudget *retry.WindowBudget
+	backlog                limit.Backlog
+	probeBudget            *measure.ProbeBudget
 	// upstreams lists the upstreams of the service. lastProbed is the index of
 	// the last one whose turn for a periodic probe came.
 	upstreams  []loadbalancer.Upstream
@@ -85,10 +86,10 @@
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, WarmUp: recoveryWarmUp, MinWarmUpShare: minRecoveryShare,
 		}, options.Random),
-		retryBudget:       retry.NewBudget(options.RetryLimits.Share),
-		sharedRetryBudget: retry.NewWindowBudget(options.RetryLimits),
-		probeBudget:       measure.NewProbeBudget(options.ProbesPerUpstream),
-		awaitingProbe:     make(map[string]struct{}),
+		localRetryBudget:       retry.NewBudget(options.RetryLimits.Share),
+		coordinatorRetryBudget: retry.NewWindowBudget(options.RetryLimits),
+		probeBudget:            measure.NewProbeBudget(options.ProbesPerUpstream),
+		awaitingProbe:          make(map[string]struct{}),
 	}
 }
 
@@ -183,15 +184,15 @@
 func (d *Dispatcher) recordSendLocked(now time.Time, r Request) bool {
 	switch {
 	case !r.Extra:
-		d.retryBudget.FirstSend(now)
-		d.sharedRetryBudget.FirstSend(now)
+		d.localRetryBudget.FirstSend(now)
+		d.coordinatorRetryBudget.FirstSend(now)
 		return true
 	case !d.isCoordinatorLocked(now):
-		return d.retryBudget.Take(now)
+		return d.localRetryBudget.Take(now)
 	case r.Hedge:
-		return d.sharedRetryBudget.TakeHedge(now)
+		return d.coordinatorRetryBudget.TakeHedge(now)
 	default:
-		return d.sharedRetryBudget.Take(now)
+		return d.coordinatorRetryBudget.Take(now)
 	}
 }
 
@@ -228,8 +229,8 @@
 	} else {
 		d.balancer.Done(now, choice, end.Result)
 		isAnswered := !end.Failed && !end.Shed
-		d.retryBudget.RecordResult(isAnswered)
-		d.sharedRetryBudget.RecordResult(isAnswered)
+		d.localRetryBudget.RecordResult(isAnswered)
+		d.coordinatorRetryBudget.RecordResult(isAnswered)
 	}
 	d.wakeOneLocked()
 }
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -110,8 +110,8 @@
 	// meanSlowness is the mean of the reported slowness; 0 before the first
 	// report.
 	meanSlowness float64
-	// withoutReport is the number of answers since the last load report.
-	withoutReport int
+	// answersWithoutReport is the number of answers since the last load report.
+	answersWithoutReport int
 	// meanResponseBytes is the mean length of a response body.
 	meanResponseBytes float64
 	// nextUnheardCheck is when suspectUnheard runs next.
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -24,17 +24,17 @@
 // countReport records whether an answer carried a load report.
 func (b *Balancer) countReport(hasReport bool) {
 	if hasReport {
-		b.withoutReport = 0
+		b.answersWithoutReport = 0
 		return
 	}
-	b.withoutReport++
+	b.answersWithoutReport++
 }
 
 // ReportsLoad reports whether the upstreams report their load. If they don't, a
 // probe shows nothing about it, and the VM's own calls in flight are all that is
 // known.
 func (b *Balancer) ReportsLoad() bool {
-	return b.withoutReport < maxAnswersWithoutReport
+	return b.answersWithoutReport < maxAnswersWithoutReport
 }
 
 // recordLoad records a reported load. It subtracts the VM's own calls, whose
