Log what a failed send wrote and received

The line of a call could not tell why a send was taken as "not run": whether a byte was written, on a new or a reused connection, and which response was turned down for which reason, with whose request id.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -52,6 +52,8 @@
 	isConnectionSilent bool
 	// retryReserved means that a retry was already taken from the budget.
 	retryReserved bool
+	// transfer describes what was written and received, for the log.
+	transfer transferRecord
 }
 
 // requestBody is the request body of one send.
@@ -108,17 +110,22 @@
 	trace.stopSilenceTimer()
 	if err != nil {
 		defer cancel(nil)
-		return c.handleSendFailure(ctx, sent, trace, body)
+		result := c.handleSendFailure(ctx, sent, trace, body)
+		result.transfer = c.describeError(trace, err)
+		return result
 	}
 	bodySent := body.isComplete == nil || body.isComplete()
-	if c.isMismatched(trace, response) {
+	if reason := c.mismatch(trace, response); reason != "" {
 		defer cancel(nil)
 		trace.closeConn()
 		_ = response.Body.Close()
-		return c.handleSendFailure(ctx, sent, trace, body)
+		result := c.handleSendFailure(ctx, sent, trace, body)
+		result.transfer = c.describeResponse(trace, response, reason)
+		return result
 	}
 	result := c.readResponse(sent, response)
 	result.bodySent = bodySent
+	result.transfer = c.describeResponse(trace, response, "")
 	return result
 }
 
@@ -134,15 +141,21 @@
 	return max(time.Until(c.deadline)/silenceTimeoutDivisor, time.Millisecond)
 }
 
-// isMismatched reports whether a response belongs to another call: it arrived
-// before this call was sent, or carries the request ID of another call.
-func (c *call) isMismatched(trace *sendTrace, response *http.Response) bool {
+// mismatch returns why a response belongs to another call; empty if it does not: it
+// arrived before this call was sent, or carries the request ID of another call.
+func (c *call) mismatch(trace *sendTrace, response *http.Response) callheader.Rejection {
 	id := response.Header.Get(outcome.HeaderRequestID)
-	if !trace.isStale() && (id == "" || id == c.id) {
-		return false
+	var reason callheader.Rejection
+	switch {
+	case trace.isStale():
+		reason = callheader.RejectedStale
+	case id != "" && id != c.id:
+		reason = callheader.RejectedForeignID
+	default:
+		return ""
 	}
 	c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
-	return true
+	return reason
 }
 
 func (c *call) upstreamRequest(sent send, body requestBody) *http.Request {
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -195,6 +195,21 @@
 	return t.mayHaveSentLocked()
 }
 
+// connKind returns whether the send's connection was opened for it or reused; empty
+// when the send had none.
+func (t *sendTrace) connKind() connKind {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.conn == nil:
+		return ""
+	case t.reused:
+		return connReused
+	default:
+		return connNew
+	}
+}
+
 // isSilent reports whether a reused connection has received no byte since the
 // send was written.
 func (t *sendTrace) isSilent() bool {
--- a/internal/gateway/sendlog.go
+++ b/internal/gateway/sendlog.go
@@ -94,6 +94,8 @@
 	Status  int             `json:"status,omitempty"`
 	Outcome outcome.Outcome `json:"outcome,omitempty"`
 	Reason  outcome.Reason  `json:"reason,omitempty"`
+	// Transfer is set for a failed send.
+	Transfer *transferRecord `json:"transfer,omitempty"`
 }
 
 // begin records the start of a send and returns its index.
@@ -122,6 +124,9 @@
 	record.Status = result.status
 	record.Outcome = result.outcome
 	record.Reason = result.reason
+	if result.reason != "" {
+		record.Transfer = &result.transfer
+	}
 }
 
 // records returns a copy of the sends so far.
--- /dev/null
+++ b/internal/gateway/transfer.go
@@ -0,0 +1,79 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/outcome"
+)
+
+// connKind tells how a send got its connection.
+type connKind string
+
+// The kinds of connections.
+const (
+	connNew    connKind = "new"
+	connReused connKind = "reused"
+)
+
+// responseID tells whose request ID a response carries.
+type responseID string
+
+// The request IDs of responses.
+const (
+	responseIDOwn     responseID = "own"
+	responseIDForeign responseID = "foreign"
+	responseIDNone    responseID = "none"
+)
+
+// transferRecord is what a send wrote and received, as far as it explains the outcome.
+type transferRecord struct {
+	// Conn is empty when the send had no connection.
+	Conn connKind `json:"conn,omitempty"`
+	// Written means that a byte of the call may have left this VM.
+	Written bool `json:"written"`
+	// Status and ResponseID describe a received response, also one that was rejected.
+	Status     int                  `json:"status,omitempty"`
+	ResponseID responseID           `json:"response_id,omitempty"`
+	Rejected   callheader.Rejection `json:"rejected,omitempty"`
+}
+
+// describeError returns the record of a send whose round trip failed.
+func (c *call) describeError(trace *sendTrace, err error) transferRecord {
+	record := transferRecord{Conn: trace.connKind(), Written: trace.mayHaveSent()}
+	var rejected *callheader.RejectedError
+	if errors.As(err, &rejected) {
+		record.Status = rejected.Status
+		record.ResponseID = c.responseID(rejected.RequestID)
+		record.Rejected = rejected.Reason
+	}
+	return record
+}
+
+// describeResponse returns the record of a send that received a response. rejected is
+// empty for an accepted response.
+func (c *call) describeResponse(
+	trace *sendTrace, response *http.Response, rejected callheader.Rejection,
+) transferRecord {
+	return transferRecord{
+		Conn:       trace.connKind(),
+		Written:    trace.mayHaveSent(),
+		Status:     response.StatusCode,
+		ResponseID: c.responseID(response.Header.Get(outcome.HeaderRequestID)),
+		Rejected:   rejected,
+	}
+}
+
+// responseID compares the request ID of a response with the call's.
+func (c *call) responseID(id string) responseID {
+	switch id {
+	case c.id:
+		return responseIDOwn
+	case "":
+		return responseIDNone
+	default:
+		return responseIDForeign
+	}
+}
