Keep the progress of a send with the send, and take only evidence for not run

What callers saw: a booking that ran was answered 503 "not run"; in the same way it was sent to a second upstream and ran twice; and the booking that had taken its connection failed with 502.

Cause: whether a byte was written was read from the connection after the round trip. net/http returns a connection to its pool as soon as a response without a body is read, before RoundTrip returns. If the response was then not accepted (unsigned, a 503, 429 or 408 without confirmation, a foreign id), the next send could have the connection by then, and its start had reset the state: nothing written, so not run. Closing the connection of a foreign response closed it under the next send.

Change: each send has a transfer of its own, which the connection points to while it is the latest; a later send gets another and can't change the earlier one's. A response that is not accepted is never evidence that a call did not run; all evidence is decided in evidence.go. A connection is discarded unless a later send has written to it, and refuses writes then before they count, so that the later send is known not to have run.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -108,24 +108,17 @@
 	response, err := sent.transport.roundTripper.RoundTrip(
 		request.WithContext(httptrace.WithClientTrace(ctx, trace.clientTrace())))
 	trace.stopSilenceTimer()
+	if err == nil {
+		err = c.checkResponse(trace, response)
+	}
 	if err != nil {
 		defer cancel(nil)
-		result := c.handleSendFailure(ctx, sent, trace, body)
-		result.transfer = c.describeError(trace, err)
-		return result
+		return c.handleSendFailure(ctx, sent, trace, body, err)
 	}
 	bodySent := body.isComplete == nil || body.isComplete()
-	if reason := c.mismatch(trace, response); reason != "" {
-		defer cancel(nil)
-		trace.closeConn()
-		_ = response.Body.Close()
-		result := c.handleSendFailure(ctx, sent, trace, body)
-		result.transfer = c.describeResponse(trace, response, reason)
-		return result
-	}
 	result := c.readResponse(sent, response)
 	result.bodySent = bodySent
-	result.transfer = c.describeResponse(trace, response, "")
+	result.transfer = c.describeResponse(trace, response)
 	return result
 }
 
@@ -141,23 +134,6 @@
 	return max(time.Until(c.deadline)/silenceTimeoutDivisor, time.Millisecond)
 }
 
-// mismatch returns why a response belongs to another call; empty if it does not: it
-// arrived before this call was sent, or carries the request ID of another call.
-func (c *call) mismatch(trace *sendTrace, response *http.Response) callheader.Rejection {
-	id := response.Header.Get(outcome.HeaderRequestID)
-	var reason callheader.Rejection
-	switch {
-	case trace.isStale():
-		reason = callheader.RejectedStale
-	case id != "" && id != c.id:
-		reason = callheader.RejectedForeignID
-	default:
-		return ""
-	}
-	c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
-	return reason
-}
-
 func (c *call) upstreamRequest(sent send, body requestBody) *http.Request {
 	request := &http.Request{
 		Method: c.r.Method,
@@ -194,17 +170,15 @@
 	return decoded, escaped
 }
 
-// handleSendFailure returns the result of a send without a response and records
-// the failure. The outcome is unknown if any byte of the call may have left this
-// VM. A silent connection, a truncated request body, or a send that was cancelled
-// by its caller or by the response to another send is not held against the
+// handleSendFailure returns the result of a send without an accepted response and
+// records the failure. A silent connection, a truncated request body, or a send that was
+// cancelled by its caller or by the response to another send is not held against the
 // upstream.
-func (c *call) handleSendFailure(ctx context.Context, sent send, trace *sendTrace, body requestBody) attemptResult {
-	result := attemptResult{upstream: sent.choice.Name, outcome: outcome.NotRun, reason: outcome.ConnectFailed}
-	if trace.mayHaveSent() {
-		result.outcome = outcome.Unknown
-		result.reason = outcome.UpstreamFailed
-	}
+func (c *call) handleSendFailure(
+	ctx context.Context, sent send, trace *sendTrace, body requestBody, err error,
+) attemptResult {
+	result := attemptResult{upstream: sent.choice.Name, transfer: c.describeError(trace, err)}
+	result.outcome, result.reason = failureOutcome(trace, err)
 	isSilenceTimeout := errors.Is(context.Cause(ctx), errConnSilent)
 	isLate := errors.Is(ctx.Err(), context.DeadlineExceeded)
 	isSilent := trace.isSilent() && (isSilenceTimeout || isLate)
@@ -244,15 +218,13 @@
 		Failed:   response.StatusCode >= http.StatusInternalServerError,
 	}
 	sendResult.Report, sendResult.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
-	if callheader.IsShed(response.Header) {
+	result.outcome, result.reason = responseOutcome(response.Header)
+	if result.outcome == outcome.NotRun {
 		_ = response.Body.Close()
 		sendResult.Shed = true
 		c.route.service.endSend(sent, sendResult)
-		result.outcome = outcome.NotRun
-		result.reason = outcome.UpstreamShed
 		return result
 	}
-	result.outcome = outcome.Ran
 	body, err := readResponseBody(response)
 	result.body = body
 	sendResult.Bytes = len(body)
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -16,11 +16,10 @@
 // within the silence timeout.
 var errConnSilent = errors.New("gateway: connection silent")
 
-// trackedConn is a connection to an upstream that records whether the current
-// send has written and received bytes.
-type trackedConn struct {
-	net.Conn
-
+// transfer records what one send wrote to a connection and received from it. It belongs
+// to the send and not to the connection, which net/http may give to the next send before
+// the response to this one has been judged. It is safe for concurrent use.
+type transfer struct {
 	mu sync.Mutex
 	// wrote means that a byte of the send may have left this VM.
 	wrote bool
@@ -28,28 +27,89 @@
 	received bool
 }
 
-// beginSend resets the state for a new send on the connection.
-func (c *trackedConn) beginSend() {
+// progress returns what the send wrote and received.
+func (t *transfer) progress() (wrote, received bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.wrote, t.received
+}
+
+// beginWrite records that a byte of the send may leave this VM from now on.
+func (t *transfer) beginWrite() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.wrote = true
+}
+
+// addReceived records that bytes arrived.
+func (t *transfer) addReceived() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.received = t.wrote
+}
+
+// trackedConn is a connection to an upstream that records in the transfer of its current
+// send what is written and received.
+type trackedConn struct {
+	net.Conn
+
+	mu sync.Mutex
+	// current is the transfer of the latest send; nil before the first one.
+	current *transfer
+	// isDiscarded means that discard closed the connection.
+	isDiscarded bool
+}
+
+// beginSend returns the transfer of a new send on the connection.
+func (c *trackedConn) beginSend() *transfer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.current = &transfer{}
+	return c.current
+}
+
+// currentTransfer returns the transfer of the latest send.
+func (c *trackedConn) currentTransfer() *transfer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.current
+}
+
+// discard closes the connection, whose responses can't be attributed any more, on behalf
+// of the send with the given transfer. It stays open if a later send has written to it.
+func (c *trackedConn) discard(t *transfer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.wrote = false
-	c.received = false
+	if c.current != t {
+		if wrote, _ := c.current.progress(); wrote {
+			return
+		}
+	}
+	c.isDiscarded = true
+	_ = c.Close()
 }
 
-// progress returns what was written and received since beginSend.
-func (c *trackedConn) progress() (wrote, received bool) {
+// beginWrite records the write in the current transfer. It returns false, and records
+// nothing, if the connection was discarded.
+func (c *trackedConn) beginWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.wrote, c.received
+	if c.isDiscarded {
+		return false
+	}
+	if c.current != nil {
+		c.current.beginWrite()
+	}
+	return true
 }
 
 // Write writes p and fails when the upstream accepts nothing for
 // upstreamStallTimeout. The send counts as begun before the first byte is
 // written.
 func (c *trackedConn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	c.wrote = true
-	c.mu.Unlock()
+	if !c.beginWrite() {
+		return 0, net.ErrClosed
+	}
 	if err := c.SetWriteDeadline(time.Now().Add(upstreamStallTimeout)); err != nil {
 		return 0, err
 	}
@@ -60,9 +120,9 @@
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		c.mu.Lock()
-		c.received = c.wrote
-		c.mu.Unlock()
+		if t := c.currentTransfer(); t != nil {
+			t.addReceived()
+		}
 	}
 	return n, err
 }
@@ -91,9 +151,11 @@
 	// interim receives interim responses (1xx).
 	interim func(status int, header http.Header)
 
-	mu     sync.Mutex
-	conn   *trackedConn
-	reused bool
+	mu   sync.Mutex
+	conn *trackedConn
+	// transfer is the send's on conn; nil when it has no tracked connection.
+	transfer *transfer
+	reused   bool
 	// wroteBefore means that an earlier connection may have carried a byte of
 	// the send, or that the connection is not tracked.
 	wroteBefore bool
@@ -127,8 +189,8 @@
 		t.wroteBefore = true
 		return
 	}
-	conn.beginSend()
 	t.conn = conn
+	t.transfer = conn.beginSend()
 	if t.maxSilence > 0 && t.timer == nil {
 		t.timer = time.AfterFunc(t.maxSilence, t.cancelIfSilent)
 	}
@@ -161,8 +223,7 @@
 }
 
 // gotFirstByte stops the silence timer and records whether the response is
-// stale. It runs while the connection still belongs to this send; once a response
-// without a body has been read, the next send may already use the connection.
+// stale.
 func (t *sendTrace) gotFirstByte() {
 	t.stopSilenceTimer()
 	t.mu.Lock()
@@ -181,10 +242,10 @@
 }
 
 func (t *sendTrace) mayHaveSentLocked() bool {
-	if t.conn == nil {
+	if t.transfer == nil {
 		return t.wroteBefore
 	}
-	wrote, _ := t.conn.progress()
+	wrote, _ := t.transfer.progress()
 	return wrote || t.wroteBefore
 }
 
@@ -215,10 +276,10 @@
 func (t *sendTrace) isSilent() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conn == nil || !t.reused {
+	if t.transfer == nil || !t.reused {
 		return false
 	}
-	wrote, received := t.conn.progress()
+	wrote, received := t.transfer.progress()
 	return wrote && !received
 }
 
@@ -234,18 +295,18 @@
 }
 
 func (t *sendTrace) isStaleLocked() bool {
-	if t.conn == nil {
+	if t.transfer == nil {
 		return false
 	}
-	_, received := t.conn.progress()
+	_, received := t.transfer.progress()
 	return !received
 }
 
-// closeConn closes the send's connection.
-func (t *sendTrace) closeConn() {
+// discardConn closes the send's connection unless a later send has written to it.
+func (t *sendTrace) discardConn() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.conn != nil {
-		_ = t.conn.Close()
+		t.conn.discard(t.transfer)
 	}
 }
--- /dev/null
+++ b/internal/gateway/evidence.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/outcome"
+)
+
+// A call is reported as not run only on evidence, which this file decides on:
+//
+//   - no byte of the call was given to a connection (failureOutcome), or
+//   - the upstream's response to this call says so (checkResponse, responseOutcome).
+//
+// Everything else is reported as unknown or as run.
+
+// checkResponse returns a callheader.RejectedError if a response can't be attributed to
+// the call: it arrived before the call was sent, or carries the request ID of another
+// call. It closes the body of a rejected response and discards the connection.
+func (c *call) checkResponse(trace *sendTrace, response *http.Response) error {
+	id := response.Header.Get(outcome.HeaderRequestID)
+	var reason callheader.Rejection
+	switch {
+	case trace.isStale():
+		reason = callheader.RejectedStale
+	case id != "" && id != c.id:
+		reason = callheader.RejectedForeignID
+	default:
+		return nil
+	}
+	c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
+	trace.discardConn()
+	_ = response.Body.Close()
+	return &callheader.RejectedError{Status: response.StatusCode, Reason: reason, RequestID: id}
+}
+
+// failureOutcome returns the outcome of a send without an accepted response. A rejected
+// response never proves that the call did not run. When the round trip failed, net/http
+// has stopped writing to the connection, so the trace holds all that was written.
+func failureOutcome(trace *sendTrace, err error) (outcome.Outcome, outcome.Reason) {
+	var rejected *callheader.RejectedError
+	if errors.As(err, &rejected) || trace.mayHaveSent() {
+		return outcome.Unknown, outcome.UpstreamFailed
+	}
+	return outcome.NotRun, outcome.ConnectFailed
+}
+
+// responseOutcome returns the outcome that an accepted response states.
+func responseOutcome(h http.Header) (outcome.Outcome, outcome.Reason) {
+	if callheader.IsShed(h) {
+		return outcome.NotRun, outcome.UpstreamShed
+	}
+	return outcome.Ran, ""
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"time"
 
@@ -100,6 +101,16 @@
 	}, true
 }
 
+// probeTrace returns a trace that begins a transfer on the connection of a probe, so that
+// the probe's bytes do not count for the call that used the connection before.
+func probeTrace() *httptrace.ClientTrace {
+	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if conn, ok := info.Conn.(*trackedConn); ok {
+			conn.beginSend()
+		}
+	}}
+}
+
 // maxProbeResponseBytes limits the body of the response to a probe.
 const maxProbeResponseBytes = 1 << 10
 
@@ -118,7 +129,7 @@
 		URL:    &url.URL{Scheme: "http", Host: t.address, Path: path},
 		Host:   t.address,
 		Header: http.Header{"User-Agent": nil},
-	}).WithContext(ctx)
+	}).WithContext(httptrace.WithClientTrace(ctx, probeTrace()))
 	response, err := t.roundTripper.RoundTrip(request)
 	if err != nil {
 		return loadbalancer.ProbeResult{}, false
--- a/internal/gateway/transfer.go
+++ b/internal/gateway/transfer.go
@@ -52,17 +52,13 @@
 	return record
 }
 
-// describeResponse returns the record of a send that received a response. rejected is
-// empty for an accepted response.
-func (c *call) describeResponse(
-	trace *sendTrace, response *http.Response, rejected callheader.Rejection,
-) transferRecord {
+// describeResponse returns the record of a send whose response was accepted.
+func (c *call) describeResponse(trace *sendTrace, response *http.Response) transferRecord {
 	return transferRecord{
 		Conn:       trace.connKind(),
 		Written:    trace.mayHaveSent(),
 		Status:     response.StatusCode,
 		ResponseID: c.responseID(response.Header.Get(outcome.HeaderRequestID)),
-		Rejected:   rejected,
 	}
 }
 
