Accept a refusal of an upstream only with the id of the call

What callers saw: a booking that ran was answered 503 "not run".

Cause: a response without a request id was accepted for any call. Probes carry no id and use the connections of calls at a site, so a late copy of a refused probe's response that arrives after a booking was written is taken as the booking's refusal. The check by time only finds bytes that arrived before the booking was written.

Change: a refusal without the call's id is rejected (no_id): the outcome is unknown, the booking is not sent again, and the connection is discarded.

The upstreams of tests that refuse return the id now, as upstreams have to; no expectation changed but the one on the log line of a refusal without id, which shows no_id.

--- a/internal/callheader/rejected.go
+++ b/internal/callheader/rejected.go
@@ -17,6 +17,9 @@
 	RejectedUnconfirmed Rejection = "unconfirmed"
 	// RejectedForeignID means that the response carries the request ID of another call.
 	RejectedForeignID Rejection = "foreign_id"
+	// RejectedNoID means that the response carries no request ID, which it needs to be
+	// accepted.
+	RejectedNoID Rejection = "no_id"
 	// RejectedStale means that the response arrived before the call was sent.
 	RejectedStale Rejection = "stale"
 )
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -18,7 +18,8 @@
 
 // checkResponse returns a callheader.RejectedError if a response can't be attributed to
 // the call: it arrived before the call was sent, or carries the request ID of another
-// call. It closes the body of a rejected response and discards the connection.
+// call. A response that says that the call did not run must carry the call's ID, since it
+// could be a late response to another request on the connection. It closes the body of a rejected response and discards the connection.
 func (c *call) checkResponse(trace *sendTrace, response *http.Response) error {
 	id := response.Header.Get(outcome.HeaderRequestID)
 	var reason callheader.Rejection
@@ -27,6 +28,8 @@
 		reason = callheader.RejectedStale
 	case id != "" && id != c.id:
 		reason = callheader.RejectedForeignID
+	case id == "" && callheader.IsShed(response.Header):
+		reason = callheader.RejectedNoID
 	default:
 		return nil
 	}
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -117,8 +117,9 @@
 var oneTeam = map[string]string{"t": "[/teams/t/services/s/traffic/lookup]\nhedge = false\n" +
 	"[/teams/t/services/s/traffic/booking]\n"}
 
-func shed(w http.ResponseWriter) {
+func shed(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set(callheader.Shed, "1")
+	w.Header().Set(outcome.HeaderRequestID, r.Header.Get(outcome.HeaderRequestID))
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
@@ -160,7 +161,7 @@
 		{
 			"a call that was already retried at an earlier hop", http.MethodGet,
 			http.Header{callheader.Attempt: {"3"}},
-			func(w http.ResponseWriter, _ *http.Request, _ int) { shed(w) }, "3", "kept_marked",
+			func(w http.ResponseWriter, r *http.Request, _ int) { shed(w, r) }, "3", "kept_marked",
 		},
 	} {
 		t.Run(test.name, func(t *testing.T) {
@@ -182,11 +183,11 @@
 func TestOutcomeCoversEverySend(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		env := newRetryTestEnv(t, gateway.Options{}, oneTeam, func(w http.ResponseWriter, _ *http.Request, number int) {
+		env := newRetryTestEnv(t, gateway.Options{}, oneTeam, func(w http.ResponseWriter, r *http.Request, number int) {
 			if number == 1 {
 				panic(http.ErrAbortHandler)
 			}
-			shed(w)
+			shed(w, r)
 		})
 		defer env.close()
 		response := env.call(t, http.MethodGet, "t", nil)
@@ -196,6 +197,21 @@
 	})
 }
 
+func TestRefusalWithoutAnIDIsNoProofThatABookingDidNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		env := newRetryTestEnv(t, gateway.Options{}, oneTeam, func(w http.ResponseWriter, r *http.Request, _ int) {
+			r.Header.Del(outcome.HeaderRequestID)
+			shed(w, r)
+		})
+		defer env.close()
+		response := env.call(t, http.MethodPost, "t", nil)
+		g.Expect(env.sentAttempts()).To(HaveLen(1))
+		g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
+		g.Expect(response.Header.Get(outcome.HeaderOutcome)).To(Equal(string(outcome.Unknown)))
+	})
+}
+
 // overloadTeamSettings returns the settings of a team for the overload test.
 func overloadTeamSettings(team string) string {
 	return "[/teams/" + team + "/services/s/traffic/lookup]\nhedge = false\nconcurrency = 100\nqueue = 100\ndeadline = 800ms\n"
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -113,11 +113,12 @@
 	return upstreams
 }
 
-// upstream serves calls with handler and counts them. Probes are answered at
-// once.
+// upstream serves calls with handler and counts them. Responses carry the ID of the call
+// unless handler changes it. Probes are answered at once.
 func (env *siteTestEnv) upstream(u site.Upstream, handler func(*siteTestEnv, http.ResponseWriter, *http.Request)) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(callheader.Load, callheader.Report{Slowness: 1}.String())
+		w.Header().Set(outcome.HeaderRequestID, r.Header.Get(outcome.HeaderRequestID))
 		if r.URL.Path == "/health" {
 			return
 		}
--- a/internal/gateway/transferlog_test.go
+++ b/internal/gateway/transferlog_test.go
@@ -30,12 +30,12 @@
 		want      string
 	}{
 		"shed with ID": {
-			shedsWithID(id), siteUpstreams(),
+			sheds, siteUpstreams(),
 			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"own"}`,
 		},
 		"shed without ID": {
-			sheds, siteUpstreams(),
-			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"none"}`,
+			shedsWithID(""), siteUpstreams(),
+			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"none","rejected":"no_id"}`,
 		},
 		"response to another call": {
 			shedsWithID("call-0"), siteUpstreams(),
--- a/internal/upstreamstandin/server.go
+++ b/internal/upstreamstandin/server.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/outcome"
 )
 
 // Switches are the service time and the faults of the stand-in. Durations are in
@@ -198,20 +199,23 @@
 		return
 	}
 	if switches.Shed || switches.Draining || !s.enterQueue() {
-		s.shed(w)
+		s.shed(w, r)
 		return
 	}
 	if !s.acquireSlot(r) {
-		s.shed(w)
+		s.shed(w, r)
 		return
 	}
 	defer func() { <-s.slots }()
 	s.run(w, r, switches)
 }
 
-func (s *Server) shed(w http.ResponseWriter) {
+// shed refuses a call. The refusal carries the call's ID, without which it would not be
+// attributed to the call.
+func (s *Server) shed(w http.ResponseWriter, r *http.Request) {
 	s.count(func(c *Counts) { c.Shed++ })
 	w.Header().Set(callheader.Shed, "1")
+	w.Header().Set(outcome.HeaderRequestID, r.Header.Get(outcome.HeaderRequestID))
 	w.Header().Set("Retry-After", "1")
 	w.WriteHeader(http.StatusServiceUnavailable)
 }
