Derive the status of a refusal from its outcome

What callers saw: an upload that may have been stored or run was answered 503 with the outcome "unknown"; a lookup whose first send may have run and whose second was refused too. A caller that goes by the status takes it as not run.

Cause: the status was chosen by the reason, and the outcome could be another, or be replaced later by the state chart.

Change: outcome.New and Problem.WithOutcome replace a status that implies "not run" (408, 421, 429, 503) by 502 for every other outcome; refuse uses WithOutcome.

TestUploadIsNotToldAsAcceptedWithoutStore asserted the fault (503 beside "unknown") and expects 502 now; TestManyUploadsAtOnce accepted 202 or 503 and now checks that the status belongs to the outcome. On the path of a site this was not reachable for bookings and uploads, since they are sent again only after a send that did not run.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -62,7 +62,7 @@
 func (c *call) refuse(p outcome.Problem) {
 	p.RequestID = c.id
 	p.RetryAfter = c.retryAfter(p)
-	p.Outcome = c.conclude(p.Outcome)
+	p = p.WithOutcome(c.conclude(p.Outcome))
 	c.gateway.options.Counters.CountRefusal(p.Reason)
 	c.logCall(p.Outcome, p.Reason, "")
 	c.interim.end()
--- a/internal/gateway/callstate_test.go
+++ b/internal/gateway/callstate_test.go
@@ -71,5 +71,6 @@
 	c.state.fire(eventMayHaveRun)
 	c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.NoUpstream, ""))
 	g.Expect(w.Header().Get(outcome.HeaderOutcome)).To(Equal(string(outcome.Unknown)))
+	g.Expect(w.Code).To(Equal(http.StatusBadGateway))
 	g.Expect(counters.Get(telemetry.GroupCalls, "outcome_replaced")).To(Equal(int64(1)))
 }
--- a/internal/gateway/retries_test.go
+++ b/internal/gateway/retries_test.go
@@ -192,6 +192,7 @@
 		defer env.close()
 		response := env.call(t, http.MethodGet, "t", nil)
 		g.Expect(env.sentAttempts()).To(Equal([]string{"1", "2"}))
+		g.Expect(response.StatusCode).To(Equal(http.StatusBadGateway))
 		g.Expect(response.Header.Get(outcome.HeaderOutcome)).To(Equal(string(outcome.Unknown)))
 		g.Expect(response.Header.Get(outcome.HeaderReason)).To(Equal(string(outcome.UpstreamShed)))
 	})
--- a/internal/gateway/uploadlimits_test.go
+++ b/internal/gateway/uploadlimits_test.go
@@ -11,6 +11,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/platformstandin"
 	"github.com/figfront/figfront/internal/upload"
 	"github.com/figfront/figfront/internal/upstreamstandin"
@@ -107,7 +108,10 @@
 		for range 100 {
 			a := <-answers
 			g.Expect(a.err).NotTo(HaveOccurred())
-			g.Expect(a.status).To(Or(Equal(http.StatusAccepted), Equal(http.StatusServiceUnavailable)))
+			want := map[string]int{
+				"accepted": http.StatusAccepted, "not run": http.StatusServiceUnavailable, "unknown": http.StatusBadGateway,
+			}
+			g.Expect(want).To(HaveKeyWithValue(a.header.Get(outcome.HeaderOutcome), a.status))
 		}
 		_, peak := v.gateway.UploadMemory()
 		g.Expect(peak).To(BeNumerically("<=", 64*2*upload.PartSize))
--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -181,7 +181,7 @@
 					v := env.vm("vm1", teamSettings)
 					data := randomBytes(size, 1)
 					a := env.upload(v, data, "")
-					g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+					g.Expect(a.status).To(Equal(http.StatusBadGateway))
 					g.Expect(a.header.Get("Figfront-Outcome")).To(Equal("unknown"))
 					g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
 					env.net.kill(upstream1)
--- a/internal/outcome/problem.go
+++ b/internal/outcome/problem.go
@@ -37,15 +37,36 @@
 }
 
 // New returns a Problem whose Type is a URN with the reason and whose Title is
-// the standard text of the HTTP status.
+// the standard text of the HTTP status. See WithOutcome for the status.
 func New(status int, out Outcome, reason Reason, detail string) Problem {
 	return Problem{
-		Type:    "urn:figfront:problem:" + string(reason),
-		Title:   http.StatusText(status),
-		Status:  status,
-		Detail:  detail,
-		Outcome: out,
-		Reason:  reason,
+		Type:   "urn:figfront:problem:" + string(reason),
+		Status: status,
+		Detail: detail,
+		Reason: reason,
+	}.WithOutcome(out)
+}
+
+// WithOutcome returns a copy of p with another outcome. A status by which callers conclude
+// that the call did not run is replaced by 502 unless the outcome is NotRun.
+func (p Problem) WithOutcome(out Outcome) Problem {
+	p.Outcome = out
+	if out != NotRun && impliesNotRun(p.Status) {
+		p.Status = http.StatusBadGateway
+	}
+	p.Title = http.StatusText(p.Status)
+	return p
+}
+
+// impliesNotRun reports whether callers conclude from a status that the call did not run
+// and may be sent again.
+func impliesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
 	}
 }
 
--- a/internal/outcome/problem_test.go
+++ b/internal/outcome/problem_test.go
@@ -37,3 +37,28 @@
 		Expect(got.RequestID).To(Equal("r-1"))
 	})
 })
+
+var _ = DescribeTable("the status of a problem implies not run only with that outcome",
+	func(status int) {
+		for _, out := range []outcome.Outcome{outcome.Ran, outcome.NotRun, outcome.Unknown, outcome.Accepted} {
+			problems := []outcome.Problem{
+				outcome.New(status, out, outcome.NoUpstream, ""),
+				outcome.New(status, outcome.NotRun, outcome.NoUpstream, "").WithOutcome(out),
+			}
+			for _, p := range problems {
+				w := httptest.NewRecorder()
+				p.Write(w)
+				want := http.StatusBadGateway
+				if out == outcome.NotRun {
+					want = status
+				}
+				Expect(w.Code).To(Equal(want), string(out))
+				Expect(p.Title).To(Equal(http.StatusText(want)))
+			}
+		}
+	},
+	Entry("408", http.StatusRequestTimeout),
+	Entry("421", http.StatusMisdirectedRequest),
+	Entry("429", http.StatusTooManyRequests),
+	Entry("503", http.StatusServiceUnavailable),
+)
