Compare what the store reports by era and version

Cause: versions alone told which data of the store are newer. A store that comes back from an older copy assigns them again: its data have lower versions for a while, which VMs then ignored, and a version that was assigned twice passed for the one already seen.

Change: the store's client reads the era of every response, refusals included. EraTracker holds the highest one; Position (era, version) is the one place that compares. A response that was overtaken by a rise is uncertain; an era that is missing, not a number or fallen is logged once and counts as the latest one. After a rise all rows are read.

Before, with positions compared by version alone: TestLowerVersionsOfALaterEraReachAllVMs left the VMs at {era 1, version 10} instead of {2, 3}; TestSnapshotOfAnEarlierEraIsIgnored took {1, 90} in place of {2, 5}. Without the era check in Wait, TestWaitEndsWhenTheStoreComesBackFromACopy got changes of another history and no error. Without ErrEarlierEra, TestResponseOvertakenByARiseIsUncertain was told that a lost write stands.

--- a/cmd/figfront-entry/main.go
+++ b/cmd/figfront-entry/main.go
@@ -21,6 +21,7 @@
 func adapter(settings *static.Entry) entry.Adapter {
 	store := platform.NewStore(settings.Store, nil)
 	return entry.Adapter{
+		Eras:              store.Eras(),
 		Configs:           store.Configs(),
 		ConfigKey:         platform.ConfigKey,
 		DecodeConfig:      platform.DecodeConfig,
--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/platform"
 )
 
 // reregistrationGrace is how long after an outage of the store upstreams without an
@@ -12,8 +13,8 @@
 
 // Snapshot holds the upstreams' entries at one moment.
 type Snapshot struct {
-	// Version is the store's version at the time of the snapshot.
-	Version   uint64
+	// Position is the store's position at the time of the snapshot.
+	Position  platform.Position
 	Upstreams []site.Upstream
 }
 
@@ -21,7 +22,7 @@
 type Catalog struct {
 	// heartbeat is the time between two writes of an upstream's entry.
 	heartbeat time.Duration
-	version   uint64
+	position  platform.Position
 	updatedAt time.Time
 	// upstreams holds the upstreams of the last snapshot and the retained ones, by
 	// name.
@@ -45,7 +46,7 @@
 // Update replaces the upstreams by those of a snapshot. It returns false and changes
 // nothing if the snapshot is older than the last one.
 func (c *Catalog) Update(now time.Time, snapshot Snapshot) bool {
-	if snapshot.Version < c.version {
+	if snapshot.Position.IsBefore(c.position) {
 		return false
 	}
 	// After more than a heartbeat without a snapshot the store was probably
@@ -54,7 +55,7 @@
 	if isAfterOutage {
 		c.retainUntil = now.Add(reregistrationGrace)
 	}
-	c.version = snapshot.Version
+	c.position = snapshot.Position
 	c.updatedAt = now
 	present := make(map[string]site.Upstream, len(snapshot.Upstreams))
 	for _, u := range snapshot.Upstreams {
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/figfront/figfront/internal/catalog"
 	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/platform"
 )
 
 const heartbeat = 1500 * time.Millisecond
@@ -18,7 +19,7 @@
 // snapshot returns a snapshot of upstreams. A name is prefixed with + for an upstream
 // in service and with - for a leaving one.
 func snapshot(version uint64, names ...string) catalog.Snapshot {
-	s := catalog.Snapshot{Version: version}
+	s := catalog.Snapshot{Position: platform.Position{Version: version}}
 	for _, name := range names {
 		isLeaving := name[0] == '-'
 		s.Upstreams = append(s.Upstreams, site.Upstream{Name: name[1:], Leaving: isLeaving})
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -23,6 +23,8 @@
 // Adapter translates between figfront and a platform. Its functions have to be safe
 // for concurrent use.
 type Adapter struct {
+	// Eras tracks the era of the store that holds the records.
+	Eras *platform.EraTracker
 	// Configs holds the site's configuration, which operators write, under ConfigKey.
 	Configs      platform.Records
 	ConfigKey    string
@@ -120,10 +122,11 @@
 		},
 	})
 	e.readiness.onReady = parts.Lifecycle.Configured
+	adapter.Eras.Notify(newEraObserver(parts.Log, parts.Counters))
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Exchange,
-		Capacity: capacity(settings), Seeds: settings.Seeds, Dispatch: e.dispatch, OnLiveVMs: e.gateway.SetLiveVMs,
+		Capacity: capacity(settings), Seeds: settings.Seeds, Eras: adapter.Eras, Dispatch: e.dispatch, OnLiveVMs: e.gateway.SetLiveVMs,
 		Log: parts.Log, Counters: parts.Counters,
 	})
 	return e, err
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -26,9 +26,9 @@
 	// the configuration's age.
 	Clock *StoreClock
 
-	// version is the version of the last row that was processed, even if it could not
-	// be decoded.
-	version uint64
+	// position is the version of the last row that was processed, even if it could not be
+	// decoded, and the era in which it was read.
+	position platform.Position
 }
 
 // Run follows the configuration until ctx ends.
@@ -37,14 +37,16 @@
 }
 
 // applySnapshot applies the configuration in a snapshot if its row is newer than the
-// last one. If the row can't be decoded, the active configuration stays.
+// last one. In a new era of the store the row may hold an older configuration, which
+// Apply has to refuse. If the row can't be decoded, the active configuration stays.
 func (f *ConfigFollower) applySnapshot(snapshot platform.Snapshot) {
 	for _, row := range snapshot.Rows {
-		if row.Key != f.Key || row.Version <= f.version {
+		position := platform.Position{Era: snapshot.Era, Version: row.Version}
+		if row.Key != f.Key || !f.position.IsBefore(position) {
 			continue
 		}
-		isFirst := f.version == 0
-		f.version = row.Version
+		isFirst := f.position == platform.Position{}
+		f.position = position
 		config, err := f.Decode(row.Value)
 		if err != nil {
 			f.Counters.Add(telemetry.GroupConfig, "unreadable", 1)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -47,7 +47,7 @@
 }
 
 func snapshot(version uint64, rows ...platform.Row) step {
-	return step{snapshot: platform.Snapshot{Version: version, Rows: rows}}
+	return step{snapshot: platform.Snapshot{Position: platform.Position{Version: version}, Rows: rows}}
 }
 
 var errStore = errors.New("store unavailable")
@@ -168,7 +168,7 @@
 		snapshotAfter := func(seconds int, delay time.Duration, version uint64, value string) step {
 			stampedAt := storeTime + time.Duration(seconds)*time.Second - delay
 			return step{snapshot: platform.Snapshot{
-				Version: version, StoreTime: stampedAt, Rows: []platform.Row{row("config", version, value)},
+				Position: platform.Position{Version: version}, StoreTime: stampedAt, Rows: []platform.Row{row("config", version, value)},
 			}}
 		}
 		f := &follow.ConfigFollower{
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -36,7 +36,7 @@
 // decodedEntry is the result of decoding one version of an entry; err is set when the
 // entry is malformed.
 type decodedEntry struct {
-	version  uint64
+	position platform.Position
 	upstream site.Upstream
 	err      error
 }
@@ -52,10 +52,10 @@
 // upstreams in use. Malformed entries are counted and left out, and a snapshot older
 // than the last one is ignored.
 func (f *UpstreamFollower) applySnapshot(snapshot platform.Snapshot) {
-	upstreams := catalog.Snapshot{Version: snapshot.Version}
+	upstreams := catalog.Snapshot{Position: snapshot.Position}
 	decoded := make(map[string]decodedEntry, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
-		entry := f.decode(row)
+		entry := f.decode(platform.Position{Era: snapshot.Era, Version: row.Version}, row)
 		decoded[row.Key] = entry
 		if entry.err != nil {
 			f.Counters.Add(telemetry.GroupStore, "upstreams_malformed", 1)
@@ -73,9 +73,10 @@
 }
 
 // decode returns the cached result for an unchanged entry and decodes a changed one.
-// A malformed entry is logged once per version.
-func (f *UpstreamFollower) decode(row platform.Row) decodedEntry {
-	if cached, ok := f.decoded[row.Key]; ok && cached.version == row.Version {
+// position is the entry's version and the era in which it was read. A malformed entry
+// is logged once per position.
+func (f *UpstreamFollower) decode(position platform.Position, row platform.Row) decodedEntry {
+	if cached, ok := f.decoded[row.Key]; ok && cached.position == position {
 		return cached
 	}
 	upstream, err := f.Decode(row.Key, row.Value)
@@ -83,5 +84,5 @@
 		f.Log.Warn("failed to decode upstream entry", telemetry.FieldUpstream, row.Key,
 			"store_version", row.Version, telemetry.FieldError, err)
 	}
-	return decodedEntry{version: row.Version, upstream: upstream, err: err}
+	return decodedEntry{position: position, upstream: upstream, err: err}
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -61,6 +61,8 @@
 	OnLiveVMs func(vms int)
 	Log       hclog.Logger
 	Counters  *telemetry.Counters
+	// Eras tracks the era of the store; nil uses a tracker that only peers update.
+	Eras *platform.EraTracker
 	// Dispatch places calls for other VMs; nil disables this.
 	Dispatch api.DRPCDispatchServer
 	// Dialer opens connections to other VMs; nil uses the network.
@@ -103,6 +105,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if options.Eras == nil {
+		options.Eras = new(platform.EraTracker)
+	}
 	return &Mesh{
 		options:  options,
 		hub:      exchange.NewHub(),
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -21,6 +21,7 @@
 // store is a record set that counts calls and can be made unavailable.
 type store struct {
 	mu          sync.Mutex
+	era         platform.Era
 	version     uint64
 	changed     chan struct{}
 	calls       int
@@ -28,7 +29,7 @@
 }
 
 func newStore() *store {
-	return &store{changed: make(chan struct{}), unavailable: make(map[string]bool)}
+	return &store{era: 1, changed: make(chan struct{}), unavailable: make(map[string]bool)}
 }
 
 // change advances the store to a new version.
@@ -41,6 +42,16 @@
 	return s.version
 }
 
+// restore takes the store back to an older version in the next era.
+func (s *store) restore(version uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version = version
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // setUnavailable makes the calls of a VM fail or succeed; allVMs stands for all VMs.
 func (s *store) setUnavailable(vm string, isUnavailable bool) {
 	s.mu.Lock()
@@ -63,45 +74,57 @@
 type records struct {
 	store *store
 	vm    string
+	eras  *platform.EraTracker
 }
 
 // callDuration is how long a call to the store takes.
 const callDuration = 4 * time.Millisecond
 
-func (r records) call() (uint64, <-chan struct{}, error) {
+func (r records) call() (platform.Position, <-chan struct{}, error) {
+	sentIn := r.eras.Latest()
 	time.Sleep(callDuration)
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	r.store.calls++
+	position, err := r.positionLocked(sentIn)
+	return position, r.store.changed, err
+}
+
+// positionLocked returns the store's position as the response to a request that was sent
+// when sentIn was the latest era.
+func (r records) positionLocked(sentIn platform.Era) (platform.Position, error) {
 	if r.store.unavailable[r.vm] || r.store.unavailable[allVMs] {
-		return 0, nil, platform.ErrUnavailable
+		return platform.Position{}, platform.ErrUnavailable
 	}
-	return r.store.version, r.store.changed, nil
+	era, err := r.eras.ResolveResponse(r.store.era, nil, sentIn)
+	return platform.Position{Era: era, Version: r.store.version}, err
 }
 
-// Read returns a snapshot with the current version and no rows.
+// Read returns a snapshot with the current position and no rows.
 func (r records) Read(context.Context) (platform.Snapshot, error) {
-	version, _, err := r.call()
-	return platform.Snapshot{Version: version}, err
+	position, _, err := r.call()
+	return platform.Snapshot{Position: position}, err
 }
 
-// Wait returns the current version once it is above after, or when limit has passed.
-func (r records) Wait(ctx context.Context, after uint64, limit time.Duration) (platform.Changes, error) {
-	version, changed, err := r.call()
-	if err != nil || version > after {
-		return platform.Changes{Version: version}, err
-	}
-	select {
-	case <-changed:
-	case <-time.After(limit):
-	case <-ctx.Done():
+// Wait returns the current position once its version is above after, or when limit has
+// passed.
+func (r records) Wait(ctx context.Context, after platform.Position, limit time.Duration) (platform.Changes, error) {
+	position, changed, err := r.call()
+	isBehind := position.Era == after.Era && position.Version <= after.Version
+	if err == nil && isBehind {
+		select {
+		case <-changed:
+		case <-time.After(limit):
+		case <-ctx.Done():
+		}
+		r.store.mu.Lock()
+		defer r.store.mu.Unlock()
+		position, err = r.positionLocked(after.Era)
 	}
-	r.store.mu.Lock()
-	defer r.store.mu.Unlock()
-	if r.store.unavailable[r.vm] || r.store.unavailable[allVMs] {
-		return platform.Changes{}, platform.ErrUnavailable
+	if err == nil && position.Era != after.Era {
+		err = platform.ErrHistoryGone
 	}
-	return platform.Changes{Version: r.store.version}, nil
+	return platform.Changes{Position: position}, err
 }
 
 // zone holds the VMs of one zone, their network and their store.
@@ -118,14 +141,20 @@
 	cancel context.CancelFunc
 
 	mu        sync.Mutex
-	version   uint64
+	position  platform.Position
 	updatedAt time.Time
 }
 
+func (v *vm) currentPosition() platform.Position {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.position
+}
+
 func (v *vm) currentVersion() uint64 {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.version
+	return v.position.Version
 }
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
@@ -147,8 +176,9 @@
 func (z *zone) start(t *testing.T, i int, usesLongPoll bool, seeds []string) *vm {
 	t.Helper()
 	v := &vm{name: fmt.Sprintf("vm-%d", i)}
+	eras := new(platform.EraTracker)
 	m, err := mesh.New(mesh.Options{
-		VM: v.name, Zone: "z", Address: address(i), Seeds: seeds, OnLiveVMs: func(int) {},
+		VM: v.name, Zone: "z", Address: address(i), Seeds: seeds, OnLiveVMs: func(int) {}, Eras: eras,
 		Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters(), Dialer: dialer{z.network},
 	})
 	if err != nil {
@@ -156,7 +186,7 @@
 	}
 	v.mesh = m
 	options := mesh.RecordOptions{Interval: 700 * time.Millisecond, LongPoll: usesLongPoll, Staleness: 1100 * time.Millisecond}
-	set := m.AddRecordSet("set", records{z.store, v.name}, options)
+	set := m.AddRecordSet("set", records{z.store, v.name, eras}, options)
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	listener := z.network.Listen(address(i))
@@ -175,10 +205,10 @@
 			continue
 		}
 		v.mu.Lock()
-		if snapshot.Version > v.version {
+		if v.position.IsBefore(snapshot.Position) {
 			v.updatedAt = time.Now()
+			v.position = snapshot.Position
 		}
-		v.version = max(v.version, snapshot.Version)
 		v.mu.Unlock()
 	}
 }
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -37,6 +37,9 @@
 	// changes to it. It is nil after a failed call, so that the next call reads all
 	// rows.
 	latest *platform.Snapshot
+	// newest is the position of the newest snapshot of this VM or a peer. Unlike latest,
+	// it outlasts failed calls.
+	newest platform.Position
 }
 
 // RecordOptions holds the intervals of a record set.
@@ -112,6 +115,9 @@
 	due := s.updatedAt.Add(s.options.Staleness)
 	if isReader {
 		due = s.nextReadAt
+		if s.newest.Era != s.mesh.options.Eras.Latest() {
+			due = now
+		}
 	}
 	return min(due.Sub(now), roleCheckInterval)
 }
@@ -129,17 +135,46 @@
 		return platform.Snapshot{}, ctx.Err()
 	}
 	s.mesh.recordStoreResult(err == nil)
-	s.mu.Lock()
 	if err != nil {
-		s.latest = nil
-		s.mu.Unlock()
+		s.forgetLatest()
 		return platform.Snapshot{}, err
 	}
-	s.latest = &snapshot
-	s.updatedAt = time.Now()
-	s.mu.Unlock()
-	s.publishSnapshot(snapshot)
-	return snapshot, nil
+	current, isNew, err := s.keep(snapshot, latest)
+	if isNew {
+		s.publishSnapshot(snapshot)
+	}
+	return current, err
+}
+
+// forgetLatest makes the next call to the store read all rows.
+func (s *RecordSet) forgetLatest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest = nil
+}
+
+// errOlderThanSeen means that the store returned an older snapshot than before.
+var errOlderThanSeen = errors.New("mesh: store returned an older snapshot than before")
+
+// keep makes a snapshot of the store the latest one and returns it and true. previous was
+// the latest one when the call began. If a peer has sent a newer one meanwhile, keep
+// returns that one and false. If the store is behind the newest snapshot, for another
+// reason, it returns errOlderThanSeen.
+func (s *RecordSet) keep(snapshot platform.Snapshot, previous *platform.Snapshot) (platform.Snapshot, bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !snapshot.IsBefore(s.newest) {
+		s.latest = &snapshot
+		s.newest = snapshot.Position
+		s.updatedAt = time.Now()
+		return snapshot, true, nil
+	}
+	s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_older", 1)
+	if s.latest != nil && s.latest != previous {
+		return *s.latest, false, nil
+	}
+	s.latest = nil
+	return platform.Snapshot{}, false, errOlderThanSeen
 }
 
 // publishSnapshot publishes a snapshot to the zone and to starting VMs.
@@ -161,13 +196,13 @@
 }
 
 // read returns a current snapshot. With RecordOptions.LongPoll it waits for changes and
-// applies them to the latest snapshot; when the store's history no longer reaches
-// back to that snapshot, it reads all rows.
+// applies them to the latest snapshot; when the store's history does not reach back to
+// that snapshot or the era has changed since, it reads all rows.
 func (s *RecordSet) read(ctx context.Context, latest *platform.Snapshot) (platform.Snapshot, error) {
-	if latest == nil || !s.options.LongPoll {
+	if latest == nil || !s.options.LongPoll || latest.Era != s.mesh.options.Eras.Latest() {
 		return s.records.Read(ctx)
 	}
-	changes, err := s.records.Wait(ctx, latest.Version, s.options.Interval)
+	changes, err := s.records.Wait(ctx, latest.Position, s.options.Interval)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return s.records.Read(ctx)
 	}
@@ -177,14 +212,19 @@
 	return latest.With(changes), nil
 }
 
-// mergePeerSnapshot accepts a peer's snapshot unless this VM has a newer one.
+// mergePeerSnapshot accepts a peer's snapshot unless this VM has a newer one or the
+// snapshot may be from before the store came back from an older copy.
 func (s *RecordSet) mergePeerSnapshot(snapshot platform.Snapshot) {
+	era, isUsable := s.mesh.options.Eras.ResolvePeer(snapshot.Era)
+	snapshot.Era = era
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.latest != nil && snapshot.Version < s.latest.Version {
+	if !isUsable || snapshot.IsBefore(s.newest) {
+		s.mesh.options.Counters.Add(telemetry.GroupPeers, "snapshot_older", 1)
 		return
 	}
 	s.updatedAt = time.Now()
+	s.newest = snapshot.Position
 	s.peerSnapshot = &snapshot
 	s.latest = &snapshot
 	select {
--- a/internal/mesh/snapshot.go
+++ b/internal/mesh/snapshot.go
@@ -25,7 +25,9 @@
 	for _, row := range snapshot.Rows {
 		records.Records = append(records.Records, &api.Record{Key: row.Key, Version: row.Version, Value: row.Value})
 	}
-	encoded := &api.RecordSnapshot{Version: snapshot.Version, StoreTimeUs: snapshot.StoreTime.Microseconds()}
+	encoded := &api.RecordSnapshot{
+		Era: uint64(snapshot.Era), Version: snapshot.Version, StoreTimeUs: snapshot.StoreTime.Microseconds(),
+	}
 	if proto.Size(records) < compressionThreshold {
 		encoded.Records = records.Records
 		return encoded, nil
@@ -54,7 +56,7 @@
 		records = unpacked.GetRecords()
 	}
 	snapshot := platform.Snapshot{
-		Version:   encoded.GetVersion(),
+		Position:  platform.Position{Era: platform.Era(encoded.GetEra()), Version: encoded.GetVersion()},
 		StoreTime: time.Duration(encoded.GetStoreTimeUs()) * time.Microsecond,
 	}
 	for _, row := range records {
--- a/internal/mesh/snapshot_test.go
+++ b/internal/mesh/snapshot_test.go
@@ -54,7 +54,7 @@
 // which it has to be active.
 func TestLargeConfigurationFitsNarrowLinks(t *testing.T) {
 	g := NewWithT(t)
-	snapshot := platform.Snapshot{Version: 1, Rows: []platform.Row{largeConfig(rand.New(rand.NewPCG(1, 2)))}}
+	snapshot := platform.Snapshot{Position: platform.Position{Version: 1}, Rows: []platform.Row{largeConfig(rand.New(rand.NewPCG(1, 2)))}}
 	g.Expect(encodedBytes(g, snapshot) * largeZone).To(BeNumerically("<", narrowLinkBytesPerSecond*configBoundSeconds/2))
 }
 
@@ -62,7 +62,7 @@
 // VM of a large zone receives.
 func TestUpstreamsOfALargeSiteFitTheExchange(t *testing.T) {
 	g := NewWithT(t)
-	snapshot := platform.Snapshot{Version: 1, Rows: largeSite(rand.New(rand.NewPCG(1, 2)))}
+	snapshot := platform.Snapshot{Position: platform.Position{Version: 1}, Rows: largeSite(rand.New(rand.NewPCG(1, 2)))}
 	g.Expect(float64(encodedBytes(g, snapshot)) * snapshotsPerSecond).To(BeNumerically("<", maxBytesPerSecond))
 }
 
@@ -79,7 +79,7 @@
 
 func TestMalformedSnapshotIsRejected(t *testing.T) {
 	g := NewWithT(t)
-	encoded, err := encodeSnapshot(platform.Snapshot{Version: 1, Rows: largeSite(rand.New(rand.NewPCG(1, 2)))})
+	encoded, err := encodeSnapshot(platform.Snapshot{Position: platform.Position{Version: 1}, Rows: largeSite(rand.New(rand.NewPCG(1, 2)))})
 	g.Expect(err).NotTo(HaveOccurred())
 	encoded.Packed = encoded.Packed[:len(encoded.Packed)/2]
 	_, err = decodeSnapshot(encoded)
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -17,7 +17,7 @@
 	// ErrUncertain means that there was no usable response. A write may have been
 	// applied or may still be applied later.
 	ErrUncertain = errors.New("platform: result unknown")
-	// ErrHistoryGone means that the store no longer has all changes since a version.
+	// ErrHistoryGone means that the store does not have all changes since a position.
 	ErrHistoryGone = errors.New("platform: change history no longer available")
 )
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -92,8 +92,8 @@
 // Snapshot holds the rows of a record set at a version of the store.
 type Snapshot struct {
 	Rows []Row
-	// Version is the version of the store; Records.Wait returns the changes after it.
-	Version uint64
+	// Position is the store's position; Records.Wait returns the changes after it.
+	Position
 	// StoreTime is the reading of the store's monotonic clock; 0 means unknown.
 	StoreTime time.Duration
 }
@@ -107,8 +107,8 @@
 // Changes holds the changes of a record set since a version of the store.
 type Changes struct {
 	Changes []Change
-	// Version is the version of the store up to which the changes are complete.
-	Version uint64
+	// Position is the store's position up to which the changes are complete.
+	Position
 	// StoreTime is the reading of the store's monotonic clock; 0 means unknown.
 	StoreTime time.Duration
 }
@@ -119,10 +119,11 @@
 	// Read returns all rows, or ErrUnavailable or ErrUncertain if the store can't be
 	// read.
 	Read(ctx context.Context) (Snapshot, error)
-	// Wait returns the changes after a version. It waits for at least one change, but
+	// Wait returns the changes after a position. It waits for at least one change, but
 	// no longer than limit, after which it returns none. It returns ErrHistoryGone if
-	// the store no longer has all changes since that version.
-	Wait(ctx context.Context, after uint64, limit time.Duration) (Changes, error)
+	// the store does not have all changes since that position, for example because its
+	// era is another one.
+	Wait(ctx context.Context, after Position, limit time.Duration) (Changes, error)
 }
 
 // With returns a copy of the snapshot with the changes applied. Changes that the
@@ -145,7 +146,10 @@
 		}
 		rows[change.Key] = change.Row
 	}
-	next := Snapshot{Version: max(s.Version, changes.Version), StoreTime: changes.StoreTime}
+	next := Snapshot{Position: s.Position, StoreTime: changes.StoreTime}
+	if next.IsBefore(changes.Position) {
+		next.Position = changes.Position
+	}
 	for _, key := range order {
 		if row, ok := rows[key]; ok {
 			next.Rows = append(next.Rows, row)
