Don't let an older copy of the store override what is known of upstreams

Cause: after the store has come back from an older copy its listing counts at once. It may lack entries of upstreams that live, say ready of one that is leaving, and name one that is gone, at an address that another service has by then.

What the copy lacks is retained for the grace period of an outage; an outdated entry doesn't replace the known state or bring back an upstream that is gone until it is written again; an entry that hasn't been written again loses its address to an upstream that started later.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -31,6 +31,10 @@
 	// were missing after an outage of the store.
 	retained    map[string]struct{}
 	retainUntil time.Time
+	// restored holds what the store contained when it came back from an older copy.
+	restored restoredEntries
+	// gone holds the last known state of upstreams that are no longer in use, by name.
+	gone map[string]goneUpstream
 }
 
 // New returns an empty catalog. heartbeat is the time between two writes of an
@@ -40,6 +44,7 @@
 		heartbeat: heartbeat,
 		upstreams: make(map[string]site.Upstream),
 		retained:  make(map[string]struct{}),
+		gone:      make(map[string]goneUpstream),
 	}
 }
 
@@ -49,10 +54,12 @@
 	if snapshot.Position.IsBefore(c.position) {
 		return false
 	}
+	hasSnapshot := !c.updatedAt.IsZero()
 	// After more than a heartbeat without a snapshot the store was probably
 	// unavailable, and live upstreams may have been unable to renew their entries.
-	isAfterOutage := !c.updatedAt.IsZero() && now.Sub(c.updatedAt) > c.heartbeat
-	if isAfterOutage {
+	isAfterOutage := hasSnapshot && now.Sub(c.updatedAt) > c.heartbeat
+	isNewEra := hasSnapshot && snapshot.Position.Era != c.position.Era
+	if isAfterOutage || isNewEra {
 		c.retainUntil = now.Add(reregistrationGrace)
 	}
 	c.position = snapshot.Position
@@ -61,21 +68,30 @@
 	for _, u := range snapshot.Upstreams {
 		present[u.Name] = u
 	}
-	c.retainMissing(now, present, isAfterOutage)
+	if isNewEra {
+		c.restored = c.compareWithCopy(present)
+	} else {
+		c.restored.removeRenewed(present)
+	}
+	c.replaceOutdated(present)
+	c.retainMissing(now, present, isAfterOutage || isNewEra)
+	c.dropReusedAddresses(present)
+	c.recordGone(now, present)
 	c.upstreams = present
 	return true
 }
 
 // retainMissing adds the upstreams that are missing from the first snapshot after an
-// outage to the present ones, until the grace period ends. An upstream whose entry
-// disappears in a later snapshot is dropped.
-func (c *Catalog) retainMissing(now time.Time, present map[string]site.Upstream, isAfterOutage bool) {
+// outage or of a new era to the present ones, until the grace period ends. So it does
+// with upstreams that disappear later without having renewed their entries in that era.
+// Any other upstream whose entry disappears in a later snapshot is dropped.
+func (c *Catalog) retainMissing(now time.Time, present map[string]site.Upstream, isFirst bool) {
 	retained := make(map[string]struct{})
 	if now.Before(c.retainUntil) {
 		for name, u := range c.upstreams {
 			_, isPresent := present[name]
 			_, wasRetained := c.retained[name]
-			if isPresent || !isAfterOutage && !wasRetained {
+			if isPresent || !isFirst && !wasRetained && !c.restored.wasUnrenewed(name) {
 				continue
 			}
 			retained[name] = struct{}{}
--- a/internal/config/site/site.go
+++ b/internal/config/site/site.go
@@ -83,4 +83,6 @@
 	// Started is when the server started, by its own clock. It distinguishes a
 	// restarted server that keeps its name; it is zero if the server didn't report it.
 	Started time.Time
+	// Writes counts the writes of the server's entry since its start.
+	Writes uint64
 }
