Log what is read and written again after the store came back

Cause: after a rise of the era nothing told operators which data had been read again, by whom, and when a VM was whole.

Change: a line for each record set with the versions and the time since the rise, one when all are read, one when the VM writes its row again, with the counter announced_again.

--- a/internal/follow/vms.go
+++ b/internal/follow/vms.go
@@ -61,6 +61,8 @@
 	}
 	f.Apply(vms)
 	if !isAnnounced {
+		f.Counters.Add(telemetry.GroupStore, "announced_again", 1)
+		f.Log.Info("own entry is missing from the list of VMs or outdated, writing it again", "store_version", snapshot.Version)
 		f.announce(ctx)
 	}
 }
--- a/internal/mesh/era_test.go
+++ b/internal/mesh/era_test.go
@@ -1,7 +1,9 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -29,8 +31,12 @@
 }
 
 func newRecordSet(g *WithT, records platform.Records) *RecordSet {
+	return newLoggingRecordSet(g, records, hclog.NewNullLogger())
+}
+
+func newLoggingRecordSet(g *WithT, records platform.Records, log hclog.Logger) *RecordSet {
 	m, err := New(Options{
-		VM: "vm", Zone: "z", Address: "10.0.0.1:1", OnLiveVMs: func(int) {}, Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters(),
+		VM: "vm", Zone: "z", Address: "10.0.0.1:1", OnLiveVMs: func(int) {}, Log: log, Counters: telemetry.NewCounters(),
 	})
 	g.Expect(err).NotTo(HaveOccurred())
 	return m.AddRecordSet("set", records, RecordOptions{Interval: time.Second, LongPoll: true, Staleness: time.Second})
@@ -93,3 +99,30 @@
 	records.snapshot = at(1, 7)
 	g.Expect(set.fetch(context.Background())).To(Equal(at(1, 7)))
 }
+
+// TestRestoreIsLoggedOnceForEachSet covers two record sets that are read again, one from a
+// peer and one from the store, each several times.
+func TestRestoreIsLoggedOnceForEachSet(t *testing.T) {
+	g := NewWithT(t)
+	var out bytes.Buffer
+	records := &fixedRecords{snapshot: at(1, 90)}
+	set := newLoggingRecordSet(g, records, hclog.New(&hclog.LoggerOptions{Output: &out}))
+	other := set.mesh.AddRecordSet("other", records, RecordOptions{Interval: time.Second, Staleness: time.Second})
+	for _, s := range []*RecordSet{set, other} {
+		_, err := s.fetch(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(out.String()).To(BeEmpty())
+	records.snapshot = at(2, 40)
+	for range 3 {
+		receive(g, set, at(2, 40))
+	}
+	g.Expect(out.String()).NotTo(ContainSubstring("all record sets"))
+	for range 3 {
+		_, err := other.fetch(context.Background())
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(strings.Count(out.String(), "record set read again: set=set source=peer era_from=1 era=2 version_from=90 version=40")).To(Equal(1))
+	g.Expect(strings.Count(out.String(), "record set read again: set=other source=store")).To(Equal(1))
+	g.Expect(strings.Count(out.String(), "all record sets read again: era=2")).To(Equal(1))
+}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -139,11 +139,11 @@
 		s.forgetLatest()
 		return platform.Snapshot{}, err
 	}
-	current, isNew, err := s.keep(snapshot, latest)
-	if isNew {
-		s.publishSnapshot(snapshot)
+	if !s.accept(snapshot, sourceStore) {
+		return s.newerThanStore(latest)
 	}
-	return current, err
+	s.publishSnapshot(snapshot)
+	return snapshot, nil
 }
 
 // forgetLatest makes the next call to the store read all rows.
@@ -156,25 +156,51 @@
 // errOlderThanSeen means that the store returned an older snapshot than before.
 var errOlderThanSeen = errors.New("mesh: store returned an older snapshot than before")
 
-// keep makes a snapshot of the store the latest one and returns it and true. previous was
-// the latest one when the call began. If a peer has sent a newer one meanwhile, keep
-// returns that one and false. If the store is behind the newest snapshot, for another
-// reason, it returns errOlderThanSeen.
-func (s *RecordSet) keep(snapshot platform.Snapshot, previous *platform.Snapshot) (platform.Snapshot, bool, error) {
+// newerThanStore returns the snapshot that a peer has sent during a call to the store, if
+// the store's was older. previous was the latest one when the call began. Without a new
+// one the store is behind for another reason, and the result is errOlderThanSeen.
+func (s *RecordSet) newerThanStore(previous *platform.Snapshot) (platform.Snapshot, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !snapshot.IsBefore(s.newest) {
+	if s.latest != nil && s.latest != previous {
+		return *s.latest, nil
+	}
+	s.latest = nil
+	return platform.Snapshot{}, errOlderThanSeen
+}
+
+// source is where a snapshot comes from.
+type source string
+
+const (
+	sourceStore source = "store"
+	sourcePeer  source = "peer"
+)
+
+// accept makes a snapshot the latest one. It returns false and changes nothing if the
+// snapshot is older than the newest one.
+func (s *RecordSet) accept(snapshot platform.Snapshot, from source) bool {
+	s.mu.Lock()
+	before := s.newest
+	isFirst := s.updatedAt.IsZero()
+	isOlder := snapshot.IsBefore(before)
+	if !isOlder {
 		s.latest = &snapshot
 		s.newest = snapshot.Position
 		s.updatedAt = time.Now()
-		return snapshot, true, nil
+		if from == sourcePeer {
+			s.peerSnapshot = &snapshot
+		}
 	}
-	s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_older", 1)
-	if s.latest != nil && s.latest != previous {
-		return *s.latest, false, nil
+	s.mu.Unlock()
+	if isOlder {
+		s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_older", 1)
+		return false
 	}
-	s.latest = nil
-	return platform.Snapshot{}, false, errOlderThanSeen
+	if !isFirst && before.Era != snapshot.Era {
+		s.mesh.logReadAgain(s.name, before, snapshot, from)
+	}
+	return true
 }
 
 // publishSnapshot publishes a snapshot to the zone and to starting VMs.
@@ -217,18 +243,22 @@
 func (s *RecordSet) mergePeerSnapshot(snapshot platform.Snapshot) {
 	era, isUsable := s.mesh.options.Eras.ResolvePeer(snapshot.Era)
 	snapshot.Era = era
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !isUsable || snapshot.IsBefore(s.newest) {
-		s.mesh.options.Counters.Add(telemetry.GroupPeers, "snapshot_older", 1)
+	if !isUsable {
+		s.mesh.options.Counters.Add(telemetry.GroupPeers, "snapshot_without_era", 1)
+		return
+	}
+	if !s.accept(snapshot, sourcePeer) {
 		return
 	}
-	s.updatedAt = time.Now()
-	s.newest = snapshot.Position
-	s.peerSnapshot = &snapshot
-	s.latest = &snapshot
 	select {
 	case s.arrived <- struct{}{}:
 	default:
 	}
 }
+
+// newestPosition returns the position of the newest snapshot.
+func (s *RecordSet) newestPosition() platform.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
--- a/internal/platform/era.go
+++ b/internal/platform/era.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
 )
@@ -56,6 +57,8 @@
 	mu       sync.Mutex
 	observer EraObserver
 	latest   Era
+	// risenAt is when a higher era than the one before was last seen.
+	risenAt time.Time
 	// isKnown is set once an era has been seen, hasRisen once a higher one has followed.
 	isKnown, hasRisen bool
 	// hasReportedInvalid is set by the first unusable era and cleared by a rise.
@@ -76,6 +79,13 @@
 	return t.latest
 }
 
+// RisenAt returns when a higher era than the one before was last seen; zero means never.
+func (t *EraTracker) RisenAt() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.risenAt
+}
+
 // ResolveResponse returns the era of a response of the store. sentIn is the result of
 // Latest when the request was sent. A response that reports a lower era than one that
 // was seen before the request counts as one of the latest era, and so does one without
@@ -117,6 +127,7 @@
 	latest := t.latest
 	if isRise {
 		t.hasRisen = true
+		t.risenAt = time.Now()
 		t.hasReportedInvalid = false
 	}
 	risen := t.observer.Risen
