Write the final state of a call whose claim the table has lost

What could happen: a table that came back from an older copy had lost a claim; the call's final write found no row of its own, took itself as no longer needed, and the key was free for a second run.

Cause: a row at the version before the claim was read as "the row does not belong to this claim", also when the claim was known to have been applied.

Change: such a row means that the claim is lost. The final state is written in its place, on the condition of the version found, so that repeats are replayed or told as unknown. What remains is a repeat between the loss and this write.

Before: TestKeyIsNotFreeAfterTheTableLostItsClaim, a second claim of the key was owned after "done" and after "unknown".

--- a/internal/claim/attempt.go
+++ b/internal/claim/attempt.go
@@ -262,7 +262,7 @@
 func (a *Attempt) FinalWrite(rowKey string, isWritten bool) *FinalWrite {
 	record := a.record
 	record.State = finalRowStates[a.State()]
-	w := &FinalWrite{attempt: a, rowKey: rowKey, baseVersion: a.baseVersion, record: record}
+	w := &FinalWrite{attempt: a, rowKey: rowKey, baseVersion: a.baseVersion, isWritten: isWritten, record: record}
 	if isWritten {
 		w.rowVersion = a.baseVersion + 1
 		w.isVersionKnown = true
--- a/internal/claim/finalwrite.go
+++ b/internal/claim/finalwrite.go
@@ -13,7 +13,9 @@
 	rowKey  string
 	// baseVersion is the row's version before the attempt's claim write.
 	baseVersion uint64
-	record      Record
+	// isWritten means that the claim write is known to have been applied.
+	isWritten bool
+	record    Record
 	// rowVersion is the row version that the write is conditional on; valid
 	// only if isVersionKnown.
 	rowVersion     uint64
@@ -31,6 +33,12 @@
 	if err != nil {
 		return false
 	}
+	if w.isWritten && row.Version <= w.baseVersion {
+		// The table has lost the claim. Without a final state the key would be free
+		// for a second run.
+		w.setVersion(row.Version)
+		return false
+	}
 	if row.Version == w.baseVersion && w.record.State == RowReleased {
 		// The attempt's claim write may still be applied later. The release is
 		// conditional on the same version, so once it is written the claim
