--- a/internal/follow/doc.go
+++ b/internal/follow/doc.go
@@ -3,6 +3,8 @@
 // configuration is read by long polling. The upstreams' entries change with every
 // heartbeat and, like the list of VMs, are read at intervals.
 //
-// While the store can't be read, the last data stay in use. The configuration and the
-// upstreams are never replaced by an older version.
+// While the store can't be read, the last data stay in use. Data are never replaced by
+// those of an earlier position of the store. In a new era of the store, which has then
+// lost writes, they may be older all the same: the configuration's own version decides
+// whether it is applied, and package catalog which entries of upstreams are outdated.
 package follow
