Take no ordinary read of the upstreams as one after an outage

Before: TestEntryIsDroppedWithHeartbeatsShorterThanReads, the upstream is still in use nine reads after its entry is gone.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -20,10 +20,11 @@
 
 // Catalog holds the upstreams of all services. It is not safe for concurrent use.
 type Catalog struct {
-	// heartbeat is the time between two writes of an upstream's entry.
-	heartbeat time.Duration
-	position  platform.Position
-	updatedAt time.Time
+	// outageAfter is the time without a snapshot after which the store was probably
+	// unavailable.
+	outageAfter time.Duration
+	position    platform.Position
+	updatedAt   time.Time
 	// upstreams holds the upstreams of the last snapshot and the retained ones, by
 	// name.
 	upstreams map[string]site.Upstream
@@ -37,14 +38,14 @@
 	gone map[string]goneUpstream
 }
 
-// New returns an empty catalog. heartbeat is the time between two writes of an
-// upstream's entry.
-func New(heartbeat time.Duration) *Catalog {
+// New returns an empty catalog. outageAfter is the time without a snapshot after which the
+// store was probably unavailable.
+func New(outageAfter time.Duration) *Catalog {
 	return &Catalog{
-		heartbeat: heartbeat,
-		upstreams: make(map[string]site.Upstream),
-		retained:  make(map[string]struct{}),
-		gone:      make(map[string]goneUpstream),
+		outageAfter: outageAfter,
+		upstreams:   make(map[string]site.Upstream),
+		retained:    make(map[string]struct{}),
+		gone:        make(map[string]goneUpstream),
 	}
 }
 
@@ -55,9 +56,8 @@
 		return false
 	}
 	hasSnapshot := !c.updatedAt.IsZero()
-	// After more than a heartbeat without a snapshot the store was probably
-	// unavailable, and live upstreams may have been unable to renew their entries.
-	isAfterOutage := hasSnapshot && now.Sub(c.updatedAt) > c.heartbeat
+	// Live upstreams may have been unable to renew their entries during an outage.
+	isAfterOutage := hasSnapshot && now.Sub(c.updatedAt) > c.outageAfter
 	isNewEra := hasSnapshot && snapshot.Position.Era != c.position.Era
 	if isAfterOutage || isNewEra {
 		c.retainUntil = now.Add(reregistrationGrace)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -210,8 +210,10 @@
 }
 
 func (e *entry) newUpstreamFollower() *follow.UpstreamFollower {
+	options := e.upstreamRecordOptions()
 	return &follow.UpstreamFollower{
-		Source: e.mesh.AddRecordSet("upstreams", e.adapter.Upstreams, e.upstreamRecordOptions()), Decode: e.adapter.DecodeUpstream, HeartbeatInterval: e.settings.UpstreamHeartbeatInterval,
+		Source: e.mesh.AddRecordSet("upstreams", e.adapter.Upstreams, options), Decode: e.adapter.DecodeUpstream,
+		HeartbeatInterval: e.settings.UpstreamHeartbeatInterval, ReadInterval: options.Interval,
 		Apply: func(upstreams []site.Upstream) {
 			e.gateway.SetUpstreams(upstreams)
 			e.readiness.satisfy(&e.readiness.hasUpstreams)
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -196,3 +196,26 @@
 		g.Expect(age.MaxUs).To(BeNumerically("~", longDelay.Microseconds(), longDelay.Microseconds()/50))
 	})
 }
+
+// TestEntryIsDroppedWithHeartbeatsShorterThanReads guards against upstreams kept for good.
+func TestEntryIsDroppedWithHeartbeatsShorterThanReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		steps := []step{snapshot(1, row("a", 1, "good"))}
+		for version := range uint64(9) {
+			steps = append(steps, snapshot(version+2))
+		}
+		var seen []site.Upstream
+		f := &follow.UpstreamFollower{
+			Source:            &scriptedSource{steps: steps},
+			Decode:            func(name string, _ []byte) (site.Upstream, error) { return site.Upstream{Name: name}, nil },
+			Apply:             func(upstreams []site.Upstream) { seen = upstreams },
+			HeartbeatInterval: 500 * time.Millisecond, ReadInterval: time.Second,
+			Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters(),
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		g.Expect(f.Run(ctx)).To(Succeed())
+		g.Expect(seen).To(BeEmpty())
+	})
+}
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -21,8 +21,10 @@
 	Apply func(upstreams []site.Upstream)
 	// HeartbeatInterval is the time between two writes of an upstream's entry.
 	HeartbeatInterval time.Duration
-	Log               hclog.Logger
-	Counters          *telemetry.Counters
+	// ReadInterval is the usual time between two snapshots.
+	ReadInterval time.Duration
+	Log          hclog.Logger
+	Counters     *telemetry.Counters
 	// Clock is shared by the followers of a store; it is updated with each snapshot
 	// unless it is nil.
 	Clock *StoreClock
@@ -41,9 +43,13 @@
 	err      error
 }
 
+// lateFactor is the multiple of the read interval after which a snapshot is late.
+const lateFactor = 1.25
+
 // Run follows the upstreams until ctx ends.
 func (f *UpstreamFollower) Run(ctx context.Context) error {
-	f.catalog = catalog.New(f.HeartbeatInterval)
+	late := time.Duration(lateFactor * float64(f.ReadInterval))
+	f.catalog = catalog.New(max(f.HeartbeatInterval, late))
 	f.decoded = make(map[string]decodedEntry)
 	return newLoop("upstreams", f.Source, f.Log, f.Counters, f.Clock).run(ctx, f.applySnapshot)
 }
