--- a/internal/catalog/restore_test.go
+++ b/internal/catalog/restore_test.go
@@ -47,8 +47,7 @@
 	g.Expect(inUse(c)).To(Equal([]string{"a"}), "b has not registered again")
 }
 
-// TestOldEntryDoesNotBringBackALeavingUpstream covers a copy that was taken before a
-// planned stop began.
+// TestOldEntryDoesNotBringBackALeavingUpstream covers a copy from before a planned stop.
 func TestOldEntryDoesNotBringBackALeavingUpstream(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New(heartbeat)
@@ -59,8 +58,7 @@
 	g.Expect(inUse(c)).To(Equal([]string{"b"}))
 }
 
-// TestOldEntryDoesNotBringBackAGoneUpstream covers a copy with the entry of an upstream that
-// has left, and its restart under the same name.
+// TestOldEntryDoesNotBringBackAGoneUpstream ends with its restart under the same name.
 func TestOldEntryDoesNotBringBackAGoneUpstream(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New(heartbeat)
@@ -89,8 +87,7 @@
 	g.Expect(inUse(c)).To(Equal([]string{"a"}))
 }
 
-// TestEntryThatExpiresAfterTheRestoreIsRetained covers an entry of the copy that the store
-// drops before the upstream could renew it.
+// TestEntryThatExpiresAfterTheRestoreIsRetained covers an entry that lapses before its renewal.
 func TestEntryThatExpiresAfterTheRestoreIsRetained(t *testing.T) {
 	g := NewWithT(t)
 	c := catalog.New(heartbeat)
@@ -107,8 +104,7 @@
 	g.Expect(inUse(c)).To(BeEmpty())
 }
 
-// TestAddressOfAGoneUpstreamIsNotUsedForAnotherService covers an address that was assigned
-// again: by the copy to its old user, by the VM's knowledge to the new one, and the reverse.
+// TestAddressOfAGoneUpstreamIsNotUsedForAnotherService covers an address that was assigned again.
 func TestAddressOfAGoneUpstreamIsNotUsedForAnotherService(t *testing.T) {
 	later := entry("new", 3, false)
 	later.Address, later.Service, later.Started = "old:1", "t", born.Add(time.Minute)
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -21,9 +21,7 @@
 	return step{snapshot: platform.Snapshot{Position: platform.Position{Era: era, Version: version}, Rows: rows}}
 }
 
-// TestConfigurationWrittenAgainWithALowerVersionIsApplied plays a store that comes back
-// with an old configuration, with none and with an unreadable one, before the operators
-// write again.
+// TestConfigurationWrittenAgainWithALowerVersionIsApplied covers an old, a missing and an unreadable row.
 func TestConfigurationWrittenAgainWithALowerVersionIsApplied(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -53,8 +51,7 @@
 	})
 }
 
-// TestEntryWithAVersionAssignedTwiceIsDecodedAgain guards against the cached content of
-// the other write.
+// TestEntryWithAVersionAssignedTwiceIsDecodedAgain guards against cached content.
 func TestEntryWithAVersionAssignedTwiceIsDecodedAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
@@ -74,8 +71,7 @@
 	})
 }
 
-// TestVMWritesItsEntryAgainAfterTheStoreLostIt plays a store that comes back without this
-// VM's entry and with an old one. The first writes in each era fail.
+// TestVMWritesItsEntryAgainAfterTheStoreLostIt covers a missing and an old entry and lost writes.
 func TestVMWritesItsEntryAgainAfterTheStoreLostIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/mesh/era_test.go
+++ b/internal/mesh/era_test.go
@@ -55,8 +55,7 @@
 	g.Expect(s.mesh.handleRecords(&api.Message{Key: s.name, Payload: payload})).To(Succeed())
 }
 
-// TestSnapshotOfAnEarlierEraIsIgnored covers a late snapshot of a peer, before and after
-// a failed call to the store.
+// TestSnapshotOfAnEarlierEraIsIgnored covers late snapshots of peers.
 func TestSnapshotOfAnEarlierEraIsIgnored(t *testing.T) {
 	g := NewWithT(t)
 	records := &fixedRecords{err: platform.ErrUnavailable}
@@ -85,8 +84,7 @@
 	g.Expect(set.newest).To(Equal(platform.Position{Era: 5, Version: 1}), "after a rise it may be from before")
 }
 
-// TestStoreBehindTheNewestSnapshotIsAnError guards against reads without a pause from a
-// store whose versions have fallen within an era.
+// TestStoreBehindTheNewestSnapshotIsAnError guards against reads without a pause.
 func TestStoreBehindTheNewestSnapshotIsAnError(t *testing.T) {
 	g := NewWithT(t)
 	records := &fixedRecords{snapshot: at(1, 2)}
@@ -100,8 +98,7 @@
 	g.Expect(set.fetch(context.Background())).To(Equal(at(1, 7)))
 }
 
-// TestRestoreIsLoggedOnceForEachSet covers two record sets that are read again, one from a
-// peer and one from the store, each several times.
+// TestRestoreIsLoggedOnceForEachSet reads one set from a peer and one from the store.
 func TestRestoreIsLoggedOnceForEachSet(t *testing.T) {
 	g := NewWithT(t)
 	var out bytes.Buffer
--- a/internal/mesh/restore_test.go
+++ b/internal/mesh/restore_test.go
@@ -11,8 +11,7 @@
 	"github.com/figfront/figfront/internal/platform"
 )
 
-// TestLowerVersionsOfALaterEraReachAllVMs plays a store that comes back with lower versions,
-// while it can be reached, after an outage, and while the zone's reader can't reach it.
+// TestLowerVersionsOfALaterEraReachAllVMs covers lower versions with and without an outage.
 func TestLowerVersionsOfALaterEraReachAllVMs(t *testing.T) {
 	outages := map[string]func(z *zone, reader *vm) string{
 		"none":       func(*zone, *vm) string { return "" },
@@ -48,8 +47,7 @@
 	}
 }
 
-// TestVersionAssignedTwiceIsAChange plays a store that comes back and assigns the version
-// that the VMs have seen last to another write.
+// TestVersionAssignedTwiceIsAChange covers another write at the version seen last.
 func TestVersionAssignedTwiceIsAChange(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
