Assign each address of a soak run once

The log of vm-0 said "bind: address already in use"; its settings had one address for ready and operators.

Cause: freeAddress closes its listener before it returns, and the next call may get the same port.

Change: it remembers what it has returned.

Before: TestFreeAddressesAreAssignedOnce found an address that had been returned before.

--- /dev/null
+++ b/internal/soak/export_test.go
@@ -0,0 +1,4 @@
+package soak
+
+// FreeAddress exports freeAddress for tests.
+var FreeAddress = freeAddress
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -77,14 +77,25 @@
 	return fmt.Sprintf("127.%d.%d.%d", firstNet+os.Getpid()%nets, os.Getpid()/nets%hosts, runCount.Add(1)%hosts+1)
 }
 
-// freeAddress returns a host:port on the given loopback address that is currently free.
+// assigned holds the addresses that freeAddress has returned.
+var assigned sync.Map
+
+// freeAddress returns a host:port on the given loopback address that is currently free
+// and that it has not returned before.
 func freeAddress(host string) (string, error) {
-	listener, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return "", err
+	for {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			return "", err
+		}
+		address := listener.Addr().String()
+		if err := listener.Close(); err != nil {
+			return "", err
+		}
+		if _, isAssigned := assigned.LoadOrStore(address, true); !isAssigned {
+			return address, nil
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
 }
 
 // Start starts the process unless it is already running.
