--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -112,9 +113,10 @@
 	}
 }
 
-// configs writes new versions of the configuration. It is safe to read newest while
-// another goroutine calls writeNext.
+// configs writes versions of the configuration. It is safe for concurrent use.
 type configs struct {
+	// mu is held while a version is written.
+	mu      sync.Mutex
 	version atomic.Int64
 	// writtenAt is when the version was acknowledged, in Unix milliseconds.
 	writtenAt atomic.Int64
@@ -127,7 +129,19 @@
 
 // writeNext commits the next version to the store.
 func (c *configs) writeNext(run *Run) error {
-	version := int(c.version.Load()) + 1
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeLocked(run, int(c.version.Load())+1)
+}
+
+// writeAgain commits the newest version again, which the store has lost.
+func (c *configs) writeAgain(run *Run) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.writeLocked(run, int(c.version.Load()))
+}
+
+func (c *configs) writeLocked(run *Run, version int) error {
 	if err := sitetest.PutConfig(run.store, version, serviceName); err != nil {
 		return err
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -75,6 +75,7 @@
 	{"store slow", storeFault(storetest.Faults{Delay: 300 * time.Millisecond})},
 	{"store loses writes", storeFault(storetest.Faults{LoseWrites: 5})},
 	{"store forgets its history", func(run *Run, _ *rand.Rand) (func(), error) { run.store.DiscardHistory(); return nil, nil }},
+	{"store comes back from a copy", storeRestore},
 	{"configuration changes", func(run *Run, _ *rand.Rand) (func(), error) { return nil, run.configs.writeNext(run) }},
 }
 
@@ -147,6 +148,25 @@
 	}
 }
 
+// awayTime is how long the store is away before it comes back from a copy.
+const awayTime = 300 * time.Millisecond
+
+// storeRestore copies the store. Its end makes the store unavailable for awayTime and lets
+// it come back from the copy; the operators then write their configuration again.
+func storeRestore(run *Run, _ *rand.Rand) (func(), error) {
+	run.recordFaultOnAll()
+	old := run.store.Copy()
+	return func() {
+		run.store.SetFaults(storetest.Faults{Reset: true})
+		time.Sleep(awayTime)
+		run.store.Restore(old)
+		run.store.SetFaults(storetest.Faults{})
+		run.recordErr(run.configs.writeAgain(run))
+		time.AfterFunc(entryTTL, run.fleet.deleteStopped)
+		run.recordFaultOnAll()
+	}, nil
+}
+
 func (run *Run) recordFaultOnAll() {
 	for _, v := range run.vms {
 		v.recordFault()
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -19,6 +19,7 @@
 // a guarantee is added with the cause.
 var regressions = map[uint64]string{
 	1: "the first seed; it broke no guarantee",
+	8: "the store comes back from a copy twice; it broke no guarantee",
 }
 
 // shortRun and shortCalm are how long a run in CI injects faults, and how long it runs
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -183,6 +183,17 @@
 	time.AfterFunc(entryTTL, func() { sitetest.DeleteEntry(f.store, m.server.ID) })
 }
 
+// deleteStopped deletes the entries of all servers that have ended.
+func (f *fleet) deleteStopped() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		if m.isStopped {
+			sitetest.DeleteEntry(f.store, m.server.ID)
+		}
+	}
+}
+
 // remove deletes the entry of a server that has left and ends the server.
 func (f *fleet) remove(m *member) {
 	f.mu.Lock()
