Answer an upload that may run with 502, not 503

What callers saw: an upload that neither an upstream nor the store confirmed was answered 503 with the outcome "unknown". Callers take 503 as "not run" and send again.

Cause: the refusals of internal/gateway/upload.go chose the status by the reason (store_unavailable) and the outcome separately.

Evidence, before the change: an upload whose record the table writes late is answered 503 and is then delivered and runs (TestUploadWhoseRecordIsWrittenLate...: status 503, Ran 1); one that an upstream received in part, with the table down, is answered 503 with "unknown" (TestUploadCutAtItsUpstream...). 503 now needs the outcome "not run".

TestManyUploadsAtOnce allowed 202 and 503 with any outcome. One of its uploads reaches its deadline while its record is being written, so 502 occurs; the test now binds each of the three statuses to its outcome.

--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -203,8 +203,7 @@
 		u.acceptDuplicate(record)
 	case errors.Is(err, upload.ErrUncertain):
 		u.keepParts = true
-		u.refuse(outcome.New(http.StatusServiceUnavailable, outcome.Unknown, outcome.StoreUnavailable,
-			"it is not known whether the upload was stored").WithRetryAfter(retryAfter))
+		u.refuseUndelivered(outcome.Unknown, "it is not known whether the upload was stored")
 	default:
 		u.refuseUnstored(err)
 	}
@@ -286,6 +285,16 @@
 		return
 	}
 	u.gateway.options.Log.Warn("upload not stored", telemetry.FieldRequestID, u.id, telemetry.FieldError, err)
-	u.refuse(outcome.New(http.StatusServiceUnavailable, u.undeliveredOutcome(), outcome.StoreUnavailable,
-		"no upstream took the upload and it could not be stored").WithRetryAfter(retryAfter))
+	u.refuseUndelivered(u.undeliveredOutcome(), "no upstream took the upload and it could not be stored")
+}
+
+// refuseUndelivered refuses an upload whose receipt neither an upstream nor the store
+// has confirmed. Callers take 503 as "not run", so any other outcome has another
+// status.
+func (u *uploadCall) refuseUndelivered(out outcome.Outcome, detail string) {
+	status := http.StatusServiceUnavailable
+	if out != outcome.NotRun {
+		status = http.StatusBadGateway
+	}
+	u.refuse(outcome.New(status, out, outcome.StoreUnavailable, detail).WithRetryAfter(retryAfter))
 }
--- a/internal/gateway/uploadlimits_test.go
+++ b/internal/gateway/uploadlimits_test.go
@@ -107,7 +107,7 @@
 		for range 100 {
 			a := <-answers
 			g.Expect(a.err).NotTo(HaveOccurred())
-			g.Expect(a.status).To(Or(Equal(http.StatusAccepted), Equal(http.StatusServiceUnavailable)))
+			g.Expect(uploadOutcomes).To(HaveKeyWithValue(a.status, a.header.Get("Figfront-Outcome")))
 		}
 		_, peak := v.gateway.UploadMemory()
 		g.Expect(peak).To(BeNumerically("<=", 64*2*upload.PartSize))
