Don't report a repeated upload as not run while its record can't be read

What callers saw: an upload sent again with its idempotency key was answered 503 "not run", and the stored upload was then delivered and ran.

Cause: the table had shown that an upload with the key is stored. When the read that compares the two failed, the refusal took the outcome of this VM's own sends, of which there were none.

Evidence, before the change: TestUploadWhoseEarlierRecordIsUnreadable... got the outcome "not run", while the upstream ran the upload once. The outcome is now "unknown".

--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -253,7 +253,8 @@
 func (u *uploadCall) acceptDuplicate(record upload.Record) {
 	found, err := u.gateway.uploads.Get(u.ctx, record.ID)
 	if err != nil {
-		u.refuseUnstored(err)
+		u.gateway.options.Log.Warn("stored upload can't be read", telemetry.FieldRequestID, u.id, telemetry.FieldError, err)
+		u.refuseUndelivered(outcome.Unknown, "an upload with this idempotency key is stored and can't be read now")
 		return
 	}
 	isSame := found.Record.Body.Equals(record.Body) && found.Record.Call.Path == record.Call.Path
--- a/internal/gateway/uploadpromise_test.go
+++ b/internal/gateway/uploadpromise_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,3 +49,36 @@
 		expectNoPromise(g, a)
 	})
 }
+
+func TestUploadWhoseEarlierRecordIsUnreadableIsNotAnsweredAsNotRun(t *testing.T) {
+	withTestEnv(t, func(g *WithT, env *testEnv) {
+		v := env.vm("vm1", teamSettings)
+		data := randomBytes(1000, 1)
+		g.Expect(env.upload(v, data, "k").status).To(Equal(http.StatusAccepted))
+		env.failRecordReadsAfter(1)
+		a := env.upload(v, data, "k")
+		u := env.upstream("u1", upstream1, upstreamstandin.Switches{})
+		env.net.kill(platformAddress)
+		env.serve(platformAddress, env.platform.Handler())
+		env.startDeliverer(v)
+		time.Sleep(time.Minute)
+		g.Expect(u.Counts().Ran).To(BeEquivalentTo(1))
+		expectNoPromise(g, a)
+	})
+}
+
+// failRecordReadsAfter makes the platform refuse all but the first reads of pending
+// uploads.
+func (env *testEnv) failRecordReadsAfter(reads int64) {
+	handler := env.platform.Handler()
+	var count atomic.Int64
+	env.net.kill(platformAddress)
+	env.serve(platformAddress, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		isRecord := r.URL.Path == "/table/row" && strings.HasPrefix(r.URL.Query().Get("key"), "uploads/pending/")
+		if isRecord && count.Add(1) > reads {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	}))
+}
