Tell the call's state that a stored upload may run

What operators saw: the error "outcome is not allowed in the call's state" and a count of outcome_replaced for an upload whose upstreams had all shed it and whose record may have been written. The outcome itself, "unknown", was right.

Cause: the state chart knows that a call may run only from its sends; the record is a second way. The refusal now fires the event.

Evidence, before the change: TestShedUploadWithUncertainRecord... counted 1 replaced outcome instead of 0.

--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -296,6 +296,7 @@
 	status := http.StatusServiceUnavailable
 	if out != outcome.NotRun {
 		status = http.StatusBadGateway
+		u.state.fire(eventMayHaveRun)
 	}
 	u.refuse(outcome.New(status, out, outcome.StoreUnavailable, detail).WithRetryAfter(retryAfter))
 }
--- a/internal/gateway/uploadpromise_test.go
+++ b/internal/gateway/uploadpromise_test.go
@@ -82,3 +82,14 @@
 		handler.ServeHTTP(w, r)
 	}))
 }
+
+func TestShedUploadWithUncertainRecordHasAnAllowedOutcome(t *testing.T) {
+	withTestEnv(t, func(g *WithT, env *testEnv) {
+		env.upstream("u1", upstream1, upstreamstandin.Switches{Shed: true})
+		env.platform.SetFaults(platformstandin.Faults{ApplyLate: 1000, ApplyLateBy: time.Hour})
+		v := env.vm("vm1", teamSettings)
+		a := env.upload(v, randomBytes(1000, 1), "")
+		g.Expect(a.header.Get("Figfront-Outcome")).To(Equal("unknown"))
+		g.Expect(v.counters.Get("calls", "outcome_replaced")).To(BeZero())
+	})
+}
