Conclude a lost lease from the lease, not from a changed record

What callers saw: a stored upload that an upstream was receiving, or had acknowledged, was delivered a second time.

Cause: a renewal whose response was lost may have been written. The next write of the same VM then met a changed record and took that as the loss of its lease: it cancelled the delivery, or dropped its result. The record was its own.

Evidence, before the change: the table applies one renewal without a response and is down for 6 s. A delivery that is renewed again counted lease_lost 1; one that ends before the next renewal was sent twice (2 sends instead of 1). The record is now read, and only another holder, a later lease of the same holder or an ended delivery mean a lost lease; if the table can't be read, nothing is concluded.

--- a/internal/upload/deliverer.go
+++ b/internal/upload/deliverer.go
@@ -220,11 +220,26 @@
 	d.finish(ctx, stored, result)
 }
 
-// update writes next in place of from, within updateTimeout.
+// update writes next in place of from, within updateTimeout. If the record has changed
+// since it was read, the lease decides: an earlier renewal of the same lease may have
+// been written without a response. Only a record that is no longer under that lease
+// means ErrLeaseLost.
 func (d *Deliverer) update(ctx context.Context, from VersionedRecord, next Record) (VersionedRecord, error) {
 	ctx, cancel := context.WithTimeout(ctx, updateTimeout)
 	defer cancel()
-	return d.store.Update(ctx, from, next)
+	updated, err := d.store.Update(ctx, from, next)
+	if !errors.Is(err, ErrLeaseLost) {
+		return updated, err
+	}
+	current, err := d.store.Get(ctx, next.ID)
+	switch {
+	case errors.Is(err, ErrUnavailable):
+		return from, err
+	case err != nil || !current.Record.hasLeaseOf(from.Record):
+		return from, ErrLeaseLost
+	default:
+		return d.store.Update(ctx, current, next)
+	}
 }
 
 // renewLease renews the lease until ctx is done and then sends the last written
--- a/internal/upload/record.go
+++ b/internal/upload/record.go
@@ -83,6 +83,13 @@
 	Until  time.Time `json:"until"`
 }
 
+// hasLeaseOf reports whether both records are under the same lease, which may have been
+// renewed in between. Attempts tells the leases of one holder apart.
+func (r Record) hasLeaseOf(other Record) bool {
+	return r.State == StateDelivering && other.State == StateDelivering &&
+		r.Lease.Holder == other.Lease.Holder && r.Attempts == other.Attempts
+}
+
 // PartKey returns the key of a part in the object store.
 func (b Body) PartKey(number int) string {
 	return b.Prefix + strconv.Itoa(number)
