Drop a request that is read while its idle connection is closed

What a caller could see: its connection is closed without a response, which for a connection that was idle means that nobody read the request; it sends the request again, and the booking runs twice.

Cause: draining closes a connection that has received no byte for a second. The tracker learns of bytes only after the read has returned, so a request that arrives at that moment was read and passed to the handler although its connection was already closed.

Evidence, before the change: with a connection whose read returns a request just after the close, the handler ran once (expected 0). Read now checks, under the mutex of the close, that the connection wasn't closed as idle, and drops the bytes otherwise.

--- a/internal/process/conns.go
+++ b/internal/process/conns.go
@@ -40,6 +40,8 @@
 	// lastActivity is when the connection was accepted, last received bytes or last
 	// changed between active and idle.
 	lastActivity time.Time
+	// closedIdle means that the connection was closed because it was idle.
+	closedIdle bool
 }
 
 func newConnTracker() *connTracker {
@@ -47,15 +49,27 @@
 }
 
 // Read reads from the connection. Received bytes mark the connection as busy, so that
-// it counts as in use from the first byte of a request.
+// it counts as in use from the first byte of a request. Bytes that were received while
+// the connection was closed as idle are dropped: their sender is told that nobody has
+// read them and may send the request elsewhere.
 func (c *serverConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 {
-		c.setBusy(true)
+	if n > 0 && !c.recordRead() {
+		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// recordRead marks the connection as busy. It returns false if the connection was closed
+// as idle.
+func (c *serverConn) recordRead() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.busy = true
+	c.lastActivity = time.Now()
+	return !c.closedIdle
+}
+
 // setBusy records activity and whether the connection carries a call.
 func (c *serverConn) setBusy(isBusy bool) {
 	c.mu.Lock()
@@ -69,6 +83,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.busy && now.Sub(c.lastActivity) >= minIdleTime {
+		c.closedIdle = true
 		_ = c.Close()
 	}
 }
--- a/internal/process/idleclose_test.go
+++ b/internal/process/idleclose_test.go
@@ -9,10 +9,7 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/hashicorp/go-hclog"
-
-	"github.com/figfront/figfront/internal/config/static"
-	"github.com/figfront/figfront/internal/process"
+	"github.com/figfront/figfront/internal/pipenet"
 )
 
 // lateConn is a connection whose first Read has received a request by the time that the
@@ -73,19 +70,13 @@
 func TestRequestReadWhileItsIdleConnectionIsClosedIsNotServed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		s := &testServer{}
-		lifecycle, err := process.NewLifecycle(hclog.NewNullLogger())
-		g.Expect(err).NotTo(HaveOccurred())
-		s.server = process.NewServer(s, static.Limits{
-			HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 32 << 10,
-		})
 		listener := &oneConnListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
 		listener.conns <- &lateConn{
 			request: "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n", closed: make(chan struct{}),
 		}
-		go func() { _ = process.Serve(s.server, listener) }()
-		lifecycle.Configured()
-		g.Expect(lifecycle.Stop(s.server, lag, timeout)).To(Succeed())
+		s := newTestServerAt(g, pipenet.New(), listener)
+		s.stop()
+		g.Expect(<-s.stopped).To(Succeed())
 		time.Sleep(time.Second)
 		g.Expect(s.served.Load()).To(BeZero())
 	})
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -40,14 +40,19 @@
 }
 
 func newTestServer(g *WithT) *testServer {
-	s := &testServer{network: pipenet.New(), stopped: make(chan error, 1)}
+	network := pipenet.New()
+	return newTestServerAt(g, network, network.Listen(address))
+}
+
+// newTestServerAt returns a server that accepts the connections of a listener.
+func newTestServerAt(g *WithT, network *pipenet.Network, listener net.Listener) *testServer {
+	s := &testServer{network: network, stopped: make(chan error, 1)}
 	lifecycle, err := process.NewLifecycle(hclog.NewNullLogger())
 	g.Expect(err).NotTo(HaveOccurred())
 	s.lifecycle = lifecycle
 	s.server = process.NewServer(http.HandlerFunc(s.serve), static.Limits{
 		HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 32 << 10,
 	})
-	listener := s.network.Listen(address)
 	go func() { _ = process.Serve(s.server, listener) }()
 	lifecycle.Configured()
 	return s
