Look for a duplicate after a change's last conflict

What an operator could see: 503 store_unavailable, "nothing changed, and nothing will", for a change that is in force.

Cause: Commit tries three times and looks for its change id before each try, but not after the last conflict, whose cause may be the same change sent twice. "Nothing changed" was concluded from the attempts being used up.

The change row is now read after the last conflict too.

--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -92,7 +92,21 @@
 			return merge.Config{}, err
 		}
 	}
-	return merge.Config{}, ErrUnavailable
+	return s.afterLastConflict(ctx, c)
+}
+
+// afterLastConflict returns the result of a change whose attempts have all ended in
+// conflicts. The last one may have been with the same change, sent twice.
+func (s *Store) afterLastConflict(ctx context.Context, c merge.Config) (merge.Config, error) {
+	change, err := s.readChange(ctx, c)
+	switch {
+	case err != nil:
+		return merge.Config{}, ErrUncertain
+	case change.isCommitted():
+		return s.committedConfig(ctx, c, change)
+	default:
+		return merge.Config{}, ErrUnavailable
+	}
 }
 
 // committedConfig returns the configuration that a committed change id became.
