Deliver a misdirected upload again instead of giving it up

What callers saw: an upload that may be stored was answered 421 with the outcome "ran", and a stored one ended as failed, when the upstream's address belonged to another one, which answered 421.

Cause: every 4xx except 408, 425 and 429 counted as a rejection of the upload. 421 speaks of the address and not of the upload.

Evidence, before the change: TestMisdirectedUploadIsNotGivenUp got 421 where the upload is stored (202) now; both uploads are delivered once the upstream is back.

--- a/internal/gateway/uploaddelivery_test.go
+++ b/internal/gateway/uploaddelivery_test.go
@@ -127,6 +127,25 @@
 	})
 }
 
+func TestMisdirectedUploadIsNotGivenUp(t *testing.T) {
+	withTestEnv(t, func(g *WithT, env *testEnv) {
+		v := env.vm("vm1", teamSettings)
+		stored := env.upload(v, randomBytes(2_000_000, 1), "")
+		env.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			w.WriteHeader(http.StatusMisdirectedRequest)
+		}))
+		env.startDeliverer(v)
+		time.Sleep(10 * time.Second)
+		sent := env.upload(v, randomBytes(2_000_000, 2), "")
+		g.Expect(sent.status).To(Equal(http.StatusAccepted))
+		env.replaceUpstream(upstream1, "u1")
+		time.Sleep(5 * time.Minute)
+		g.Expect(env.statusOf(g, v, stored).State).To(Equal("delivered"))
+		g.Expect(env.statusOf(g, v, sent).State).To(Equal("delivered"))
+	})
+}
+
 // TestStopHandsDeliveryOver: a VM that stops releases its lease, so that another
 // VM delivers without waiting for the lease to expire.
 func TestStopHandsDeliveryOver(t *testing.T) {
--- a/internal/upload/state.go
+++ b/internal/upload/state.go
@@ -150,11 +150,15 @@
 	}
 }
 
-// isTransient reports whether a 4xx status describes the current condition of
-// the upstream and not the upload, so that a retry may succeed.
+// isTransient reports whether a 4xx status describes the current condition or the
+// address of the upstream and not the upload, so that a retry may succeed.
 func isTransient(status int) bool {
-	return status == http.StatusRequestTimeout || status == http.StatusTooEarly ||
-		status == http.StatusTooManyRequests
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooEarly, http.StatusTooManyRequests:
+		return true
+	default:
+		return false
+	}
 }
 
 // Finish returns the record after a delivery. random adds jitter to the retry
