Don't take the target of a redirect for a write's result

What could be seen: a transaction or an announcement that was redirected counts as written, although nothing was.

Cause: the clients of the table and of the store used http.Client's default, which follows 301 to 303 with a GET without a body; its 200 was the result of the write. A 307 to an address that can't be reached would have counted as "nothing was sent". Found by reading; neither store is known to redirect.

A redirect is now a result that isn't known.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -38,7 +38,16 @@
 	if transport == nil {
 		transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
 	}
-	return &Client{base: "http://" + address, http: &http.Client{Transport: transport}}
+	return &Client{base: "http://" + address, http: NewHTTPClient(transport)}
+}
+
+// NewHTTPClient returns a client for a platform's services. It follows no redirects: the
+// response to the request that follows one says nothing about a write.
+func NewHTTPClient(transport http.RoundTripper) *http.Client {
+	return &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 }
 
 var (
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -41,6 +41,15 @@
 		Expect(platform.IsUncertain(err)).To(BeTrue())
 	})
 
+	It("is uncertain after a redirect, which another request would follow", func() {
+		err := commit(func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost {
+				http.Redirect(w, r, "/elsewhere", http.StatusFound)
+			}
+		})
+		Expect(platform.IsUncertain(err)).To(BeTrue())
+	})
+
 	It("was not applied if no connection could be opened", func() {
 		server := httptest.NewServer(http.NotFoundHandler())
 		address := server.Listener.Addr().String()
