--- a/internal/gateway/uploadpromise_test.go
+++ b/internal/gateway/uploadpromise_test.go
@@ -1,6 +1,9 @@
 package gateway_test
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -93,3 +96,33 @@
 		g.Expect(v.counters.Get("calls", "outcome_replaced")).To(BeZero())
 	})
 }
+
+func TestUploadCutByItsCallerAfterASendIsUnknown(t *testing.T) {
+	for name, test := range map[string]struct {
+		rest   string
+		status int
+	}{
+		"broken chunk":    {"broken\r\n", http.StatusBadRequest},
+		"above the limit": {"5\r\nabcde\r\n0\r\n\r\n", http.StatusRequestEntityTooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withTestEnv(t, func(g *WithT, env *testEnv) {
+				u := env.upstream("u1", upstream1, upstreamstandin.Switches{})
+				v := env.vm("vm1", strings.Replace(teamSettings, "max_body = 200000000", "max_body = 10", 1))
+				conn, err := env.net.dial(context.Background(), "tcp", v.address)
+				g.Expect(err).NotTo(HaveOccurred())
+				defer func() { _ = conn.Close() }()
+				go func() {
+					_, _ = io.WriteString(conn, "PUT /t/s/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n8\r\nabcdefgh\r\n")
+					time.Sleep(5 * time.Second)
+					_, _ = io.WriteString(conn, test.rest)
+				}()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				g.Expect(err).NotTo(HaveOccurred())
+				g.Expect(response.StatusCode).To(Equal(test.status))
+				g.Expect(response.Header.Get("Figfront-Outcome")).To(Equal("unknown"))
+				g.Expect(u.Counts().Received).To(BeEquivalentTo(1))
+			})
+		})
+	}
+}
