Don't report a repeated booking as not run while its claim can't be read

What callers saw: a booking that had run was sent again with its key and answered 503 "not run", reason claim_unavailable.

Cause: the conditional write of the claim had met another row, which shows that the key is claimed. When that row could not be read, the verdict was the same as for a table that refuses the write: the claim is not available, and this attempt is not sent. That says nothing about the attempt whose row it is.

Evidence, before the change: TestRepeatOfABookingThatRanIsNotToldNotRun got "not run" for a booking that ran once. After a conflict whose row has not been read the verdict is now "unreadable": 502 with "unknown", again with the same key. A table that refuses the write is answered 503 "not run" as before.

--- a/internal/claim/atmostonce_test.go
+++ b/internal/claim/atmostonce_test.go
@@ -1,7 +1,9 @@
 package claim_test
 
 import (
+	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/platformstandin"
 	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/upstreamstandin"
@@ -92,6 +95,33 @@
 	})
 }
 
+// unreadableTable refuses reads while isUnreadable is set.
+type unreadableTable struct {
+	platform.Table
+	isUnreadable *atomic.Bool
+}
+
+func (u unreadableTable) Get(ctx context.Context, key string) (platform.Row, error) {
+	if u.isUnreadable.Load() {
+		return platform.Row{}, platform.ErrUnavailable
+	}
+	return u.Table.Get(ctx, key)
+}
+
+func TestRepeatOfABookingThatRanIsNotToldNotRun(t *testing.T) {
+	var isUnreadable atomic.Bool
+	wrap := func(table platform.Table) platform.Table { return unreadableTable{table, &isUnreadable} }
+	inBubble(t, envOptions{wrapTable: wrap}, func(env *testEnv) {
+		Expect(env.book(env.vms[0], "k", "{}").outcome).To(Equal(outcome.Ran))
+		isUnreadable.Store(true)
+		repeat := env.book(env.vms[1], "k", "{}")
+		Expect(env.runCount("k")).To(Equal(1))
+		Expect(repeat.outcome).To(Equal(outcome.Unknown))
+		Expect(repeat.status).To(Equal(502))
+		Expect(repeat.header.Get("Retry-After")).To(Equal("1"))
+	})
+}
+
 func TestClaimAppliedAfterNotRunIsReleased(t *testing.T) {
 	inBubble(t, envOptions{}, func(env *testEnv) {
 		env.platform.SetFaults(platformstandin.Faults{ApplyLate: 3, ApplyLateBy: time.Second})
--- a/internal/claim/attempt.go
+++ b/internal/claim/attempt.go
@@ -70,6 +70,9 @@
 	// write of the attempt is conditional on it.
 	baseVersion uint64
 	retries     int
+	// isContested means that the last write met a row that has not been read yet and may
+	// belong to another attempt.
+	isContested bool
 	// lastRead is the last record that was decoded from the row.
 	lastRead Record
 }
@@ -118,10 +121,11 @@
 // error other than ErrConflict and ErrUnavailable the write may have been
 // applied or may still be applied later.
 func (a *Attempt) HandleWriteResult(err error) {
+	a.isContested = errors.Is(err, platform.ErrConflict)
 	switch {
 	case err == nil:
 		a.fire(eventWritten)
-	case errors.Is(err, platform.ErrConflict):
+	case a.isContested:
 		a.fire(eventConflict)
 	case errors.Is(err, platform.ErrUnavailable):
 		a.fire(eventRefused)
@@ -141,6 +145,7 @@
 		a.fire(eventUnreadable)
 		return
 	}
+	a.isContested = false
 	isSettling := a.State() == stateSettling
 	if isSettling && row.Version == a.baseVersion {
 		a.retryWrite()
--- a/internal/claim/store.go
+++ b/internal/claim/store.go
@@ -120,6 +120,9 @@
 	// Unavailable means that the claim could not be confirmed; the call is not
 	// sent.
 	Unavailable
+	// Unreadable means that the key is claimed and the row could not be read. The call
+	// is not sent, but another attempt may have run it.
+	Unreadable
 	// Expired means that the deadline passed before the call was sent.
 	Expired
 )
@@ -236,6 +239,9 @@
 		s.finalWriter.add(a.FinalWrite(rowKey, false))
 	}
 	s.count(countUnavailable)
+	if a.isContested {
+		return Result{Verdict: Unreadable}
+	}
 	return Result{Verdict: Unavailable}
 }
 
--- a/internal/gateway/booking.go
+++ b/internal/gateway/booking.go
@@ -134,6 +134,9 @@
 	case claim.UnknownResult:
 		return outcome.New(http.StatusConflict, outcome.Unknown, outcome.ClaimUnknown,
 			"the call with this key may have run; it is not sent again")
+	case claim.Unreadable:
+		return outcome.New(http.StatusBadGateway, outcome.Unknown, outcome.ClaimUnavailable,
+			"the claim of the key can't be read; an earlier call with this key may have run").WithRetryAfter(retryAfter)
 	case claim.Expired:
 		return outcome.New(http.StatusGatewayTimeout, outcome.NotRun, outcome.DeadlinePassed,
 			"the deadline passed before the call was sent").WithRetryAfter(retryAfter)
