--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -203,8 +203,7 @@
 		u.acceptDuplicate(record)
 	case errors.Is(err, upload.ErrUncertain):
 		u.keepParts = true
-		u.refuse(outcome.New(http.StatusServiceUnavailable, outcome.Unknown, outcome.StoreUnavailable,
-			"it is not known whether the upload was stored").WithRetryAfter(retryAfter))
+		u.refuseUndelivered(outcome.Unknown, "it is not known whether the upload was stored")
 	default:
 		u.refuseUnstored(err)
 	}
@@ -254,7 +253,8 @@
 func (u *uploadCall) acceptDuplicate(record upload.Record) {
 	found, err := u.gateway.uploads.Get(u.ctx, record.ID)
 	if err != nil {
-		u.refuseUnstored(err)
+		u.gateway.options.Log.Warn("stored upload can't be read", telemetry.FieldRequestID, u.id, telemetry.FieldError, err)
+		u.refuseUndelivered(outcome.Unknown, "an upload with this idempotency key is stored and can't be read now")
 		return
 	}
 	isSame := found.Record.Body.Equals(record.Body) && found.Record.Call.Path == record.Call.Path
@@ -286,6 +286,14 @@
 		return
 	}
 	u.gateway.options.Log.Warn("upload not stored", telemetry.FieldRequestID, u.id, telemetry.FieldError, err)
-	u.refuse(outcome.New(http.StatusServiceUnavailable, u.undeliveredOutcome(), outcome.StoreUnavailable,
-		"no upstream took the upload and it could not be stored").WithRetryAfter(retryAfter))
+	u.refuseUndelivered(u.undeliveredOutcome(), "no upstream took the upload and it could not be stored")
+}
+
+// refuseUndelivered refuses an upload whose receipt neither an upstream nor the store
+// has confirmed. A record that may have been written can still run, as a send can.
+func (u *uploadCall) refuseUndelivered(out outcome.Outcome, detail string) {
+	if out != outcome.NotRun {
+		u.state.fire(eventMayHaveRun)
+	}
+	u.refuse(outcome.New(http.StatusServiceUnavailable, out, outcome.StoreUnavailable, detail).WithRetryAfter(retryAfter))
 }
