--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -127,7 +127,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	remaining := f.random.Float64()
-	for behavior := sitetest.Shed; behavior <= sitetest.Fail; behavior++ {
+	for _, behavior := range sitetest.Behaviors() {
 		if remaining -= f.rates[behavior]; remaining < 0 {
 			return behavior
 		}
