Soak: choose the kinds of faults and the number of callers

A fault that needs two sends of one VM to one server at the same moment is rare with four callers a VM and with all kinds of faults mixed; a run could not be aimed at one cause. `--only` limits the kinds by name, `--callers` sets the callers for each VM. The defaults are as before.

--- a/cmd/figfront-soak/main.go
+++ b/cmd/figfront-soak/main.go
@@ -27,6 +27,8 @@
 	Duration time.Duration `help:"How long faults are injected for each seed." default:"12s"`
 	Calm     time.Duration `help:"Time without faults before and after them." default:"4s"`
 	Jobs     int           `help:"Runs at the same time; each has four processes." default:"2"`
+	Callers  int           `help:"Callers for each VM." default:"4"`
+	Only     string        `help:"Inject only the kinds of faults whose name contains this text."`
 	Untimed  bool          `help:"Check only promises that have no time."`
 	Verbose  bool          `help:"Print each fault." short:"v"`
 }
@@ -65,7 +67,8 @@
 	for i := range args.Seeds {
 		group.Go(func() error {
 			result, err := soak.Execute(ctx, soak.Options{
-				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm, CheckTimed: !args.Untimed, Log: log,
+				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm,
+				CheckTimed: !args.Untimed, Callers: args.Callers, Only: args.Only, Log: log,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -14,8 +14,7 @@
 
 // Load of the callers.
 const (
-	callersPerVM = 4
-	callTimeout  = 1500 * time.Millisecond
+	callTimeout = 1500 * time.Millisecond
 	// maxThinkTime is the longest pause of a caller between two requests.
 	maxThinkTime = 40 * time.Millisecond
 	// uploadBytes is the size of an upload's body, in bytes.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -163,11 +164,14 @@
 // minKinds is the smallest number of kinds of faults in a run.
 const minKinds = 3
 
-// pickKinds selects the kinds of faults of a run at random. With only a few kinds their
-// interactions are easier to see, and guarantees that require the absence of other faults are
-// actually checked.
-func pickKinds(random *rand.Rand) []fault {
+// pickKinds selects the kinds of faults of a run: those whose name contains only, or a
+// random selection if only is empty. With only a few kinds their interactions are easier to
+// see, and guarantees that require the absence of other faults are actually checked.
+func pickKinds(random *rand.Rand, only string) []fault {
 	kinds := slices.Clone(faults)
+	if only != "" {
+		return slices.DeleteFunc(kinds, func(f fault) bool { return !strings.Contains(f.name, only) })
+	}
 	random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	return kinds[:minKinds+random.IntN(len(kinds)-minKinds+1)]
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -48,6 +48,11 @@
 	// CheckTimed enables the checks of guarantees with a time limit. They may fail on a
 	// busy machine.
 	CheckTimed bool
+	// Callers is the number of callers for each VM, at least 1.
+	Callers int
+	// Only limits the faults to the kinds whose name contains this text; empty means all
+	// kinds.
+	Only string
 	// Log receives a line for each fault.
 	Log io.Writer
 }
@@ -123,8 +128,8 @@
 		return 0, err
 	}
 	for n, v := range run.vms {
-		for i := range callersPerVM {
-			c := newCaller(run, v, i, rand.New(rand.NewPCG(run.options.Seed, uint64(n*callersPerVM+i)+2)))
+		for i := range run.options.Callers {
+			c := newCaller(run, v, i, rand.New(rand.NewPCG(run.options.Seed, uint64(n*run.options.Callers+i)+2)))
 			group.Go(func() error { c.sendUntilDone(workCtx); return nil })
 		}
 	}
@@ -194,7 +199,7 @@
 func (run *Run) inject(ctx context.Context, random *rand.Rand) int {
 	var pendingEnds sync.WaitGroup
 	injected := 0
-	kinds := pickKinds(random)
+	kinds := pickKinds(random, run.options.Only)
 	for until := time.Now().Add(run.options.Duration); time.Now().Before(until) && ctx.Err() == nil; injected++ {
 		f := kinds[random.IntN(len(kinds))]
 		length := randomDuration(random, minFaultDuration, maxFaultDuration)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -21,6 +21,9 @@
 	1: "the first seed; it broke no guarantee",
 }
 
+// callers is the number of callers for each VM.
+const callers = 4
+
 // shortRun and shortCalm are how long a run in CI injects faults, and how long it runs
 // without faults before and after.
 const (
@@ -37,7 +40,7 @@
 	g.Expect(err).NotTo(HaveOccurred(), string(output))
 	for seed, cause := range regressions {
 		result, err := soak.Execute(context.Background(), soak.Options{
-			Binary: binary, Seed: seed, Duration: shortRun, Calm: shortCalm, Log: io.Discard,
+			Binary: binary, Seed: seed, Duration: shortRun, Calm: shortCalm, Callers: callers, Log: io.Discard,
 		})
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(result.Violations).To(BeEmpty(), "seed %d (%s), logs in %s", seed, cause, result.Dir)
