--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -69,6 +70,13 @@
 	{"servers lose responses", serverBehavior(sitetest.LoseResponse)},
 	{"servers truncate responses", serverBehavior(sitetest.CutResponse)},
 	{"servers fail", serverBehavior(sitetest.Fail)},
+	{"servers run requests and respond 503", serverBehavior(sitetest.UnconfirmedUnavailable)},
+	{"servers run requests and respond 429", serverBehavior(sitetest.UnconfirmedTooManyRequests)},
+	{"servers run requests and respond 408", serverBehavior(sitetest.UnconfirmedTimeout)},
+	{"servers run requests and respond 421", serverBehavior(sitetest.UnconfirmedMisdirected)},
+	{"servers run requests and respond without a signature", serverBehavior(sitetest.Unsigned)},
+	{"servers refuse requests twice", serverBehavior(sitetest.RepeatRefusal)},
+	{"servers refuse health checks twice", serverBehavior(sitetest.RepeatProbeRefusal)},
 	{"store refuses", storeFault(storetest.Faults{Status: http.StatusServiceUnavailable})},
 	{"store resets", storeFault(storetest.Faults{Reset: true})},
 	{"store does not respond", storeFault(storetest.Faults{Silent: true})},
@@ -156,11 +164,14 @@
 // minKinds is the smallest number of kinds of faults in a run.
 const minKinds = 3
 
-// pickKinds selects the kinds of faults of a run at random. With only a few kinds their
-// interactions are easier to see, and guarantees that require the absence of other faults are
-// actually checked.
-func pickKinds(random *rand.Rand) []fault {
+// pickKinds selects the kinds of faults of a run: those whose name contains only, or a
+// random selection if only is empty. With only a few kinds their interactions are easier to
+// see, and guarantees that require the absence of other faults are actually checked.
+func pickKinds(random *rand.Rand, only string) []fault {
 	kinds := slices.Clone(faults)
+	if only != "" {
+		return slices.DeleteFunc(kinds, func(f fault) bool { return !strings.Contains(f.name, only) })
+	}
 	random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	return kinds[:minKinds+random.IntN(len(kinds)-minKinds+1)]
 }
