Discard the connection of a response that the adapter finds foreign

What callers saw: a booking ended with 502 and the outcome "unknown" because the response to the booking before it arrived in place of its own.

Cause: the connection was discarded only for responses that the gateway turned down itself. Without a body the connection stays in the pool, and the response that is still due goes to the next call.

Change: a rejected response that doesn't carry the call's id discards the connection, wherever it was rejected.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,6 +113,7 @@
 	}
 	if err != nil {
 		defer cancel(nil)
+		c.discardIfForeign(trace, err)
 		return c.handleSendFailure(ctx, sent, trace, body, err)
 	}
 	bodySent := body.isComplete == nil || body.isComplete()
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -19,7 +19,8 @@
 // checkResponse returns a callheader.RejectedError if a response can't be attributed to
 // the call: it arrived before the call was sent, or carries the request ID of another
 // call. A response that says that the call did not run must carry the call's ID, since it
-// could be a late response to another request on the connection. It closes the body of a rejected response and discards the connection.
+// could be a late response to another request on the connection. It closes the body of a
+// rejected response.
 func (c *call) checkResponse(trace *sendTrace, response *http.Response) error {
 	id := response.Header.Get(outcome.HeaderRequestID)
 	var reason callheader.Rejection
@@ -33,12 +34,23 @@
 	default:
 		return nil
 	}
-	c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
-	trace.discardConn()
 	_ = response.Body.Close()
 	return &callheader.RejectedError{Status: response.StatusCode, Reason: reason, RequestID: id}
 }
 
+// discardIfForeign discards the connection of a send whose response was rejected and can't
+// be attributed to the call, whose own response may still arrive on it.
+func (c *call) discardIfForeign(trace *sendTrace, err error) {
+	var rejected *callheader.RejectedError
+	if !errors.As(err, &rejected) {
+		return
+	}
+	if rejected.Reason == callheader.RejectedStale || rejected.RequestID != c.id {
+		c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
+		trace.discardConn()
+	}
+}
+
 // failureOutcome returns the outcome of a send without an accepted response. A rejected
 // response never proves that the call did not run. When the round trip failed, net/http
 // has stopped writing to the connection, so the trace holds all that was written.
