Send a call on another connection when its own was discarded

What callers saw: a booking was refused with 503 "not run" (connect_failed) though its upstream was free, and the failure was held against the upstream.

Cause: net/http gives a connection to the next call before the response to the one before is judged. If that response turns out to be foreign, the connection is discarded under the next call, which has written nothing yet.

Change: such a send, whose body is in memory, is made again on another connection to the same upstream. A discarded connection refuses writes, so that nothing of the first try can be sent later.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,6 +71,11 @@
 	isTruncated func() bool
 }
 
+// isInMemory reports whether the body can be sent again.
+func (b requestBody) isInMemory() bool {
+	return b.isComplete == nil
+}
+
 // memoryBody returns a request body that reads from c.body.
 func (c *call) memoryBody() requestBody {
 	return requestBody{reader: nonRewindableBody{bytes.NewReader(c.body)}, length: int64(len(c.body))}
@@ -99,8 +104,10 @@
 	return result
 }
 
-func (c *call) doRoundTrip(ctx context.Context, sent send, body requestBody) attemptResult {
-	ctx, cancel := context.WithCancelCause(ctx)
+// doRoundTrip sends the call on another connection to the upstream if it gets one that was
+// discarded after the send before, which is neither sent nor the upstream's fault.
+func (c *call) doRoundTrip(callCtx context.Context, sent send, body requestBody) attemptResult {
+	ctx, cancel := context.WithCancelCause(callCtx)
 	trace := &sendTrace{
 		maxSilence: c.silenceTimeout(), tryReserve: c.route.service.reserveRetry, cancel: cancel, interim: c.forwardInterim,
 	}
@@ -111,12 +118,16 @@
 	if err == nil {
 		err = c.checkResponse(trace, response)
 	}
+	if err != nil && trace.isUnsentOnDiscardedConn() && body.isInMemory() && c.isActive() {
+		cancel(nil)
+		return c.doRoundTrip(callCtx, sent, c.memoryBody())
+	}
 	if err != nil {
 		defer cancel(nil)
 		c.discardIfForeign(trace, err)
 		return c.handleSendFailure(ctx, sent, trace, body, err)
 	}
-	bodySent := body.isComplete == nil || body.isComplete()
+	bodySent := body.isInMemory() || body.isComplete()
 	result := c.readResponse(sent, response)
 	result.bodySent = bodySent
 	result.transfer = c.describeResponse(trace, response)
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -89,6 +89,13 @@
 	_ = c.Close()
 }
 
+// wasDiscarded reports whether discard closed the connection.
+func (c *trackedConn) wasDiscarded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.isDiscarded
+}
+
 // beginWrite records the write in the current transfer. It returns false, and records
 // nothing, if the connection was discarded.
 func (c *trackedConn) beginWrite() bool {
@@ -256,6 +263,14 @@
 	return t.mayHaveSentLocked()
 }
 
+// isUnsentOnDiscardedConn reports whether no byte of the send has left this VM because its
+// connection was discarded.
+func (t *sendTrace) isUnsentOnDiscardedConn() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.conn != nil && t.conn.wasDiscarded() && !t.mayHaveSentLocked()
+}
+
 // connKind returns whether the send's connection was opened for it or reused; empty
 // when the send had none.
 func (t *sendTrace) connKind() connKind {
