Take a response with an id for no response to a probe

What callers saw: a booking ended with 502 and the outcome "unknown" though its upstream had answered only the requests before it once too often.

Cause: probes use the connections of calls, and any response was taken as the probe's, also a late one to a call. The probe's own response then arrived where the next call's was due. The load in the late response counted as fresh.

Change: probes carry no id, so a response with one, or one that arrived before the probe was written, is not the probe's: the probe counts as unanswered and its connection is discarded.

A booking that takes the connection before the late response is judged, and writes, still ends unknown.

--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -101,21 +101,12 @@
 	}, true
 }
 
-// probeTrace returns a trace that begins a transfer on the connection of a probe, so that
-// the probe's bytes do not count for the call that used the connection before.
-func probeTrace() *httptrace.ClientTrace {
-	return &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if conn, ok := info.Conn.(*trackedConn); ok {
-			conn.beginSend()
-		}
-	}}
-}
-
 // maxProbeResponseBytes limits the body of the response to a probe.
 const maxProbeResponseBytes = 1 << 10
 
 // probe requests the health and load of the upstream at an address. It returns
-// false when no response was received.
+// false when no response to it was received. The response to a call, which has an ID, may
+// arrive in its place; its connection is discarded.
 func (s *service) probe(ctx context.Context, address string) (loadbalancer.ProbeResult, bool) {
 	s.mu.Lock()
 	t := s.transports[address]
@@ -124,17 +115,24 @@
 	if t == nil || path == "" {
 		return loadbalancer.ProbeResult{}, false
 	}
+	trace := &sendTrace{}
 	request := (&http.Request{
 		Method: http.MethodGet,
 		URL:    &url.URL{Scheme: "http", Host: t.address, Path: path},
 		Host:   t.address,
 		Header: http.Header{"User-Agent": nil},
-	}).WithContext(httptrace.WithClientTrace(ctx, probeTrace()))
+	}).WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: trace.gotConn, GotFirstResponseByte: trace.gotFirstByte,
+	}))
 	response, err := t.roundTripper.RoundTrip(request)
 	if err != nil {
 		return loadbalancer.ProbeResult{}, false
 	}
 	defer func() { _ = response.Body.Close() }()
+	if trace.isStale() || response.Header.Get(outcome.HeaderRequestID) != "" {
+		trace.discardConn()
+		return loadbalancer.ProbeResult{}, false
+	}
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeResponseBytes)); err != nil {
 		return loadbalancer.ProbeResult{}, false
 	}
