Refuse a site's call without a request id at once

What callers saw: after ten bookings without an id a proper booking was refused with 503 though the only upstream was free.

Cause: since responses need an id, the upstream's refusal of a request without one (400, nothing run) was rejected as no_id and held against the upstream.

Change: figfront-entry sets RequireRequestID, and the gateway answers such a call of a site with 400 header_invalid, not run, without a send.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -112,7 +112,7 @@
 	})
 	e.gateway = gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
-		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport,
+		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport, RequireRequestID: true,
 		ProbesPerUpstream: settings.ProbesPerUpstream, Router: e.router,
 		RetryLimits: retry.Limits{
 			Share:    coordinatorRetryShare * settings.RetryRatio,
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -42,6 +42,9 @@
 	Dial DialFunc
 	// WrapTransport wraps the transport to each upstream; nil means no wrapper.
 	WrapTransport WrapFunc
+	// RequireRequestID refuses the calls of a site that have no request ID, because its
+	// upstreams don't serve them.
+	RequireRequestID bool
 	// ProbesPerUpstream limits the probes that one upstream of the site receives
 	// from all VMs, per second; 0 means no limit.
 	ProbesPerUpstream float64
--- a/internal/gateway/sitecall.go
+++ b/internal/gateway/sitecall.go
@@ -20,6 +20,10 @@
 			"the request header is above the limit"))
 		return
 	}
+	if c.gateway.options.RequireRequestID && c.r.Header.Get(outcome.HeaderRequestID) == "" {
+		c.refuse(outcome.New(http.StatusBadRequest, outcome.NotRun, outcome.HeaderInvalid, "the request has no ID"))
+		return
+	}
 	c.setDeadline(to.rule.settings.Deadline)
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
