Add restores of the store to a soak run without changing its seeds

Cause: as one more kind among the others, the restore changed which faults each seed selects, so the regression seeds no longer played what they had failed with.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -30,7 +30,12 @@
 	begin func(run *Run, random *rand.Rand) (end func(), err error)
 }
 
-// faults are all kinds of faults. A run uses a random subset of them.
+// matches reports whether the fault's name contains a text.
+func (f fault) matches(text string) bool {
+	return strings.Contains(f.name, text)
+}
+
+// faults are all kinds of faults but restoreFault. A run uses a random subset of them.
 var faults = []fault{
 	{"vm killed", vmFault(func(v *VM) { v.Signal(syscall.SIGKILL) }, restart)},
 	{"vm paused", vmFault(func(v *VM) { v.Signal(syscall.SIGSTOP) }, func(v *VM) { v.Signal(syscall.SIGCONT) })},
@@ -83,10 +88,13 @@
 	{"store slow", storeFault(storetest.Faults{Delay: 300 * time.Millisecond})},
 	{"store loses writes", storeFault(storetest.Faults{LoseWrites: 5})},
 	{"store forgets its history", func(run *Run, _ *rand.Rand) (func(), error) { run.store.DiscardHistory(); return nil, nil }},
-	{"store comes back from a copy", storeRestore},
 	{"configuration changes", func(run *Run, _ *rand.Rand) (func(), error) { return nil, run.configs.writeNext(run) }},
 }
 
+// restoreFault is added to the selected kinds of a run with Options.StoreRestores. It is not
+// one of faults, so that seeds select the same kinds as before it existed.
+var restoreFault = fault{"store comes back from a copy", storeRestore}
+
 // restart starts the process of a VM again.
 func restart(v *VM) {
 	// Start fails only if the machine is out of resources; requests to this VM
@@ -190,7 +198,7 @@
 func pickKinds(random *rand.Rand, only string) []fault {
 	kinds := slices.Clone(faults)
 	if only != "" {
-		return slices.DeleteFunc(kinds, func(f fault) bool { return !strings.Contains(f.name, only) })
+		return slices.DeleteFunc(kinds, func(f fault) bool { return !f.matches(only) })
 	}
 	random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	return kinds[:minKinds+random.IntN(len(kinds)-minKinds+1)]
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -53,6 +53,8 @@
 	// Only limits the faults to the kinds whose name contains this text; empty means all
 	// kinds.
 	Only string
+	// StoreRestores adds restores of the store from a copy to the faults.
+	StoreRestores bool
 	// Log receives a line for each fault.
 	Log io.Writer
 }
@@ -200,6 +202,9 @@
 	var pendingEnds sync.WaitGroup
 	injected := 0
 	kinds := pickKinds(random, run.options.Only)
+	if run.options.StoreRestores && restoreFault.matches(run.options.Only) {
+		kinds = append(kinds, restoreFault)
+	}
 	for until := time.Now().Add(run.options.Duration); time.Now().Before(until) && ctx.Err() == nil; injected++ {
 		f := kinds[random.IntN(len(kinds))]
 		length := randomDuration(random, minFaultDuration, maxFaultDuration)
