--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/platform"
 )
 
 // reregistrationGrace is how long after an outage of the store upstreams without an
@@ -12,17 +13,18 @@
 
 // Snapshot holds the upstreams' entries at one moment.
 type Snapshot struct {
-	// Version is the store's version at the time of the snapshot.
-	Version   uint64
+	// Position is the store's position at the time of the snapshot.
+	Position  platform.Position
 	Upstreams []site.Upstream
 }
 
 // Catalog holds the upstreams of all services. It is not safe for concurrent use.
 type Catalog struct {
-	// heartbeat is the time between two writes of an upstream's entry.
-	heartbeat time.Duration
-	version   uint64
-	updatedAt time.Time
+	// outageAfter is the time without a snapshot after which the store was probably
+	// unavailable.
+	outageAfter time.Duration
+	position    platform.Position
+	updatedAt   time.Time
 	// upstreams holds the upstreams of the last snapshot and the retained ones, by
 	// name.
 	upstreams map[string]site.Upstream
@@ -30,51 +32,66 @@
 	// were missing after an outage of the store.
 	retained    map[string]struct{}
 	retainUntil time.Time
+	// restored holds what the store contained when it came back from an older copy.
+	restored restoredEntries
+	// gone holds the last known state of upstreams that are no longer in use, by name.
+	gone map[string]goneUpstream
 }
 
-// New returns an empty catalog. heartbeat is the time between two writes of an
-// upstream's entry.
-func New(heartbeat time.Duration) *Catalog {
+// New returns an empty catalog. outageAfter is the time without a snapshot after which the
+// store was probably unavailable.
+func New(outageAfter time.Duration) *Catalog {
 	return &Catalog{
-		heartbeat: heartbeat,
-		upstreams: make(map[string]site.Upstream),
-		retained:  make(map[string]struct{}),
+		outageAfter: outageAfter,
+		upstreams:   make(map[string]site.Upstream),
+		retained:    make(map[string]struct{}),
+		gone:        make(map[string]goneUpstream),
 	}
 }
 
 // Update replaces the upstreams by those of a snapshot. It returns false and changes
 // nothing if the snapshot is older than the last one.
 func (c *Catalog) Update(now time.Time, snapshot Snapshot) bool {
-	if snapshot.Version < c.version {
+	if snapshot.Position.IsBefore(c.position) {
 		return false
 	}
-	// After more than a heartbeat without a snapshot the store was probably
-	// unavailable, and live upstreams may have been unable to renew their entries.
-	isAfterOutage := !c.updatedAt.IsZero() && now.Sub(c.updatedAt) > c.heartbeat
-	if isAfterOutage {
+	hasSnapshot := !c.updatedAt.IsZero()
+	// Live upstreams may have been unable to renew their entries during an outage.
+	isAfterOutage := hasSnapshot && now.Sub(c.updatedAt) > c.outageAfter
+	isNewEra := hasSnapshot && snapshot.Position.Era != c.position.Era
+	if isAfterOutage || isNewEra {
 		c.retainUntil = now.Add(reregistrationGrace)
 	}
-	c.version = snapshot.Version
+	c.position = snapshot.Position
 	c.updatedAt = now
 	present := make(map[string]site.Upstream, len(snapshot.Upstreams))
 	for _, u := range snapshot.Upstreams {
 		present[u.Name] = u
 	}
-	c.retainMissing(now, present, isAfterOutage)
+	if isNewEra {
+		c.restored = c.compareWithCopy(present)
+	} else {
+		c.restored.removeRenewed(present)
+	}
+	c.replaceOutdated(present)
+	c.retainMissing(now, present, isAfterOutage || isNewEra)
+	c.dropReusedAddresses(present)
+	c.recordGone(now, present)
 	c.upstreams = present
 	return true
 }
 
 // retainMissing adds the upstreams that are missing from the first snapshot after an
-// outage to the present ones, until the grace period ends. An upstream whose entry
-// disappears in a later snapshot is dropped.
-func (c *Catalog) retainMissing(now time.Time, present map[string]site.Upstream, isAfterOutage bool) {
+// outage or of a new era to the present ones, until the grace period ends. So it does
+// with upstreams that disappear later without having renewed their entries in that era.
+// Any other upstream whose entry disappears in a later snapshot is dropped.
+func (c *Catalog) retainMissing(now time.Time, present map[string]site.Upstream, isFirst bool) {
 	retained := make(map[string]struct{})
 	if now.Before(c.retainUntil) {
 		for name, u := range c.upstreams {
 			_, isPresent := present[name]
 			_, wasRetained := c.retained[name]
-			if isPresent || !isAfterOutage && !wasRetained {
+			if isPresent || !isFirst && !wasRetained && !c.restored.wasUnrenewed(name) {
 				continue
 			}
 			retained[name] = struct{}{}
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -47,7 +47,7 @@
 }
 
 func snapshot(version uint64, rows ...platform.Row) step {
-	return step{snapshot: platform.Snapshot{Version: version, Rows: rows}}
+	return step{snapshot: platform.Snapshot{Position: platform.Position{Version: version}, Rows: rows}}
 }
 
 var errStore = errors.New("store unavailable")
@@ -168,7 +168,7 @@
 		snapshotAfter := func(seconds int, delay time.Duration, version uint64, value string) step {
 			stampedAt := storeTime + time.Duration(seconds)*time.Second - delay
 			return step{snapshot: platform.Snapshot{
-				Version: version, StoreTime: stampedAt, Rows: []platform.Row{row("config", version, value)},
+				Position: platform.Position{Version: version}, StoreTime: stampedAt, Rows: []platform.Row{row("config", version, value)},
 			}}
 		}
 		f := &follow.ConfigFollower{
@@ -196,3 +196,26 @@
 		g.Expect(age.MaxUs).To(BeNumerically("~", longDelay.Microseconds(), longDelay.Microseconds()/50))
 	})
 }
+
+// TestEntryIsDroppedWithHeartbeatsShorterThanReads guards against upstreams kept for good.
+func TestEntryIsDroppedWithHeartbeatsShorterThanReads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		steps := []step{snapshot(1, row("a", 1, "good"))}
+		for version := range uint64(9) {
+			steps = append(steps, snapshot(version+2))
+		}
+		var seen []site.Upstream
+		f := &follow.UpstreamFollower{
+			Source:            &scriptedSource{steps: steps},
+			Decode:            func(name string, _ []byte) (site.Upstream, error) { return site.Upstream{Name: name}, nil },
+			Apply:             func(upstreams []site.Upstream) { seen = upstreams },
+			HeartbeatInterval: 500 * time.Millisecond, ReadInterval: time.Second,
+			Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters(),
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		defer cancel()
+		g.Expect(f.Run(ctx)).To(Succeed())
+		g.Expect(seen).To(BeEmpty())
+	})
+}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -37,6 +37,9 @@
 	// changes to it. It is nil after a failed call, so that the next call reads all
 	// rows.
 	latest *platform.Snapshot
+	// newest is the position of the newest snapshot of this VM or a peer. Unlike latest,
+	// it outlasts failed calls.
+	newest platform.Position
 }
 
 // RecordOptions holds the intervals of a record set.
@@ -112,6 +115,9 @@
 	due := s.updatedAt.Add(s.options.Staleness)
 	if isReader {
 		due = s.nextReadAt
+		if s.newest.Era != s.mesh.options.Eras.Latest() {
+			due = now
+		}
 	}
 	return min(due.Sub(now), roleCheckInterval)
 }
@@ -129,19 +135,74 @@
 		return platform.Snapshot{}, ctx.Err()
 	}
 	s.mesh.recordStoreResult(err == nil)
-	s.mu.Lock()
 	if err != nil {
-		s.latest = nil
-		s.mu.Unlock()
+		s.forgetLatest()
 		return platform.Snapshot{}, err
 	}
-	s.latest = &snapshot
-	s.updatedAt = time.Now()
-	s.mu.Unlock()
+	if !s.accept(snapshot, sourceStore) {
+		return s.newerThanStore(latest)
+	}
 	s.publishSnapshot(snapshot)
 	return snapshot, nil
 }
 
+// forgetLatest makes the next call to the store read all rows.
+func (s *RecordSet) forgetLatest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest = nil
+}
+
+// errOlderThanSeen means that the store returned an older snapshot than before.
+var errOlderThanSeen = errors.New("mesh: store returned an older snapshot than before")
+
+// newerThanStore returns the snapshot that a peer has sent during a call to the store, if
+// the store's was older. previous was the latest one when the call began. Without a new
+// one the store is behind for another reason, and the result is errOlderThanSeen.
+func (s *RecordSet) newerThanStore(previous *platform.Snapshot) (platform.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latest != nil && s.latest != previous {
+		return *s.latest, nil
+	}
+	s.latest = nil
+	return platform.Snapshot{}, errOlderThanSeen
+}
+
+// source is where a snapshot comes from.
+type source string
+
+const (
+	sourceStore source = "store"
+	sourcePeer  source = "peer"
+)
+
+// accept makes a snapshot the latest one. It returns false and changes nothing if the
+// snapshot is older than the newest one.
+func (s *RecordSet) accept(snapshot platform.Snapshot, from source) bool {
+	s.mu.Lock()
+	before := s.newest
+	isFirst := s.updatedAt.IsZero()
+	isOlder := snapshot.IsBefore(before)
+	if !isOlder {
+		s.latest = &snapshot
+		s.newest = snapshot.Position
+		s.updatedAt = time.Now()
+		if from == sourcePeer {
+			s.peerSnapshot = &snapshot
+		}
+	}
+	s.mu.Unlock()
+	if isOlder {
+		s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_older", 1)
+		return false
+	}
+	if !isFirst && before.Era != snapshot.Era {
+		s.mesh.logReadAgain(s.name, before, snapshot, from)
+	}
+	return true
+}
+
 // publishSnapshot publishes a snapshot to the zone and to starting VMs.
 func (s *RecordSet) publishSnapshot(snapshot platform.Snapshot) {
 	encoded, err := encodeSnapshot(snapshot)
@@ -161,13 +222,13 @@
 }
 
 // read returns a current snapshot. With RecordOptions.LongPoll it waits for changes and
-// applies them to the latest snapshot; when the store's history no longer reaches
-// back to that snapshot, it reads all rows.
+// applies them to the latest snapshot; when the store's history does not reach back to
+// that snapshot or the era has changed since, it reads all rows.
 func (s *RecordSet) read(ctx context.Context, latest *platform.Snapshot) (platform.Snapshot, error) {
-	if latest == nil || !s.options.LongPoll {
+	if latest == nil || !s.options.LongPoll || latest.Era != s.mesh.options.Eras.Latest() {
 		return s.records.Read(ctx)
 	}
-	changes, err := s.records.Wait(ctx, latest.Version, s.options.Interval)
+	changes, err := s.records.Wait(ctx, latest.Position, s.options.Interval)
 	if errors.Is(err, platform.ErrHistoryGone) {
 		return s.records.Read(ctx)
 	}
@@ -177,18 +238,27 @@
 	return latest.With(changes), nil
 }
 
-// mergePeerSnapshot accepts a peer's snapshot unless this VM has a newer one.
+// mergePeerSnapshot accepts a peer's snapshot unless this VM has a newer one or the
+// snapshot may be from before the store came back from an older copy.
 func (s *RecordSet) mergePeerSnapshot(snapshot platform.Snapshot) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.latest != nil && snapshot.Version < s.latest.Version {
+	era, isUsable := s.mesh.options.Eras.ResolvePeer(snapshot.Era)
+	snapshot.Era = era
+	if !isUsable {
+		s.mesh.options.Counters.Add(telemetry.GroupPeers, "snapshot_without_era", 1)
+		return
+	}
+	if !s.accept(snapshot, sourcePeer) {
 		return
 	}
-	s.updatedAt = time.Now()
-	s.peerSnapshot = &snapshot
-	s.latest = &snapshot
 	select {
 	case s.arrived <- struct{}{}:
 	default:
 	}
 }
+
+// newestPosition returns the position of the newest snapshot.
+func (s *RecordSet) newestPosition() platform.Position {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newest
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -30,7 +30,12 @@
 	begin func(run *Run, random *rand.Rand) (end func(), err error)
 }
 
-// faults are all kinds of faults. A run uses a random subset of them.
+// matches reports whether the fault's name contains a text.
+func (f fault) matches(text string) bool {
+	return strings.Contains(f.name, text)
+}
+
+// faults are all kinds of faults but restoreFault. A run uses a random subset of them.
 var faults = []fault{
 	{"vm killed", vmFault(func(v *VM) { v.Signal(syscall.SIGKILL) }, restart)},
 	{"vm paused", vmFault(func(v *VM) { v.Signal(syscall.SIGSTOP) }, func(v *VM) { v.Signal(syscall.SIGCONT) })},
@@ -86,6 +91,10 @@
 	{"configuration changes", func(run *Run, _ *rand.Rand) (func(), error) { return nil, run.configs.writeNext(run) }},
 }
 
+// restoreFault is added to the selected kinds of a run with Options.StoreRestores. It is not
+// one of faults, so that seeds select the same kinds as before it existed.
+var restoreFault = fault{"store comes back from a copy", storeRestore}
+
 // restart starts the process of a VM again.
 func restart(v *VM) {
 	// Start fails only if the machine is out of resources; requests to this VM
@@ -155,6 +164,25 @@
 	}
 }
 
+// awayTime is how long the store is away before it comes back from a copy.
+const awayTime = 300 * time.Millisecond
+
+// storeRestore copies the store. Its end makes the store unavailable for awayTime and lets
+// it come back from the copy; the operators then write their configuration again.
+func storeRestore(run *Run, _ *rand.Rand) (func(), error) {
+	run.recordFaultOnAll()
+	old := run.store.Copy()
+	return func() {
+		run.store.SetFaults(storetest.Faults{Reset: true})
+		time.Sleep(awayTime)
+		run.store.Restore(old)
+		run.store.SetFaults(storetest.Faults{})
+		run.recordErr(run.configs.writeAgain(run))
+		time.AfterFunc(entryTTL, run.fleet.deleteStopped)
+		run.recordFaultOnAll()
+	}, nil
+}
+
 func (run *Run) recordFaultOnAll() {
 	for _, v := range run.vms {
 		v.recordFault()
@@ -170,7 +198,7 @@
 func pickKinds(random *rand.Rand, only string) []fault {
 	kinds := slices.Clone(faults)
 	if only != "" {
-		return slices.DeleteFunc(kinds, func(f fault) bool { return !strings.Contains(f.name, only) })
+		return slices.DeleteFunc(kinds, func(f fault) bool { return !f.matches(only) })
 	}
 	random.Shuffle(len(kinds), func(i, j int) { kinds[i], kinds[j] = kinds[j], kinds[i] })
 	return kinds[:minKinds+random.IntN(len(kinds)-minKinds+1)]
