Don't count a waiting call among the others that wait

Cause: a call that waits was in the list of waiting calls when it asked whether others wait. Once its objective was lost it left the free upstreams to itself and was refused. Change: the call that asks is not counted.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -126,22 +126,21 @@
 	maxWait := time.Duration(maxWaitShare * float64(r.Objective.Sub(arrived)))
 	wait := &waiter{dispatcher: d, priority: r.Priority}
 	defer wait.leave()
-	ignoreObjective := false
 	for {
-		d.probeUpstreams(r, ignoreObjective)
-		grant, verdict, err := d.place(r, ignoreObjective)
+		d.probeUpstreams(r, wait)
+		grant, verdict, err := d.place(r, wait)
 		switch {
 		case err != nil:
 			return Grant{}, d.refusal(r, outcome.RetryBudget, arrived)
 		case verdict == loadbalancer.Send:
 			grant.Waited = time.Since(arrived)
 			return grant, nil
-		case ignoreObjective && !r.Extra:
+		case wait.ignoreObjective && !r.Extra:
 			return Grant{}, d.refusal(r, outcome.QueueFull, arrived)
 		case verdict == loadbalancer.Refuse || r.Extra:
 			return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
 		case !wait.enqueue(maxWait - time.Since(arrived)):
-			ignoreObjective = true
+			wait.ignoreObjective = true
 			wait.leave()
 			continue
 		}
@@ -151,16 +150,16 @@
 	}
 }
 
-// place starts a send if an upstream is expected to respond in time. With
-// ignoreObjective only the deadline counts.
-func (d *Dispatcher) place(r Request, ignoreObjective bool) (Grant, loadbalancer.Verdict, error) {
+// place starts a send if an upstream is expected to respond in time, or in time for the
+// deadline once the call ignores its objective.
+func (d *Dispatcher) place(r Request, wait *waiter) (Grant, loadbalancer.Verdict, error) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r.Hedge && len(d.waiters) > 0 {
 		return Grant{}, loadbalancer.Refuse, nil
 	}
-	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, ignoreObjective))
+	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, wait))
 	if verdict == loadbalancer.Send && d.isMoreUrgentWaitingLocked(r.Priority) {
 		verdict = loadbalancer.Wait
 	}
@@ -240,13 +239,13 @@
 	return loadbalancer.Request{Zone: r.Zone, Exclude: r.Tried, NoTrial: r.NoTrial, Bulk: r.Bulk, Bytes: r.Bytes, AnyZone: true}
 }
 
-// timeLeftLocked returns how much time the call has. With ignoreObjective the
-// objective counts as missed.
-func (d *Dispatcher) timeLeftLocked(r Request, now time.Time, ignoreObjective bool) loadbalancer.TimeLeft {
+// timeLeftLocked returns how much time the call has. If it ignores its objective,
+// the objective counts as missed.
+func (d *Dispatcher) timeLeftLocked(r Request, now time.Time, wait *waiter) loadbalancer.TimeLeft {
 	left := loadbalancer.TimeLeft{
-		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now), OthersWait: len(d.waiters) > 0,
+		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now), OthersWait: d.othersWaitLocked(wait),
 	}
-	if ignoreObjective {
+	if wait.ignoreObjective {
 		left.Objective = -1
 	}
 	return left
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -43,9 +43,9 @@
 
 // probeUpstreams probes the most promising upstreams until the load of the one
 // that would be chosen is fresh, or the rounds are used up.
-func (d *Dispatcher) probeUpstreams(r Request, ignoreObjective bool) {
+func (d *Dispatcher) probeUpstreams(r Request, wait *waiter) {
 	for range maxProbeRounds {
-		if d.hasFreshChoice(r, ignoreObjective) || !d.probeRound(r) {
+		if d.hasFreshChoice(r, wait) || !d.probeRound(r) {
 			return
 		}
 	}
@@ -54,14 +54,14 @@
 // hasFreshChoice reports whether the request could be sent now and the load of
 // the upstream that would be chosen is fresh. Probes of upstreams that don't
 // report their load are of no use either.
-func (d *Dispatcher) hasFreshChoice(r Request, ignoreObjective bool) bool {
+func (d *Dispatcher) hasFreshChoice(r Request, wait *waiter) bool {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if !d.balancer.ReportsLoad() {
 		return true
 	}
-	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, ignoreObjective))
+	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, wait))
 	return verdict == loadbalancer.Send && d.balancer.IsFresh(now, choice, d.maxLoadAgeLocked(now))
 }
 
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -18,6 +18,9 @@
 	// the backlog.
 	isReplaced bool
 	wake       chan struct{}
+	// ignoreObjective means that the call may not wait any longer, so that only
+	// its deadline counts.
+	ignoreObjective bool
 }
 
 // enqueue adds the call to the backlog unless it already waits; maxWait is how
@@ -65,6 +68,15 @@
 	return d.backlog.Admit(now, maxWait)
 }
 
+// othersWaitLocked reports whether calls other than the one of w wait.
+func (d *Dispatcher) othersWaitLocked(w *waiter) bool {
+	others := len(d.waiters)
+	if w.isWaiting && !w.isReplaced {
+		others--
+	}
+	return others > 0
+}
+
 // isMoreUrgentWaitingLocked reports whether a call more urgent than the given
 // priority waits.
 func (d *Dispatcher) isMoreUrgentWaitingLocked(priority int) bool {
