Begin the base latency at the fastest of the first responses

Cause: the base latency was the median of the first five responses. Those of a service that starts cold, or falls into slow phases, are mostly slow: the estimate was several times the usual latency with the same weight as one from 63 responses. Change: the base latency is a quantile of the samples that rises with their number, from the fastest of five to the median of 63. The latency by load is still learned relative to the median.

--- a/internal/loadbalancer/latencymodel.go
+++ b/internal/loadbalancer/latencymodel.go
@@ -16,8 +16,8 @@
 	// otherCallTime is the assumed extra time for each other call at the
 	// upstream, with or without a free slot, in units of the base latency.
 	otherCallTime = 0.2
-	// maxBaseSamples is the number of samples whose median is the base latency;
-	// minBaseSamples is the number needed for a first value.
+	// maxBaseSamples is the largest number of samples that are kept for the base
+	// latency; minBaseSamples is the number needed for a first value.
 	maxBaseSamples = 63
 	minBaseSamples = 5
 	// loadWeight is the weight of one response in the latency at a load.
@@ -33,10 +33,13 @@
 // base latency, which is that of an upstream without other calls at its usual
 // speed.
 type latencyModel struct {
-	// base is the base latency: the median of samples, or 0 before
-	// minBaseSamples. The median ignores responses of upstreams that became
-	// slow during the call.
+	// base is the base latency that decisions use, median the median of samples;
+	// both are 0 before minBaseSamples. The median ignores responses of upstreams
+	// that became slow during the call. The base latency begins at the fastest
+	// sample and approaches the median with the number of samples, because the
+	// first ones may all be slow.
 	base    time.Duration
+	median  time.Duration
 	samples []float64
 	// nextSample is the index at which the next sample is stored.
 	nextSample int
@@ -80,19 +83,19 @@
 	}
 	normalized := float64(latency) / slowness
 	m.observeBase(normalized / m.latencyAt(load))
-	if m.base == 0 {
+	if m.median == 0 {
 		return
 	}
 	index := min(int(load+0.5), modeledLoads-1)
 	if index == 0 {
 		return
 	}
-	excess := normalized/float64(m.base) - m.byLoad[index]
+	excess := normalized/float64(m.median) - m.byLoad[index]
 	m.byLoad[index] += loadWeight * min(max(excess, -maxLatencyError), maxLatencyError)
 	m.byLoad[index] = max(m.byLoad[index], m.byLoad[index-1])
 }
 
-// observeBase adds a sample of the base latency and updates the median.
+// observeBase adds a sample of the base latency and updates the estimates.
 func (m *latencyModel) observeBase(sample float64) {
 	if len(m.samples) < maxBaseSamples {
 		m.samples = append(m.samples, sample)
@@ -104,5 +107,6 @@
 		return
 	}
 	sorted := slices.Sorted(slices.Values(m.samples))
-	m.base = time.Duration(sorted[len(sorted)/2])
+	m.median = time.Duration(sorted[len(sorted)/2])
+	m.base = time.Duration(sorted[len(sorted)*len(sorted)/(2*maxBaseSamples)])
 }
--- a/internal/loadbalancer/place_test.go
+++ b/internal/loadbalancer/place_test.go
@@ -1,8 +1,6 @@
 package loadbalancer_test
 
 import (
-	"fmt"
-	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -23,20 +21,7 @@
 const baseLatency = 60 * time.Millisecond
 
 func newPlacementTest(count int) *placementTest {
-	p := &placementTest{
-		Balancer: loadbalancer.New(loadbalancer.Options{
-			VM: "vm", Zone: "a", WarmUp: 1500 * time.Millisecond, MinWarmUpShare: 0.5,
-		}, rand.New(rand.NewPCG(1, 2))),
-		now: time.Unix(1000, 0),
-	}
-	var upstreams []loadbalancer.Upstream
-	for i := range count {
-		upstreams = append(upstreams, loadbalancer.Upstream{
-			Name: fmt.Sprintf("u%d", i), Address: fmt.Sprintf("10.0.0.%d:1", i), Zone: string(rune('a' + i%2)), Slots: 2,
-		})
-	}
-	p.SetUpstreams(p.now, upstreams)
-	p.now = p.now.Add(time.Second)
+	p := newUntaughtTest(count)
 	for range 80 {
 		p.report("u0", 0, 1)
 		p.serve(baseLatency)
