Let no estimate withhold an idle upstream

Cause: a service's own estimates closed it. The base latency came from slow first responses; no upstream was expected to respond in time, so calls waited and were refused while all upstreams were free, and no response came that could have corrected it. Change: an upstream at which no call is known, and which did not just report that it is slow, gets the call if its deadline can be met by the fastest response seen, unless as many other calls wait as upstreams stand idle. Calls without hope leave slots to waiting calls only while there is an upstream that does not report itself as slow.

--- a/internal/dispatch/closed_test.go
+++ b/internal/dispatch/closed_test.go
@@ -8,6 +8,43 @@
 	. "github.com/onsi/gomega"
 )
 
+// archiveServers report no load, have six slots and start cold. A fifth of their
+// phases is slow.
+var archiveServers = serverModel{
+	slots: 6, fullFactor: 1.7, phaseLength: 400 * time.Millisecond, slowShare: 0.2, slowFactor: 5,
+	isSpeedKept: true, reportsNothing: true, coldFor: 6 * time.Second, coldFactor: 3,
+}
+
+// archiveLoad returns a load of two uploads a second.
+func archiveLoad(deadline time.Duration, seed uint64) load {
+	return load{
+		perSecond: 2, duration: 35 * time.Second, work: 260 * time.Millisecond,
+		objective: 800 * time.Millisecond, deadline: deadline, seed: seed,
+	}
+}
+
+// TestSlowFirstResponsesCloseNoService has the first responses of a service come from
+// cold and slow upstreams, almost all of which are free all the time.
+func TestSlowFirstResponsesCloseNoService(t *testing.T) {
+	t.Parallel()
+	for _, deadline := range []time.Duration{time.Second, 4 * time.Second} {
+		for seed := range uint64(12) {
+			synctest.Test(t, func(t *testing.T) {
+				g := NewWithT(t)
+				f := newFleet(archiveServers, 6, seed)
+				place, end := asCoordinator(f.dispatcher("vm", seed))
+				began := time.Now()
+				results := f.run(archiveLoad(deadline, seed), place)
+				end()
+				time.Sleep(time.Minute)
+				g.Expect(share(results, func(r result) bool { return r.isRefused })).To(BeZero(), "deadline %s, seed %d", deadline, seed)
+				hasWaited := func(r result) bool { return r.arrived.Sub(began) > 10*time.Second && r.placed > 0 }
+				g.Expect(share(results, hasWaited)).To(BeZero(), "deadline %s, seed %d", deadline, seed)
+			})
+		}
+	}
+}
+
 // TestLoneWaitingCallIsNotRefusedForItself has one call at a time at upstreams that
 // report that they are too slow for its objective.
 func TestLoneWaitingCallIsNotRefusedForItself(t *testing.T) {
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -243,7 +243,7 @@
 // the objective counts as missed.
 func (d *Dispatcher) timeLeftLocked(r Request, now time.Time, wait *waiter) loadbalancer.TimeLeft {
 	left := loadbalancer.TimeLeft{
-		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now), OthersWait: d.othersWaitLocked(wait),
+		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now), Waiting: d.othersWaitingLocked(wait),
 	}
 	if wait.ignoreObjective {
 		left.Objective = -1
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -36,6 +36,10 @@
 	isSpeedKept bool
 	// reportsNothing means that answers carry no load report.
 	reportsNothing bool
+	// coldFor is the time after the start of an upstream during which it is slower
+	// by coldFactor.
+	coldFor    time.Duration
+	coldFactor float64
 }
 
 // Models of the users' services.
@@ -121,6 +125,9 @@
 		}
 		s.slowdowns = append(s.slowdowns, slowdown)
 	}
+	if now.Sub(s.began) < s.model.coldFor {
+		return s.slowdowns[phase] * s.model.coldFactor
+	}
 	return s.slowdowns[phase]
 }
 
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -68,13 +68,12 @@
 	return d.backlog.Admit(now, maxWait)
 }
 
-// othersWaitLocked reports whether calls other than the one of w wait.
-func (d *Dispatcher) othersWaitLocked(w *waiter) bool {
-	others := len(d.waiters)
+// othersWaitingLocked returns the number of waiting calls other than the one of w.
+func (d *Dispatcher) othersWaitingLocked(w *waiter) int {
 	if w.isWaiting && !w.isReplaced {
-		others--
+		return len(d.waiters) - 1
 	}
-	return others > 0
+	return len(d.waiters)
 }
 
 // isMoreUrgentWaitingLocked reports whether a call more urgent than the given
--- a/internal/loadbalancer/entry.go
+++ b/internal/loadbalancer/entry.go
@@ -26,6 +26,8 @@
 	// first. It leaves out bulk sends, which bulk counts.
 	sendTimes []time.Duration
 	bulk      int
+	// idleSince is when the upstream last had a call that this VM knew of.
+	idleSince time.Duration
 
 	// othersLoad is the load caused by other VMs' calls at reportedAt, in
 	// calls.
@@ -70,7 +72,7 @@
 // newEntry returns the entry of a new upstream. It starts with a warm-up unless
 // isWarm is set.
 func newEntry(b *Balancer, at time.Duration, isWarm bool) *entry {
-	e := &entry{balancer: b, machine: upstreamChart.NewMachine()}
+	e := &entry{balancer: b, machine: upstreamChart.NewMachine(), idleSince: at}
 	e.startWarmUp(at)
 	if isWarm {
 		e.fire(eventWarmedUp, at)
@@ -92,8 +94,9 @@
 }
 
 // removeSend removes the send that started at the given time, or the closest
-// one.
-func (e *entry) removeSend(start time.Duration, isBulk bool) {
+// one. It ended at the time at.
+func (e *entry) removeSend(at, start time.Duration, isBulk bool) {
+	e.idleSince = at
 	if isBulk {
 		e.bulk = max(e.bulk-1, 0)
 		return
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -42,6 +42,9 @@
 func (e *entry) recordLoad(at time.Duration, load float64) {
 	e.othersLoad = max(load-float64(e.inFlight()), 0)
 	e.reportedAt = at
+	if e.othersLoad >= idleLoad {
+		e.idleSince = at
+	}
 }
 
 // estimatedLoad estimates the calls that run and wait at the upstream: those of
--- a/internal/loadbalancer/latencymodel.go
+++ b/internal/loadbalancer/latencymodel.go
@@ -95,6 +95,14 @@
 	m.byLoad[index] = max(m.byLoad[index], m.byLoad[index-1])
 }
 
+// fastest returns the base latency by the fastest of the samples; 0 before the first.
+func (m *latencyModel) fastest() time.Duration {
+	if len(m.samples) == 0 {
+		return 0
+	}
+	return time.Duration(slices.Min(m.samples))
+}
+
 // observeBase adds a sample of the base latency and updates the estimates.
 func (m *latencyModel) observeBase(sample float64) {
 	if len(m.samples) < maxBaseSamples {
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -11,9 +11,9 @@
 	Objective time.Duration
 	// Deadline is the time left until the response is worthless.
 	Deadline time.Duration
-	// OthersWait means that other calls wait for an upstream. A call that has
-	// lost its objective then leaves all slots to them.
-	OthersWait bool
+	// Waiting is the number of other calls that wait for an upstream. A call that
+	// has lost its objective leaves the slots to them.
+	Waiting int
 }
 
 // Basis holds the estimates behind the choice of an upstream.
@@ -84,44 +84,69 @@
 // for an upstream with a free slot that is expected to respond in time. A call
 // that can no longer meet its objective goes to the slowest free upstream that
 // still meets the deadline, which leaves the faster ones to calls that can be
-// in time. While such calls wait it is refused: it would occupy a slot of a slow
-// upstream for several times as long as theirs, also after the slow phase.
+// in time. While such calls wait for a fast upstream it is refused: it would
+// occupy a slot of a slow upstream for several times as long as theirs, also after
+// the slow phase. An upstream that stands idle and doesn't report that it is slow
+// gets the call even if no response in time is expected.
 func (b *Balancer) Place(now time.Time, request Request, left TimeLeft) (Choice, Verdict) {
 	at := b.since(now)
 	if at >= b.nextUnheardCheck {
 		b.suspectUnheard(at)
 	}
-	var timely, late *entry
-	var timelyCost, lateExpected float64
+	var p placement
 	for _, e := range b.subset {
-		if !b.isEligible(e, at, request) {
-			continue
-		}
-		cost := b.placementCost(e, at)
-		expected := cost * float64(b.latencyModel.base)
-		if expected > deadlineShare*float64(left.Deadline) {
-			continue
-		}
-		if latencyMargin*expected <= float64(left.Objective) {
-			cost += penaltyCost*e.currentPenalty(at) + b.placementZoneCost(e, request) + tieBreakNoise*b.random.Float64()
-			if timely == nil || cost < timelyCost {
-				timely, timelyCost = e, cost
-			}
-		}
-		if !left.OthersWait && (late == nil || expected > lateExpected) {
-			late, lateExpected = e, expected
+		p.isAnyFast = p.isAnyFast || e.phase != phaseSuspect && !e.isReportedSlow(at)
+		if b.isEligible(e, at, request) {
+			b.consider(&p, e, at, request, left)
 		}
 	}
 	isObjectiveLost := float64(left.Objective) < minResponseShare*float64(b.latencyModel.base)
+	mayBeSlow := isObjectiveLost && (left.Waiting == 0 || !p.isAnyFast)
+	chosen := p.timely
+	if chosen == nil && mayBeSlow {
+		chosen = p.late
+	}
+	if chosen == nil {
+		chosen = p.idle.choose(left.Waiting, mayBeSlow)
+	}
 	switch {
-	case timely != nil:
-		return b.choiceWithBasis(timely, at, request), Send
-	case !isObjectiveLost:
-		return Choice{}, Wait
-	case late != nil:
-		return b.choiceWithBasis(late, at, request), Send
-	default:
+	case chosen != nil:
+		return b.choiceWithBasis(chosen, at, request), Send
+	case isObjectiveLost:
 		return Choice{}, Refuse
+	default:
+		return Choice{}, Wait
+	}
+}
+
+// placement collects the upstreams that come into question for a call.
+type placement struct {
+	// timely is the one of lowest cost that is expected to respond within the
+	// objective, late the slowest one that is expected to meet the deadline.
+	timely, late             *entry
+	timelyCost, lateExpected float64
+	idle                     idleChoice
+	// isAnyFast means that an upstream, free or not, does not report that it is
+	// slow, so that waiting calls may still be answered in time.
+	isAnyFast bool
+}
+
+// consider adds an eligible upstream to a placement.
+func (b *Balancer) consider(p *placement, e *entry, at time.Duration, request Request, left TimeLeft) {
+	cost := b.placementCost(e, at)
+	p.idle.add(b, e, at, left, cost+b.placementZoneCost(e, request))
+	expected := cost * float64(b.latencyModel.base)
+	if expected > deadlineShare*float64(left.Deadline) {
+		return
+	}
+	if latencyMargin*expected <= float64(left.Objective) {
+		cost += penaltyCost*e.currentPenalty(at) + b.placementZoneCost(e, request) + tieBreakNoise*b.random.Float64()
+		if p.timely == nil || cost < p.timelyCost {
+			p.timely, p.timelyCost = e, cost
+		}
+	}
+	if p.late == nil || expected > p.lateExpected {
+		p.late, p.lateExpected = e, expected
 	}
 }
 
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -18,7 +18,7 @@
 		return
 	}
 	at := b.since(now)
-	e.removeSend(at-result.Latency, choice.Bulk)
+	e.removeSend(at, at-result.Latency, choice.Bulk)
 	b.meanResponseBytes += responseBytesWeight * (float64(result.Bytes) - b.meanResponseBytes)
 	if !result.Failed && !result.Shed {
 		b.countReport(result.HasReport)
@@ -60,7 +60,7 @@
 		return
 	}
 	at := b.since(now)
-	e.removeSend(at-elapsed, choice.Bulk)
+	e.removeSend(at, at-elapsed, choice.Bulk)
 	if !choice.Bulk {
 		b.recordCancelled(e, at, elapsed)
 	}
