Forget the load and the slowness of upstreams that no longer report

Cause: the mean load caused by other VMs and the mean slowness are learned from reports alone. Once the upstreams of a service report nothing any more, both keep their last value, and upstreams that were full or slow then count as full or slow for good. Change: when no upstream has reported for two seconds, only the VM's own calls count as load and the slowness is 1. Test: TestLoadOfServiceThatStoppedReportingIsForgotten fails without either half.

--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -110,6 +110,9 @@
 	// meanSlowness is the mean of the reported slowness; 0 before the first
 	// report.
 	meanSlowness float64
+	// reportedAt and slownessAt are when any upstream last reported its load and its
+	// slowness.
+	reportedAt, slownessAt time.Duration
 	// answersWithoutReport is the number of answers since the last load report.
 	answersWithoutReport int
 	// meanResponseBytes is the mean length of a response body.
--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -12,7 +12,7 @@
 	if !result.Shed && !result.Failed {
 		load--
 	}
-	e.recordLoad(at, load)
+	b.recordLoad(e, at, load)
 	b.recordSlowness(e, at, result.Report.Slowness)
 	b.meanOthersLoad += othersLoadWeight * (e.othersLoad - b.meanOthersLoad)
 }
@@ -39,7 +39,8 @@
 
 // recordLoad records a reported load. It subtracts the VM's own calls, whose
 // number the VM always knows exactly.
-func (e *entry) recordLoad(at time.Duration, load float64) {
+func (b *Balancer) recordLoad(e *entry, at time.Duration, load float64) {
+	b.reportedAt = at
 	e.othersLoad = max(load-float64(e.inFlight()), 0)
 	e.reportedAt = at
 	if e.othersLoad >= idleLoad {
@@ -54,8 +55,12 @@
 	return b.callLoad(e, at) + e.currentPenalty(at)
 }
 
-// callLoad is the part of estimatedLoad that calls cause.
+// callLoad is the part of estimatedLoad that calls cause. When no upstream has
+// reported for maxReportLife, the VM's own calls are all that is known.
 func (b *Balancer) callLoad(e *entry, at time.Duration) float64 {
+	if at-b.reportedAt >= maxReportLife {
+		return float64(e.inFlight())
+	}
 	mean := othersLoadCorrection * b.meanOthersLoad
 	others := mean + reportWeight(at-e.reportedAt)*(e.othersLoad-mean)
 	return others + float64(e.inFlight())
@@ -73,12 +78,14 @@
 	b.meanSlowness += meanSlownessWeight * (slowness - b.meanSlowness)
 	e.reportedSlowness = slowness
 	e.slownessAt = at
+	b.slownessAt = at
 }
 
 // expectedSlowness estimates the present slowness of the upstream. The weight
-// of its last report falls with age in favor of the mean over all upstreams.
+// of its last report falls with age in favor of the mean over all upstreams, which
+// is forgotten when none has reported any for maxReportLife.
 func (b *Balancer) expectedSlowness(e *entry, at time.Duration) float64 {
-	if b.meanSlowness == 0 {
+	if b.meanSlowness == 0 || at-b.slownessAt >= maxReportLife {
 		return 1
 	}
 	if e.reportedSlowness == 0 {
--- a/internal/loadbalancer/idle_test.go
+++ b/internal/loadbalancer/idle_test.go
@@ -8,6 +8,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/loadbalancer"
 )
 
@@ -44,3 +45,25 @@
 	g.Expect(verdict).To(Equal(loadbalancer.Send))
 	g.Expect(p.BaseLatency()).To(BeNumerically("~", baseLatency, baseLatency/20))
 }
+
+// TestLoadOfServiceThatStoppedReportingIsForgotten has upstreams that report that they
+// are full and slow, and then nothing any more.
+func TestLoadOfServiceThatStoppedReportingIsForgotten(t *testing.T) {
+	g := NewWithT(t)
+	p := newPlacementTest(2)
+	for range 400 {
+		for _, name := range []string{"u0", "u1"} {
+			p.report(name, 3, 5)
+			choice, _ := p.Pick(p.now, loadbalancer.Request{})
+			p.Sent(p.now, choice)
+			p.Done(p.now, choice, loadbalancer.Result{HasReport: true, Report: callheader.Report{Running: 4, Slowness: 5}})
+		}
+	}
+	p.now = p.now.Add(5 * time.Second)
+	for range 4 {
+		choice, verdict := p.place("a", 200*time.Millisecond)
+		g.Expect(verdict).To(Equal(loadbalancer.Send), "there are two slots at each upstream")
+		g.Expect(choice.Basis.Expected).To(BeNumerically("<", 2*baseLatency))
+		p.Sent(p.now, choice)
+	}
+}
--- a/internal/loadbalancer/options.go
+++ b/internal/loadbalancer/options.go
@@ -66,6 +66,9 @@
 	// slownessDecay is the age at which the weight of a reported slowness has
 	// fallen to 1/e.
 	slownessDecay = 300 * time.Millisecond
+	// maxReportLife is the time after which the reported load and slowness are
+	// forgotten if no upstream has reported since.
+	maxReportLife = 2 * time.Second
 	// meanLatencyWeight is the weight of one response in the mean latency.
 	meanLatencyWeight = 0.01
 )
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -78,7 +78,7 @@
 		b.countReport(result.HasReport)
 	}
 	if result.HasReport {
-		e.recordLoad(at, float64(result.Report.Running+result.Report.Queued))
+		b.recordLoad(e, at, float64(result.Report.Running+result.Report.Queued))
 		b.recordSlowness(e, at, result.Report.Slowness)
 	}
 	wasOut := e.isOutOfUse()
