Give a booking to a suspect when there is no other upstream and its trial is long due

Cause: a call that must not be sent twice is no trial call, unless the suspect just reported its load. At a service that reports nothing and gets only such calls, and on a VM that sends no periodic probes, nothing ended a suspicion: once all upstreams were suspects, all calls were refused for good. Test: TestSuspectsRecoverWithBookingsOnlyWithoutReports, for slow and for failing suspects; without the change no call was sent 12 s after the last one.

--- a/internal/loadbalancer/idle_test.go
+++ b/internal/loadbalancer/idle_test.go
@@ -67,3 +67,36 @@
 		p.Sent(p.now, choice)
 	}
 }
+
+// TestSuspectsRecoverWithBookingsOnlyWithoutReports has a service that gets only calls
+// that must not be sent twice and reports no load: a call has to end the suspicion.
+func TestSuspectsRecoverWithBookingsOnlyWithoutReports(t *testing.T) {
+	for name, result := range map[string]loadbalancer.Result{
+		"slow":    {Latency: 10 * baseLatency},
+		"failing": {Latency: baseLatency, Failed: true},
+	} {
+		g := NewWithT(t)
+		p := newPlacementTest(2)
+		place := func() (loadbalancer.Choice, loadbalancer.Verdict) {
+			return p.Place(p.now, loadbalancer.Request{Zone: "a", NoTrial: true},
+				loadbalancer.TimeLeft{Objective: 10 * time.Second, Deadline: 20 * time.Second})
+		}
+		for range 20 {
+			if choice, verdict := place(); verdict == loadbalancer.Send {
+				p.Sent(p.now, choice)
+				p.now = p.now.Add(result.Latency)
+				p.Done(p.now, choice, result)
+			}
+		}
+		_, verdict := place()
+		g.Expect(verdict).To(Equal(loadbalancer.Wait), "both upstreams are %s suspects", name)
+		p.now = p.now.Add(12 * time.Second)
+		choice, verdict := place()
+		g.Expect(verdict).To(Equal(loadbalancer.Send), name)
+		p.Sent(p.now, choice)
+		p.now = p.now.Add(baseLatency)
+		p.Done(p.now, choice, loadbalancer.Result{Latency: baseLatency})
+		_, verdict = place()
+		g.Expect(verdict).To(Equal(loadbalancer.Send), "the response cleared the %s suspect", name)
+	}
+}
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -98,6 +98,8 @@
 		p.isAnyFast = p.isAnyFast || e.phase != phaseSuspect && !e.isReportedSlow(at)
 		if b.isEligible(e, at, request) {
 			b.consider(&p, e, at, request, left)
+		} else if b.isLastResort(e, at, request) {
+			p.lastResort = e
 		}
 	}
 	isObjectiveLost := float64(left.Objective) < minResponseShare*float64(b.latencyModel.base)
@@ -109,6 +111,9 @@
 	if chosen == nil {
 		chosen = p.idle.choose(left.Waiting, mayBeSlow)
 	}
+	if chosen == nil {
+		chosen = p.lastResort
+	}
 	switch {
 	case chosen != nil:
 		return b.choiceWithBasis(chosen, at, request), Send
@@ -126,6 +131,8 @@
 	timely, late             *entry
 	timelyCost, lateExpected float64
 	idle                     idleChoice
+	// lastResort is a suspect that gets the call when there is no other.
+	lastResort *entry
 	// isAnyFast means that an upstream, free or not, does not report that it is
 	// slow, so that waiting calls may still be answered in time.
 	isAnyFast bool
@@ -209,6 +216,14 @@
 	return e.isTrialDue(at) && (!request.NoTrial || e.isFresh(at, maxReportAge))
 }
 
+// isLastResort reports whether a call that must not be sent twice may go to a suspect
+// for lack of other upstreams: the trial is long due, and neither another call nor a
+// probe has ended the suspicion.
+func (b *Balancer) isLastResort(e *entry, at time.Duration, request Request) bool {
+	return e.phase == phaseSuspect && e.isTrialDue(at-maxTrialDelay) && !slices.Contains(request.Exclude, e.upstream.Name) &&
+		b.placementLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
+}
+
 // placementCost returns the expected latency, in units of the base latency.
 func (b *Balancer) placementCost(e *entry, at time.Duration) float64 {
 	cost := b.latencyModel.latencyAt(b.placementLoad(e, at)) * b.expectedSlowness(e, at)
