Don't let two waiting calls keep each other from an idle upstream

Cause: a call left an idle upstream to the others that wait even if it had not lost its objective. With one idle upstream and two waiting calls each left it to the other. Change: only a call that has lost its objective leaves idle upstreams to others. Test: TestNoEstimateWithholdsAnEmptyUpstream now also requires that no call waits while an upstream stands empty; without the change it fails.

--- a/internal/loadbalancer/idle.go
+++ b/internal/loadbalancer/idle.go
@@ -23,8 +23,8 @@
 type idleChoice struct {
 	// count is the number of idle upstreams that don't report that they are slow.
 	count int
-	// best is the one of them that has the lowest cost. It gets the call unless
-	// others need it.
+	// best is the one of them that has the lowest cost. It gets the call, unless the
+	// call has lost its objective and others need the upstream.
 	best     *entry
 	bestCost float64
 	// slow is the one of lowest cost that reports that it is slow, if it may still
@@ -62,9 +62,9 @@
 
 // choose returns the upstream for the call, or nil. mayBeSlow allows one that reports
 // that it is slow.
-func (c *idleChoice) choose(waiting int, mayBeSlow bool) *entry {
+func (c *idleChoice) choose(isObjectiveLost bool, waiting int, mayBeSlow bool) *entry {
 	switch {
-	case c.best != nil && c.count > waiting:
+	case c.best != nil && (!isObjectiveLost || c.count > waiting):
 		return c.best
 	case c.overdue != nil:
 		return c.overdue
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -109,7 +109,7 @@
 		chosen = p.late
 	}
 	if chosen == nil {
-		chosen = p.idle.choose(left.Waiting, mayBeSlow)
+		chosen = p.idle.choose(isObjectiveLost, left.Waiting, mayBeSlow)
 	}
 	if chosen == nil {
 		chosen = p.lastResort
--- a/internal/loadbalancer/property_test.go
+++ b/internal/loadbalancer/property_test.go
@@ -144,11 +144,11 @@
 		h.sends = append(h.sends, historySend{choice: choice, at: h.now})
 		return
 	}
-	h.checkEmpty(left)
+	h.checkEmpty(left, verdict)
 }
 
 // checkEmpty checks that no upstream stands empty that the call should have got.
-func (h *history) checkEmpty(left loadbalancer.TimeLeft) {
+func (h *history) checkEmpty(left loadbalancer.TimeLeft, verdict loadbalancer.Verdict) {
 	empty := 0
 	for _, u := range h.upstreams {
 		if !h.isEmpty(u.Name) {
@@ -166,6 +166,9 @@
 			empty++
 		}
 	}
+	if empty > 0 && verdict == loadbalancer.Wait {
+		h.t.Fatalf("%d upstreams are empty, and the call waits", empty)
+	}
 	if empty > left.Waiting {
 		h.t.Fatalf("%d upstreams are empty, %d other calls wait", empty, left.Waiting)
 	}
