Count and log a service that refuses all calls while upstreams are free

Cause: that a service had closed itself showed only in the lines of its refused calls, and neither the age of the estimate nor the number of its samples was told. Change: the counter dispatch.closed and a log line for each second in which all calls of a service were refused although upstreams were free. Test: TestServiceThatRefusesAllCallsIsReported; it was written with the counter, which did not exist before.

--- a/internal/dispatch/closed_test.go
+++ b/internal/dispatch/closed_test.go
@@ -1,11 +1,16 @@
 package dispatch_test
 
 import (
+	"bytes"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/dispatch"
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 // archiveServers report no load, have six slots and start cold. A fifth of their
@@ -62,3 +67,32 @@
 		NewWithT(t).Expect(share(results, func(r result) bool { return r.isRefused })).To(BeZero())
 	})
 }
+
+// TestServiceThatRefusesAllCallsIsReported has calls whose deadline is below the fastest
+// response of the free upstreams.
+func TestServiceThatRefusesAllCallsIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		model := archiveServers
+		model.coldFor, model.slowShare = 0, 0
+		f := newFleet(model, 6, 1)
+		counters := telemetry.NewCounters()
+		var lines bytes.Buffer
+		d := f.dispatcherWith("vm", 1, func(o *dispatch.Options) {
+			o.Service, o.Counters = "archive", counters
+			o.Log = hclog.New(&hclog.LoggerOptions{Output: &lines, JSONFormat: true})
+		})
+		place, end := asCoordinator(d)
+		f.run(archiveLoad(4*time.Second, 1), place)
+		g.Expect(counters.Get(telemetry.GroupDispatch, "closed")).To(BeZero())
+		hopeless := archiveLoad(100*time.Millisecond, 2)
+		hopeless.perSecond = 20
+		f.run(hopeless, place)
+		end()
+		time.Sleep(time.Minute)
+		g.Expect(counters.Get(telemetry.GroupDispatch, "closed")).To(BeNumerically(">=", 1))
+		for _, field := range []string{`"service":"archive"`, `"free":6`, `"unit_ms":`, `"unit_age_ms":`, `"unit_samples":63`} {
+			g.Expect(lines.String()).To(ContainSubstring(field))
+		}
+	})
+}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/loadbalancer"
@@ -22,6 +23,8 @@
 
 // Options configure a Dispatcher.
 type Options struct {
+	// Service is the name of the service in log lines.
+	Service string
 	// VM and Zone are the name and the availability zone of this VM.
 	VM    string
 	Zone  string
@@ -33,7 +36,9 @@
 	// Its Share also limits those that it places locally.
 	RetryLimits retry.Limits
 	Counters    *telemetry.Counters
-	Random      *rand.Rand
+	// Log may be nil.
+	Log    hclog.Logger
+	Random *rand.Rand
 }
 
 // Slow start of an upstream that recovers from failures. A new upstream reports
@@ -77,10 +82,14 @@
 	inFlight int
 	// lastRemoteCall is when the last call of another VM arrived.
 	lastRemoteCall time.Time
+	closed         closedWatch
 }
 
 // NewDispatcher returns a Dispatcher without upstreams.
 func NewDispatcher(options Options) *Dispatcher {
+	if options.Log == nil {
+		options.Log = hclog.NewNullLogger()
+	}
 	return &Dispatcher{
 		options: options,
 		balancer: loadbalancer.New(loadbalancer.Options{
@@ -170,6 +179,7 @@
 		return Grant{}, verdict, errBudgetSpent
 	}
 	d.backlog.Sent(now)
+	d.closed.sent()
 	d.balancer.Sent(now, choice)
 	d.inFlight++
 	return Grant{
@@ -203,7 +213,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return Refusal{
+	refusal := Refusal{
 		Reason:   reason,
 		PlacedBy: d.options.VM,
 		Basis: RefusalBasis{
@@ -215,6 +225,10 @@
 			Waited:         now.Sub(arrived),
 		},
 	}
+	if !r.Extra {
+		d.watchRefusalLocked(now, refusal)
+	}
+	return refusal
 }
 
 // recordEnd records how a send ended and wakes a waiting call.
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -236,10 +236,17 @@
 
 // dispatcher returns a Dispatcher for the fleet.
 func (f *fleet) dispatcher(vm string, seed uint64) *dispatch.Dispatcher {
-	d := dispatch.NewDispatcher(dispatch.Options{
+	return f.dispatcherWith(vm, seed, func(*dispatch.Options) {})
+}
+
+// dispatcherWith returns a Dispatcher whose options are changed by configure.
+func (f *fleet) dispatcherWith(vm string, seed uint64, configure func(*dispatch.Options)) *dispatch.Dispatcher {
+	options := dispatch.Options{
 		VM: vm, Zone: "a", Probe: f.probe, ProbesPerUpstream: probesPerSecond, RetryLimits: retry.Limits{Share: 0.1},
 		Counters: telemetry.NewCounters(), Random: rand.New(rand.NewPCG(seed, 7)),
-	})
+	}
+	configure(&options)
+	d := dispatch.NewDispatcher(options)
 	d.SetUpstreams(f.list)
 	d.SetLiveVMs(18)
 	return d
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -78,6 +78,7 @@
 	s := newService(siteTeam, name, g.options)
 	s.idleTimeout = siteIdleConnTimeout
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
+		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
 		ProbesPerUpstream: g.options.ProbesPerUpstream, RetryLimits: g.options.RetryLimits, Counters: g.options.Counters,
 		Random: rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
--- a/internal/loadbalancer/latencymodel.go
+++ b/internal/loadbalancer/latencymodel.go
@@ -41,6 +41,8 @@
 	base    time.Duration
 	median  time.Duration
 	samples []float64
+	// sampledAt is when the last sample was taken.
+	sampledAt time.Duration
 	// nextSample is the index at which the next sample is stored.
 	nextSample int
 	// byLoad is the latency by load, in units of the base latency. Its assumed
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -255,14 +255,29 @@
 
 // recordPlacedLatency records the latency of a response from an upstream that
 // Place chose.
-func (b *Balancer) recordPlacedLatency(choice Choice, latency time.Duration) {
+func (b *Balancer) recordPlacedLatency(at time.Duration, choice Choice, latency time.Duration) {
 	if choice.isLoadKnown {
+		b.latencyModel.sampledAt = at
 		b.latencyModel.observe(choice.Basis.Load, choice.Basis.Slowness, latency)
 	}
 }
 
-// BaseLatency returns the median latency of an upstream without other calls at
-// its usual speed. It is 0 before the first responses.
+// BaseLatency returns the latency of an upstream without other calls at its usual
+// speed. It is 0 before the first responses.
 func (b *Balancer) BaseLatency() time.Duration {
 	return b.latencyModel.base
 }
+
+// BaseEstimate is the base latency and what it rests on.
+type BaseEstimate struct {
+	Latency time.Duration
+	// Age is the time since the last sample. Samples is the number of samples.
+	Age     time.Duration
+	Samples int
+}
+
+// BaseEstimate returns the base latency and what it rests on.
+func (b *Balancer) BaseEstimate(now time.Time) BaseEstimate {
+	m := &b.latencyModel
+	return BaseEstimate{Latency: m.base, Age: b.since(now) - m.sampledAt, Samples: len(m.samples)}
+}
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -44,11 +44,11 @@
 		e.recordFailure(at)
 	case choice.Bulk:
 		e.recordBulkResponse(at)
-		b.recordPlacedLatency(choice, result.Latency)
+		b.recordPlacedLatency(at, choice, result.Latency)
 	default:
 		e.failures = 0
 		b.recordLatency(e, at, choice, result.Latency)
-		b.recordPlacedLatency(choice, result.Latency)
+		b.recordPlacedLatency(at, choice, result.Latency)
 	}
 }
 
