Compare responses and hedges with the median, not with the lowest estimate

Responses are compared with the expected latency, so ordinary ones looked slow and made suspects, and hedges started late. Change: the expected latency of a choice rests on the median; only decisions that withhold a call use the lower base latency. Test: TestOneFastResponseMakesNoSuspects; before, the only upstream became a suspect.

--- a/internal/loadbalancer/idle_test.go
+++ b/internal/loadbalancer/idle_test.go
@@ -100,3 +100,22 @@
 		g.Expect(verdict).To(Equal(loadbalancer.Send), "the response cleared the %s suspect", name)
 	}
 }
+
+// TestOneFastResponseMakesNoSuspects has one short call among the first responses: the
+// others are not slow compared with it.
+func TestOneFastResponseMakesNoSuspects(t *testing.T) {
+	g := NewWithT(t)
+	p := newUntaughtTest(1)
+	for i := range 12 {
+		p.report("u0", 0, 1)
+		choice, verdict := p.place("a", 10*time.Second)
+		g.Expect(verdict).To(Equal(loadbalancer.Send), "call %d", i)
+		latency := baseLatency
+		if i == 1 {
+			latency = baseLatency / 5
+		}
+		p.Sent(p.now, choice)
+		p.now = p.now.Add(latency)
+		p.Done(p.now, choice, loadbalancer.Result{Latency: latency})
+	}
+}
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -24,7 +24,8 @@
 	Slowness float64
 	// Age is the age of the upstream's last load report; -1 if there was none.
 	Age time.Duration
-	// Expected is the expected latency; 0 while the base latency is not known.
+	// Expected is the expected latency, relative to the median and not to the lower base
+	// latency of few samples; 0 while neither is known.
 	Expected time.Duration
 }
 
@@ -243,7 +244,7 @@
 		Load:     b.placementLoad(e, at),
 		Slowness: b.expectedSlowness(e, at),
 		Age:      at - e.reportedAt,
-		Expected: time.Duration(b.placementCost(e, at) * float64(b.latencyModel.base)),
+		Expected: time.Duration(b.placementCost(e, at) * float64(b.latencyModel.median)),
 	}
 	if e.reportedAt == 0 {
 		choice.Basis.Age = -1
