--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/loadbalancer"
@@ -22,6 +23,8 @@
 
 // Options configure a Dispatcher.
 type Options struct {
+	// Service is the name of the service in log lines.
+	Service string
 	// VM and Zone are the name and the availability zone of this VM.
 	VM    string
 	Zone  string
@@ -33,7 +36,9 @@
 	// Its Share also limits those that it places locally.
 	RetryLimits retry.Limits
 	Counters    *telemetry.Counters
-	Random      *rand.Rand
+	// Log may be nil.
+	Log    hclog.Logger
+	Random *rand.Rand
 }
 
 // Slow start of an upstream that recovers from failures. A new upstream reports
@@ -77,10 +82,14 @@
 	inFlight int
 	// lastRemoteCall is when the last call of another VM arrived.
 	lastRemoteCall time.Time
+	closed         closedWatch
 }
 
 // NewDispatcher returns a Dispatcher without upstreams.
 func NewDispatcher(options Options) *Dispatcher {
+	if options.Log == nil {
+		options.Log = hclog.NewNullLogger()
+	}
 	return &Dispatcher{
 		options: options,
 		balancer: loadbalancer.New(loadbalancer.Options{
@@ -126,22 +135,21 @@
 	maxWait := time.Duration(maxWaitShare * float64(r.Objective.Sub(arrived)))
 	wait := &waiter{dispatcher: d, priority: r.Priority}
 	defer wait.leave()
-	ignoreObjective := false
 	for {
-		d.probeUpstreams(r, ignoreObjective)
-		grant, verdict, err := d.place(r, ignoreObjective)
+		d.probeUpstreams(r, wait)
+		grant, verdict, err := d.place(r, wait)
 		switch {
 		case err != nil:
 			return Grant{}, d.refusal(r, outcome.RetryBudget, arrived)
 		case verdict == loadbalancer.Send:
 			grant.Waited = time.Since(arrived)
 			return grant, nil
-		case ignoreObjective && !r.Extra:
+		case wait.ignoreObjective && !r.Extra:
 			return Grant{}, d.refusal(r, outcome.QueueFull, arrived)
 		case verdict == loadbalancer.Refuse || r.Extra:
 			return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
 		case !wait.enqueue(maxWait - time.Since(arrived)):
-			ignoreObjective = true
+			wait.ignoreObjective = true
 			wait.leave()
 			continue
 		}
@@ -151,16 +159,16 @@
 	}
 }
 
-// place starts a send if an upstream is expected to respond in time. With
-// ignoreObjective only the deadline counts.
-func (d *Dispatcher) place(r Request, ignoreObjective bool) (Grant, loadbalancer.Verdict, error) {
+// place starts a send if an upstream is expected to respond in time, or in time for the
+// deadline once the call ignores its objective.
+func (d *Dispatcher) place(r Request, wait *waiter) (Grant, loadbalancer.Verdict, error) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if r.Hedge && len(d.waiters) > 0 {
 		return Grant{}, loadbalancer.Refuse, nil
 	}
-	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, ignoreObjective))
+	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, wait))
 	if verdict == loadbalancer.Send && d.isMoreUrgentWaitingLocked(r.Priority) {
 		verdict = loadbalancer.Wait
 	}
@@ -171,6 +179,7 @@
 		return Grant{}, verdict, errBudgetSpent
 	}
 	d.backlog.Sent(now)
+	d.closed.sent()
 	d.balancer.Sent(now, choice)
 	d.inFlight++
 	return Grant{
@@ -204,7 +213,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return Refusal{
+	refusal := Refusal{
 		Reason:   reason,
 		PlacedBy: d.options.VM,
 		Basis: RefusalBasis{
@@ -216,6 +225,10 @@
 			Waited:         now.Sub(arrived),
 		},
 	}
+	if !r.Extra {
+		d.watchRefusalLocked(now, refusal)
+	}
+	return refusal
 }
 
 // recordEnd records how a send ended and wakes a waiting call.
@@ -240,13 +253,13 @@
 	return loadbalancer.Request{Zone: r.Zone, Exclude: r.Tried, NoTrial: r.NoTrial, Bulk: r.Bulk, Bytes: r.Bytes, AnyZone: true}
 }
 
-// timeLeftLocked returns how much time the call has. With ignoreObjective the
-// objective counts as missed.
-func (d *Dispatcher) timeLeftLocked(r Request, now time.Time, ignoreObjective bool) loadbalancer.TimeLeft {
+// timeLeftLocked returns how much time the call has. If it ignores its objective,
+// the objective counts as missed.
+func (d *Dispatcher) timeLeftLocked(r Request, now time.Time, wait *waiter) loadbalancer.TimeLeft {
 	left := loadbalancer.TimeLeft{
-		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now), OthersWait: len(d.waiters) > 0,
+		Objective: r.Objective.Sub(now), Deadline: r.Deadline.Sub(now), Waiting: d.othersWaitingLocked(wait),
 	}
-	if ignoreObjective {
+	if wait.ignoreObjective {
 		left.Objective = -1
 	}
 	return left
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -11,9 +11,9 @@
 	Objective time.Duration
 	// Deadline is the time left until the response is worthless.
 	Deadline time.Duration
-	// OthersWait means that other calls wait for an upstream. A call that has
-	// lost its objective then leaves all slots to them.
-	OthersWait bool
+	// Waiting is the number of other calls that wait for an upstream. A call that
+	// has lost its objective leaves the slots to them.
+	Waiting int
 }
 
 // Basis holds the estimates behind the choice of an upstream.
@@ -24,7 +24,8 @@
 	Slowness float64
 	// Age is the age of the upstream's last load report; -1 if there was none.
 	Age time.Duration
-	// Expected is the expected latency; 0 while the base latency is not known.
+	// Expected is the expected latency, relative to the median and not to the lower base
+	// latency of few samples; 0 while neither is known.
 	Expected time.Duration
 }
 
@@ -84,44 +85,76 @@
 // for an upstream with a free slot that is expected to respond in time. A call
 // that can no longer meet its objective goes to the slowest free upstream that
 // still meets the deadline, which leaves the faster ones to calls that can be
-// in time. While such calls wait it is refused: it would occupy a slot of a slow
-// upstream for several times as long as theirs, also after the slow phase.
+// in time. While such calls wait for a fast upstream it is refused: it would
+// occupy a slot of a slow upstream for several times as long as theirs, also after
+// the slow phase. An upstream that stands idle and doesn't report that it is slow
+// gets the call even if no response in time is expected.
 func (b *Balancer) Place(now time.Time, request Request, left TimeLeft) (Choice, Verdict) {
 	at := b.since(now)
 	if at >= b.nextUnheardCheck {
 		b.suspectUnheard(at)
 	}
-	var timely, late *entry
-	var timelyCost, lateExpected float64
+	var p placement
 	for _, e := range b.subset {
-		if !b.isEligible(e, at, request) {
-			continue
-		}
-		cost := b.placementCost(e, at)
-		expected := cost * float64(b.latencyModel.base)
-		if expected > deadlineShare*float64(left.Deadline) {
-			continue
-		}
-		if latencyMargin*expected <= float64(left.Objective) {
-			cost += penaltyCost*e.currentPenalty(at) + b.placementZoneCost(e, request) + tieBreakNoise*b.random.Float64()
-			if timely == nil || cost < timelyCost {
-				timely, timelyCost = e, cost
-			}
-		}
-		if !left.OthersWait && (late == nil || expected > lateExpected) {
-			late, lateExpected = e, expected
+		p.isAnyFast = p.isAnyFast || e.phase != phaseSuspect && !e.isReportedSlow(at)
+		if b.isEligible(e, at, request) {
+			b.consider(&p, e, at, request, left)
+		} else if b.isLastResort(e, at, request) {
+			p.lastResort = e
 		}
 	}
 	isObjectiveLost := float64(left.Objective) < minResponseShare*float64(b.latencyModel.base)
+	mayBeSlow := isObjectiveLost && (left.Waiting == 0 || !p.isAnyFast)
+	chosen := p.timely
+	if chosen == nil && mayBeSlow {
+		chosen = p.late
+	}
+	if chosen == nil {
+		chosen = p.idle.choose(isObjectiveLost, left.Waiting, mayBeSlow)
+	}
+	if chosen == nil {
+		chosen = p.lastResort
+	}
 	switch {
-	case timely != nil:
-		return b.choiceWithBasis(timely, at, request), Send
-	case !isObjectiveLost:
-		return Choice{}, Wait
-	case late != nil:
-		return b.choiceWithBasis(late, at, request), Send
-	default:
+	case chosen != nil:
+		return b.choiceWithBasis(chosen, at, request), Send
+	case isObjectiveLost:
 		return Choice{}, Refuse
+	default:
+		return Choice{}, Wait
+	}
+}
+
+// placement collects the upstreams that come into question for a call.
+type placement struct {
+	// timely is the one of lowest cost that is expected to respond within the
+	// objective, late the slowest one that is expected to meet the deadline.
+	timely, late             *entry
+	timelyCost, lateExpected float64
+	idle                     idleChoice
+	// lastResort is a suspect that gets the call when there is no other.
+	lastResort *entry
+	// isAnyFast means that an upstream, free or not, does not report that it is
+	// slow, so that waiting calls may still be answered in time.
+	isAnyFast bool
+}
+
+// consider adds an eligible upstream to a placement.
+func (b *Balancer) consider(p *placement, e *entry, at time.Duration, request Request, left TimeLeft) {
+	cost := b.placementCost(e, at)
+	p.idle.add(b, e, at, left, cost+b.placementZoneCost(e, request))
+	expected := cost * float64(b.latencyModel.base)
+	if expected > deadlineShare*float64(left.Deadline) {
+		return
+	}
+	if latencyMargin*expected <= float64(left.Objective) {
+		cost += penaltyCost*e.currentPenalty(at) + b.placementZoneCost(e, request) + tieBreakNoise*b.random.Float64()
+		if p.timely == nil || cost < p.timelyCost {
+			p.timely, p.timelyCost = e, cost
+		}
+	}
+	if p.late == nil || expected > p.lateExpected {
+		p.late, p.lateExpected = e, expected
 	}
 }
 
@@ -174,7 +207,7 @@
 	if e.phase == phaseSuspect && !e.isTrialAllowed(at, request) {
 		return false
 	}
-	return b.callLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
+	return b.placementLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
 }
 
 // isTrialAllowed reports whether a suspect may get the call as its trial call. A
@@ -184,9 +217,17 @@
 	return e.isTrialDue(at) && (!request.NoTrial || e.isFresh(at, maxReportAge))
 }
 
+// isLastResort reports whether a call that must not be sent twice may go to a suspect
+// for lack of other upstreams: the trial is long due, and neither another call nor a
+// probe has ended the suspicion.
+func (b *Balancer) isLastResort(e *entry, at time.Duration, request Request) bool {
+	return e.phase == phaseSuspect && e.isTrialDue(at-maxTrialDelay) && !slices.Contains(request.Exclude, e.upstream.Name) &&
+		b.placementLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
+}
+
 // placementCost returns the expected latency, in units of the base latency.
 func (b *Balancer) placementCost(e *entry, at time.Duration) float64 {
-	cost := b.latencyModel.latencyAt(b.callLoad(e, at)) * b.expectedSlowness(e, at)
+	cost := b.latencyModel.latencyAt(b.placementLoad(e, at)) * b.expectedSlowness(e, at)
 	if at < e.coldUntil {
 		cost *= coldSlowness
 	}
@@ -200,10 +241,10 @@
 func (b *Balancer) choiceWithBasis(e *entry, at time.Duration, request Request) Choice {
 	choice := e.choice(request)
 	choice.Basis = Basis{
-		Load:     b.callLoad(e, at),
+		Load:     b.placementLoad(e, at),
 		Slowness: b.expectedSlowness(e, at),
 		Age:      at - e.reportedAt,
-		Expected: time.Duration(b.placementCost(e, at) * float64(b.latencyModel.base)),
+		Expected: time.Duration(b.placementCost(e, at) * float64(b.latencyModel.median)),
 	}
 	if e.reportedAt == 0 {
 		choice.Basis.Age = -1
@@ -215,14 +256,29 @@
 
 // recordPlacedLatency records the latency of a response from an upstream that
 // Place chose.
-func (b *Balancer) recordPlacedLatency(choice Choice, latency time.Duration) {
+func (b *Balancer) recordPlacedLatency(at time.Duration, choice Choice, latency time.Duration) {
 	if choice.isLoadKnown {
+		b.latencyModel.sampledAt = at
 		b.latencyModel.observe(choice.Basis.Load, choice.Basis.Slowness, latency)
 	}
 }
 
-// BaseLatency returns the median latency of an upstream without other calls at
-// its usual speed. It is 0 before the first responses.
+// BaseLatency returns the latency of an upstream without other calls at its usual
+// speed. It is 0 before the first responses.
 func (b *Balancer) BaseLatency() time.Duration {
 	return b.latencyModel.base
 }
+
+// BaseEstimate is the base latency and what it rests on.
+type BaseEstimate struct {
+	Latency time.Duration
+	// Age is the time since the last sample. Samples is the number of samples.
+	Age     time.Duration
+	Samples int
+}
+
+// BaseEstimate returns the base latency and what it rests on.
+func (b *Balancer) BaseEstimate(now time.Time) BaseEstimate {
+	m := &b.latencyModel
+	return BaseEstimate{Latency: m.base, Age: b.since(now) - m.sampledAt, Samples: len(m.samples)}
+}
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -18,7 +18,7 @@
 		return
 	}
 	at := b.since(now)
-	e.removeSend(at-result.Latency, choice.Bulk)
+	e.removeSend(at, at-result.Latency, choice.Bulk)
 	b.meanResponseBytes += responseBytesWeight * (float64(result.Bytes) - b.meanResponseBytes)
 	if !result.Failed && !result.Shed {
 		b.countReport(result.HasReport)
@@ -44,11 +44,11 @@
 		e.recordFailure(at)
 	case choice.Bulk:
 		e.recordBulkResponse(at)
-		b.recordPlacedLatency(choice, result.Latency)
+		b.recordPlacedLatency(at, choice, result.Latency)
 	default:
 		e.failures = 0
 		b.recordLatency(e, at, choice, result.Latency)
-		b.recordPlacedLatency(choice, result.Latency)
+		b.recordPlacedLatency(at, choice, result.Latency)
 	}
 }
 
@@ -60,7 +60,7 @@
 		return
 	}
 	at := b.since(now)
-	e.removeSend(at-elapsed, choice.Bulk)
+	e.removeSend(at, at-elapsed, choice.Bulk)
 	if !choice.Bulk {
 		b.recordCancelled(e, at, elapsed)
 	}
@@ -78,7 +78,7 @@
 		b.countReport(result.HasReport)
 	}
 	if result.HasReport {
-		e.recordLoad(at, float64(result.Report.Running+result.Report.Queued))
+		b.recordLoad(e, at, float64(result.Report.Running+result.Report.Queued))
 		b.recordSlowness(e, at, result.Report.Slowness)
 	}
 	wasOut := e.isOutOfUse()
