--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -104,8 +104,8 @@
 	return result
 }
 
-// doRoundTrip sends the call on another connection to the upstream if it gets one that was
-// discarded after the send before, which is neither sent nor the upstream's fault.
+// doRoundTrip sends the call once. If its connection was discarded, because of the send
+// before it, when no byte had been written, it takes another connection.
 func (c *call) doRoundTrip(callCtx context.Context, sent send, body requestBody) attemptResult {
 	ctx, cancel := context.WithCancelCause(callCtx)
 	trace := &sendTrace{
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -66,8 +66,8 @@
 	return c.current
 }
 
-// discard closes the connection, whose responses can't be attributed any more, on behalf
-// of the send with the given transfer. It stays open if a later send has written to it.
+// discard closes the connection because the response to the send with the given transfer
+// can't be told from others on it. It stays open if a later send has written to it.
 func (c *trackedConn) discard(t *transfer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
