--- a/internal/callheader/callheader.go
+++ b/internal/callheader/callheader.go
@@ -26,6 +26,8 @@
 	Attempt = "Figfront-Attempt"
 	// Load holds the load report of an upstream; see Report.
 	Load = "Figfront-Load"
+	// RateLimit holds the rate of calls that an upstream accepts; see Rate.
+	RateLimit = "Figfront-Rate-Limit"
 	// Shed marks a response to a call that the upstream refused and did not run.
 	// Its value is 1.
 	Shed = "Figfront-Shed"
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -83,6 +83,7 @@
 	// lastRemoteCall is when the last call of another VM arrived.
 	lastRemoteCall time.Time
 	closed         closedWatch
+	rates          *rateLog
 }
 
 // NewDispatcher returns a Dispatcher without upstreams.
@@ -99,6 +100,7 @@
 		coordinatorRetryBudget: retry.NewWindowBudget(options.RetryLimits),
 		probeBudget:            measure.NewProbeBudget(options.ProbesPerUpstream),
 		awaitingProbe:          make(map[string]struct{}),
+		rates:                  newRateLog(options),
 	}
 }
 
@@ -110,6 +112,7 @@
 	d.upstreams = upstreams
 	d.balancer.SetUpstreams(now, upstreams)
 	d.probeBudget.SetUpstreams(now, len(upstreams))
+	d.retainRatesLocked()
 	d.wakeOneLocked()
 }
 
@@ -181,6 +184,9 @@
 	d.backlog.Sent(now)
 	d.closed.sent()
 	d.balancer.Sent(now, choice)
+	if d.rates.isNamed(choice.Name) {
+		d.options.Counters.Add(telemetry.GroupDispatch, counterSentLimited, 1)
+	}
 	d.inFlight++
 	return Grant{
 		Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM,
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -142,6 +142,9 @@
 		return
 	}
 	result.Sent = sent
+	if result.Rate.IsNamed {
+		d.options.Counters.Add(telemetry.GroupProbes, counterProbeNamedRate, 1)
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.Probed(time.Now(), name, result)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -230,6 +230,7 @@
 		Failed:   response.StatusCode >= http.StatusInternalServerError,
 	}
 	sendResult.Report, sendResult.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
+	c.observeRate(sent, response, &sendResult)
 	result.outcome, result.reason = responseOutcome(response.Header)
 	if result.outcome == outcome.NotRun {
 		_ = response.Body.Close()
@@ -253,6 +254,19 @@
 	return result
 }
 
+// observeRate records the rate limit that a response names. Status 421 comes from another
+// server, which now has the address of the one that the call was for.
+func (c *call) observeRate(sent send, response *http.Response, result *loadbalancer.Result) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	rate, err := callheader.ParseRate(response.Header)
+	result.Rate, result.StatesRate = rate, true
+	if d := c.route.service.dispatcher; d != nil {
+		d.ObserveRate(sent.choice.Name, rate, err)
+	}
+}
+
 // readResponseBody reads at most the first maxBufferedResponseBytes of a
 // response's body.
 func readResponseBody(response *http.Response) ([]byte, error) {
--- a/internal/gateway/header.go
+++ b/internal/gateway/header.go
@@ -20,7 +20,7 @@
 // reservedHeaders are set by figfront only; they are removed from what callers
 // and upstreams send.
 var reservedHeaders = []string{
-	callheader.Load, callheader.Shed, callheader.Draining, callheader.UploadID,
+	callheader.Load, callheader.RateLimit, callheader.Shed, callheader.Draining, callheader.UploadID,
 	callheader.Timeout, callheader.Upstream,
 	outcome.HeaderOutcome, outcome.HeaderReason, outcome.HeaderRequestID, outcome.HeaderRetryAfterMs,
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -138,5 +138,8 @@
 	}
 	result := loadbalancer.ProbeResult{IsHealthy: response.StatusCode == http.StatusOK}
 	result.Report, result.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
+	if rate, err := callheader.ParseRate(response.Header); err == nil {
+		result.Rate = rate
+	}
 	return result, true
 }
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -75,6 +75,10 @@
 	// one. A report on a response counts the answered call as running.
 	Report    callheader.Report
 	HasReport bool
+	// Rate is the rate limit that the response names, or none. It is valid if StatesRate
+	// is true: a send without the upstream's own response says nothing about it.
+	Rate       callheader.Rate
+	StatesRate bool
 }
 
 // ProbeResult is the result of a load probe.
@@ -87,6 +91,8 @@
 	// one.
 	Report    callheader.Report
 	HasReport bool
+	// Rate is the rate limit that the answer names; the zero Rate means none.
+	Rate callheader.Rate
 }
 
 // Balancer chooses among the upstreams of one service. It is not safe for
