--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -93,14 +93,16 @@
 	}
 }
 
-// Place asks the other VM to place a call of a service. It returns a Refusal
+// Place asks the other VM to place a call of a service. rates exchanges with it what both
+// know about rate limits. It returns a Refusal
 // when that VM refuses the call, an error that wraps ErrUnavailable when there
 // is no decision, and the error of ctx when ctx ends first.
-func (c *Client) Place(ctx context.Context, service string, r Request) (Grant, error) {
+func (c *Client) Place(ctx context.Context, service string, rates RateBook, r Request) (Grant, error) {
 	id, replies := c.register()
 	defer c.unregister(id)
-	err := c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_Call{Call: encodeCall(id, service, r, time.Now())}})
-	if err != nil {
+	call := encodeCall(id, service, r, time.Now())
+	call.Rates = encodeRates(rates.RateNotices(nil))
+	if err := c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_Call{Call: call}}); err != nil {
 		return Grant{}, err
 	}
 	reply, err := c.awaitDecision(ctx, replies)
@@ -108,6 +110,7 @@
 		c.sendEnd(id, End{IsCancelled: true})
 		return Grant{}, err
 	}
+	rates.LearnRates(decodeRates(reply.GetRates()))
 	if reply.GetUpstream() == "" {
 		if reply.GetReason() == replyUnknownService {
 			return Grant{}, ErrUnavailable
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -47,7 +47,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	go d.RunProbes(ctx)
 	return func(ctx context.Context, r dispatch.Request) (dispatch.Grant, error) {
-		d.RecordRemoteCall(time.Now())
+		d.RecordRemoteCall(time.Now(), "other")
 		return d.Place(ctx, r)
 	}, cancel
 }
@@ -453,7 +453,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		go d.RunProbes(ctx)
 		for range 100 {
-			d.RecordRemoteCall(time.Now())
+			d.RecordRemoteCall(time.Now(), "other")
 			time.Sleep(100 * time.Millisecond)
 		}
 		cancel()
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -84,6 +84,10 @@
 	lastRemoteCall time.Time
 	closed         closedWatch
 	rates          *rateLog
+	// rateShare computes this VM's share of the upstreams' rates; the balancer uses
+	// appliedRateShare.
+	rateShare        rateShare
+	appliedRateShare float64
 }
 
 // NewDispatcher returns a Dispatcher without upstreams.
@@ -101,6 +105,7 @@
 		probeBudget:            measure.NewProbeBudget(options.ProbesPerUpstream),
 		awaitingProbe:          make(map[string]struct{}),
 		rates:                  newRateLog(options),
+		rateShare:              rateShare{self: options.VM, lastCalls: make(map[string]time.Time)},
 	}
 }
 
@@ -112,22 +117,24 @@
 	d.upstreams = upstreams
 	d.balancer.SetUpstreams(now, upstreams)
 	d.probeBudget.SetUpstreams(now, len(upstreams))
-	d.retainRatesLocked()
+	d.rates.retain(upstreams)
 	d.wakeOneLocked()
 }
 
-// SetLiveVMs sets the number of VMs that share the probe budget.
+// SetLiveVMs sets the number of VMs that share the probe budget and the rates that
+// upstreams accept.
 func (d *Dispatcher) SetLiveVMs(vms int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.probeBudget.SetLiveVMs(time.Now(), vms)
+	d.rateShare.liveVMs = vms
 }
 
 // Place returns the upstream for a send. While no upstream is expected to
 // respond within the objective, the call waits for one. When it may not wait any
 // longer, or the backlog is full, Place accepts an upstream that is expected to
 // respond after the objective but before the deadline, and otherwise refuses the
-// call. A call is refused at once when its objective is lost and no upstream is
+// call. A call that all upstreams' rate limits withhold for longer is refused at once. A call is refused at once when its objective is lost and no upstream is
 // expected to respond before its deadline. An extra send never waits. The error
 // is a Refusal.
 func (d *Dispatcher) Place(ctx context.Context, r Request) (Grant, error) {
@@ -151,7 +158,7 @@
 			return Grant{}, d.refusal(r, outcome.QueueFull, arrived)
 		case verdict == loadbalancer.Refuse || r.Extra:
 			return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
-		case !wait.enqueue(maxWait - time.Since(arrived)):
+		case !wait.enqueue(maxWait-time.Since(arrived), d.rateSupply(r)):
 			wait.ignoreObjective = true
 			wait.leave()
 			continue
@@ -168,6 +175,7 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.updateRateShareLocked(now)
 	if r.Hedge && len(d.waiters) > 0 {
 		return Grant{}, loadbalancer.Refuse, nil
 	}
@@ -184,7 +192,7 @@
 	d.backlog.Sent(now)
 	d.closed.sent()
 	d.balancer.Sent(now, choice)
-	if d.rates.isNamed(choice.Name) {
+	if d.balancer.NamedRate(choice.Name).IsNamed {
 		d.options.Counters.Add(telemetry.GroupDispatch, counterSentLimited, 1)
 	}
 	d.inFlight++
@@ -219,6 +227,15 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	supply := d.balancer.RateSupply(now, r.balancerRequest())
+	var nextSend time.Duration
+	if supply.IsLimited {
+		nextSend = supply.First + time.Duration(float64(len(d.waiters))/supply.PerSecond*float64(time.Second))
+	}
+	isWithheld := supply.IsLimited && supply.First > 0
+	if isWithheld && (reason == outcome.QueueFull || reason == outcome.NoUpstream) {
+		reason = outcome.RateLimited
+	}
 	refusal := Refusal{
 		Reason:   reason,
 		PlacedBy: d.options.VM,
@@ -229,6 +246,7 @@
 			SendsPerSecond: d.backlog.SendsPerSecond(now),
 			BaseLatency:    d.balancer.BaseLatency(),
 			Waited:         now.Sub(arrived),
+			NextSend:       nextSend,
 		},
 	}
 	if !r.Extra {
@@ -280,8 +298,9 @@
 
 // RecordRemoteCall records that a call of another VM arrived. While such calls
 // arrive, this VM acts as the coordinator of the service.
-func (d *Dispatcher) RecordRemoteCall(now time.Time) {
+func (d *Dispatcher) RecordRemoteCall(now time.Time, vm string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.lastRemoteCall = now
+	d.rateShare.recordCall(now, vm)
 }
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -197,7 +197,7 @@
 	pause := interval / time.Duration(len(d.upstreams))
 	d.lastProbed = (d.lastProbed + 1) % len(d.upstreams)
 	upstream := d.upstreams[d.lastProbed]
-	if _, isAwaited := d.awaitingProbe[upstream.Name]; isAwaited {
+	if _, isAwaited := d.awaitingProbe[upstream.Name]; isAwaited || !d.balancer.MayProbe(upstream.Name) {
 		return loadbalancer.Upstream{}, pause
 	}
 	d.awaitingProbe[upstream.Name] = struct{}{}
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -12,6 +12,8 @@
 
 // Request describes one send of a call that needs an upstream.
 type Request struct {
+	// VM is the name of the sending VM.
+	VM string
 	// Zone is the availability zone of the sending VM.
 	Zone string
 	// Bulk marks a call whose latency depends mostly on its size, such as an
@@ -74,6 +76,20 @@
 	Place(ctx context.Context, r Request) (Grant, error)
 }
 
+// RateBook holds what a VM knows about the rate limits of a service's upstreams.
+type RateBook interface {
+	// RateNotices returns what the VM knows; known is what another VM knows.
+	RateNotices(known []loadbalancer.RateNotice) []loadbalancer.RateNotice
+	// LearnRates records what another VM knows.
+	LearnRates(notices []loadbalancer.RateNotice)
+}
+
+// LocalPlacer places the calls of one service on this VM.
+type LocalPlacer interface {
+	Placer
+	RateBook
+}
+
 // Refusal is the error of a call that is not sent to any upstream.
 type Refusal struct {
 	Reason outcome.Reason
@@ -97,6 +113,9 @@
 	BaseLatency time.Duration
 	// Waited is how long the call waited before it was refused.
 	Waited time.Duration
+	// NextSend is the time until the rate limits of the upstreams permit another call,
+	// behind those that wait; 0 if not all upstreams have a limit.
+	NextSend time.Duration
 }
 
 // Error returns the reason of the refusal.
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -57,7 +57,7 @@
 // Place returns the upstream for a send. local places the calls of the service
 // on this VM; it is used when this VM is the coordinator or the coordinator is
 // unavailable.
-func (r *Router) Place(ctx context.Context, service string, local Placer, request Request) (Grant, error) {
+func (r *Router) Place(ctx context.Context, service string, local LocalPlacer, request Request) (Grant, error) {
 	client, isLocal := r.client(service)
 	switch {
 	case isLocal:
@@ -66,7 +66,7 @@
 		r.counters.Add(telemetry.GroupDispatch, "alone", 1)
 		return local.Place(ctx, request)
 	}
-	grant, err := client.Place(ctx, service, request)
+	grant, err := client.Place(ctx, service, local, request)
 	if errors.Is(err, ErrUnavailable) {
 		r.counters.Add(telemetry.GroupDispatch, "unanswered", 1)
 		return local.Place(ctx, request)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -130,7 +130,8 @@
 	s.mu.Lock()
 	s.calls[call.GetId()] = served
 	s.mu.Unlock()
-	dispatcher.RecordRemoteCall(served.arrived)
+	dispatcher.RecordRemoteCall(served.arrived, call.GetVm())
+	dispatcher.LearnRates(decodeRates(call.GetRates()))
 	go s.placeCall(ctx, dispatcher, call, served)
 }
 
@@ -150,13 +151,17 @@
 	ack.Stop()
 	if err != nil {
 		s.removeCall(call.GetId())
-		s.reply(encodeRefusal(call.GetId(), err))
+		reply := encodeRefusal(call.GetId(), err)
+		reply.Rates = encodeRates(dispatcher.RateNotices(decodeRates(call.GetRates())))
+		s.reply(reply)
 		return
 	}
 	if !s.recordGrant(served, grant) {
 		return
 	}
-	s.reply(&api.PlaceReply{Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant)})
+	s.reply(&api.PlaceReply{
+		Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant), Rates: encodeRates(dispatcher.RateNotices(decodeRates(call.GetRates()))),
+	})
 }
 
 // recordGrant keeps the grant until the call ends. If the call has already
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -24,9 +25,11 @@
 }
 
 // enqueue adds the call to the backlog unless it already waits; maxWait is how
-// long it may still wait. It returns false when the call must not wait: maxWait
-// is used up, the backlog is full or a more urgent call has replaced this one.
-func (w *waiter) enqueue(maxWait time.Duration) bool {
+// long it may still wait, and supply what the rate limits of the upstreams permit.
+// It returns false when the call must not wait: maxWait is used up, the backlog is
+// full, a more urgent call has replaced this one or the rate limits permit no send in
+// time.
+func (w *waiter) enqueue(maxWait time.Duration, supply loadbalancer.RateSupply) bool {
 	if maxWait <= 0 {
 		return false
 	}
@@ -37,6 +40,9 @@
 		return !w.isReplaced
 	}
 	now := time.Now()
+	if supply.IsLimited && !d.backlog.IsInTime(maxWait, supply.First, supply.PerSecond) {
+		return false
+	}
 	if !d.backlog.Admit(now, maxWait) && !d.replaceLeastUrgentLocked(now, maxWait, w.priority) {
 		d.options.Counters.Add(telemetry.GroupDispatch, "backlog_full", 1)
 		return false
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -17,16 +18,51 @@
 	return &api.PlaceCall{
 		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
 		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra, Hedge: r.Hedge,
-		Bytes: int64(r.Bytes), Priority: uint32(r.Priority),
+		Bytes: int64(r.Bytes), Priority: uint32(r.Priority), Vm: r.VM,
 	}
 }
 
+func encodeRates(notices []loadbalancer.RateNotice) []*api.RateNotice {
+	encoded := make([]*api.RateNotice, 0, len(notices))
+	for _, n := range notices {
+		encoded = append(encoded, &api.RateNotice{
+			Upstream: n.Upstream, Named: n.Rate.IsNamed, PerSecond: n.Rate.PerSecond, AgeUs: n.Age.Microseconds(),
+		})
+	}
+	return encoded
+}
+
+// decodeRates returns the notices of another VM that a service's Dispatcher may learn from.
+// It leaves out those whose rate is not finite or negative.
+func decodeRates(encoded []*api.RateNotice) []loadbalancer.RateNotice {
+	notices := make([]loadbalancer.RateNotice, 0, len(encoded))
+	for _, n := range encoded {
+		if rate, ok := decodeRate(n); ok {
+			age := max(time.Duration(n.GetAgeUs())*time.Microsecond, 0)
+			notices = append(notices, loadbalancer.RateNotice{Upstream: n.GetUpstream(), Rate: rate, Age: age})
+		}
+	}
+	return notices
+}
+
+func decodeRate(n *api.RateNotice) (callheader.Rate, bool) {
+	rate := callheader.Rate{IsNamed: n.GetNamed()}
+	if !rate.IsNamed {
+		return rate, true
+	}
+	rate.PerSecond = n.GetPerSecond()
+	return rate, rate.PerSecond >= 0 && !math.IsInf(rate.PerSecond, 0)
+}
+
 // encodeEnd returns the message that reports the end of a send.
 func encodeEnd(id uint64, end End) *api.PlaceEnd {
 	encoded := &api.PlaceEnd{
 		Id: id, LatencyUs: end.Latency.Microseconds(), Cancelled: end.IsCancelled,
 		Bytes: int64(end.Bytes), Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
 	}
+	if end.StatesRate {
+		encoded.Rate = &api.RateNotice{Named: end.Rate.IsNamed, PerSecond: end.Rate.PerSecond}
+	}
 	if end.HasReport {
 		encoded.Report = &api.LoadReport{
 			Running: uint32(end.Report.Running), Queued: uint32(end.Report.Queued), Slowness: end.Report.Slowness,
@@ -39,6 +75,7 @@
 // time.
 func decodeCall(call *api.PlaceCall, arrived time.Time) Request {
 	return Request{
+		VM:        call.GetVm(),
 		Zone:      call.GetZone(),
 		Bulk:      call.GetBulk(),
 		Bytes:     int(call.GetBytes()),
@@ -55,6 +92,7 @@
 // decodeEnd returns the reported end of another VM's send.
 func decodeEnd(end *api.PlaceEnd) End {
 	report := end.GetReport()
+	rate, isRateValid := decodeRate(end.GetRate())
 	return End{
 		IsCancelled: end.GetCancelled(),
 		Result: loadbalancer.Result{
@@ -66,7 +104,9 @@
 			Report: callheader.Report{
 				Running: int(report.GetRunning()), Queued: int(report.GetQueued()), Slowness: report.GetSlowness(),
 			},
-			HasReport: report != nil,
+			HasReport:  report != nil,
+			Rate:       rate,
+			StatesRate: end.GetRate() != nil && isRateValid,
 		},
 	}
 }
@@ -99,6 +139,7 @@
 		Refusal: &api.PlaceRefusal{
 			Upstreams: uint32(basis.Upstreams), Free: uint32(basis.Free), Waiting: uint32(basis.Waiting),
 			SendsPerSecond: basis.SendsPerSecond, UnitUs: basis.BaseLatency.Microseconds(), WaitedUs: basis.Waited.Microseconds(),
+			NextSendUs: basis.NextSend.Microseconds(),
 		},
 	}
 }
@@ -114,6 +155,7 @@
 			SendsPerSecond: basis.GetSendsPerSecond(),
 			BaseLatency:    time.Duration(basis.GetUnitUs()) * time.Microsecond,
 			Waited:         time.Duration(basis.GetWaitedUs()) * time.Microsecond,
+			NextSend:       time.Duration(basis.GetNextSendUs()) * time.Microsecond,
 		},
 	}
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,6 +40,9 @@
 	// tried names the upstreams that the call was sent to.
 	tried    []string
 	attempts int
+	// nextSend is the time until the rate limits of the upstreams permit the refused call;
+	// 0 if they don't limit it.
+	nextSend time.Duration
 	// state is the call's state in the chart call.ini.
 	state *callState
 	// sendLog records the sends for the log line.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -46,6 +46,7 @@
 // placementRequest returns the placement request for the next send.
 func (c *call) placementRequest(kind sendKind) dispatch.Request {
 	return dispatch.Request{
+		VM:        c.gateway.options.VM,
 		Zone:      c.gateway.options.Zone,
 		Bulk:      c.route.rule.settings.Traffic == dynamic.Upload,
 		Bytes:     len(c.body),
@@ -65,6 +66,7 @@
 	switch {
 	case errors.As(err, &refusal):
 		c.sendLog.setRefusal(refusal)
+		c.nextSend = refusal.Basis.NextSend
 		return c.noUpstreamProblem(refusal.Reason)
 	case c.r.Context().Err() != nil:
 		return c.noUpstreamProblem(outcome.CallerGone)
--- a/internal/gateway/sendlog.go
+++ b/internal/gateway/sendlog.go
@@ -37,6 +37,9 @@
 	// milliseconds.
 	UnitMs   int64 `json:"unit_ms"`
 	WaitedMs int64 `json:"waited_ms"`
+	// NextSendMs is the time until the rate limits of the upstreams permit another call,
+	// in milliseconds; 0 if they don't limit it.
+	NextSendMs int64 `json:"next_send_ms,omitempty"`
 }
 
 // setRefusal records a refusal.
@@ -48,6 +51,7 @@
 		Upstreams: refusal.Basis.Upstreams, Free: refusal.Basis.Free, Waiting: refusal.Basis.Waiting,
 		SendsPerSecond: refusal.Basis.SendsPerSecond,
 		UnitMs:         refusal.Basis.BaseLatency.Milliseconds(), WaitedMs: refusal.Basis.Waited.Milliseconds(),
+		NextSendMs: refusal.Basis.NextSend.Milliseconds(),
 	}
 }
 
--- a/internal/gateway/sitecall.go
+++ b/internal/gateway/sitecall.go
@@ -75,9 +75,10 @@
 )
 
 // siteRetryAfter returns a random retry delay for a refused caller of a site. It
-// is short enough for another VM to answer within the latency objective, and
-// random so that callers that are refused together don't retry together.
+// is short enough for another VM to answer within the latency objective, unless the
+// rate limits of the upstreams permit no call before, and random so that callers that
+// are refused together don't retry together.
 func (c *call) siteRetryAfter() time.Duration {
 	share := minRetryAfterShare + (maxRetryAfterShare-minRetryAfterShare)*rand.Float64()
-	return time.Duration(share * float64(c.route.rule.objective))
+	return c.nextSend + time.Duration(share*float64(c.route.rule.objective))
 }
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -74,6 +75,8 @@
 		Upstreams int            `json:"upstreams"`
 		Free      int            `json:"free"`
 		Waiting   int            `json:"waiting"`
+		// NextSendMs is the time until the rate limits permit a call.
+		NextSendMs int64 `json:"next_send_ms"`
 	} `json:"refusal"`
 }
 
@@ -133,6 +136,12 @@
 			g.Expect(line.Reason).To(Equal(outcome.UpstreamShed))
 			g.Expect(line.Refusal.Reason).To(Equal(outcome.RetryBudget))
 		}},
+		outcome.RateLimited: {upstream: namesNoRate, send: sendPastRateLimits, check: func(g *WithT, line callLine) {
+			expectNoSend(g, line)
+			g.Expect(line.Refusal.Free).To(BeZero())
+			g.Expect(line.Refusal.NextSendMs).To(BeNumerically(">", siteObjective.Milliseconds()))
+			g.Expect(line.Duration).To(BeNumerically("<", 1000), "microseconds")
+		}},
 		outcome.UpstreamFailed: {upstream: abortsConnection, check: func(g *WithT, line callLine) {
 			expectOneSend(g, line, outcome.UpstreamFailed)
 			g.Expect(line.NotResent).To(Equal("may_have_run"))
@@ -320,6 +329,24 @@
 	env.callAs(id, http.MethodPost, "/book/1", "x")
 }
 
+// namesNoRate responds and names a rate limit of 0.
+func namesNoRate(env *siteTestEnv, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(callheader.RateLimit, "0")
+	respondAtOnce(env, w, r)
+}
+
+// sendPastRateLimits makes a call after the responses to others have named rate limits. The
+// caller is told to come back when one permits a call.
+func sendPastRateLimits(g *WithT, env *siteTestEnv, id string) {
+	for range siteUpstreams() {
+		env.call(http.MethodPost, "/book/1", "x")
+	}
+	got := env.callAs(id, http.MethodPost, "/book/1", "x")
+	wait, err := strconv.Atoi(got.header.Get(outcome.HeaderRetryAfterMs))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(wait).To(BeNumerically(">=", env.callLine(g, id).Refusal.NextSendMs))
+}
+
 // sendAndDisconnect makes a call and disconnects before the response.
 func sendAndDisconnect(g *WithT, env *siteTestEnv, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
--- a/internal/limit/backlog.go
+++ b/internal/limit/backlog.go
@@ -56,6 +56,13 @@
 	return true
 }
 
+// IsInTime reports whether one more call, behind those that are waiting, could be sent
+// within maxWait if the first send is permitted after a time and perSecond sends a second
+// from then on.
+func (b *Backlog) IsInTime(maxWait, first time.Duration, perSecond float64) bool {
+	return float64(b.waiting) <= perSecond*(maxWait-first).Seconds()
+}
+
 // Release removes a call from the backlog.
 func (b *Backlog) Release() {
 	b.waiting--
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -123,6 +123,10 @@
 	answersWithoutReport int
 	// meanResponseBytes is the mean length of a response body.
 	meanResponseBytes float64
+	// rateShare is this VM's share of the rates that upstreams name. rated holds the
+	// upstreams that have named one.
+	rateShare float64
+	rated     map[*entry]struct{}
 	// nextUnheardCheck is when suspectUnheard runs next.
 	nextUnheardCheck time.Duration
 	examined         uint64
@@ -130,7 +134,10 @@
 
 // New returns a Balancer without upstreams.
 func New(options Options, random *rand.Rand) *Balancer {
-	return &Balancer{options: options.withDefaults(), random: random, byName: make(map[string]*entry)}
+	return &Balancer{
+		options: options.withDefaults(), random: random, byName: make(map[string]*entry),
+		rateShare: defaultRateShare, rated: make(map[*entry]struct{}),
+	}
 }
 
 // since returns the time since the balancer's first use.
@@ -154,11 +161,15 @@
 		if !ok || !e.upstream.isSameProcess(upstream) {
 			e = newEntry(b, at, len(known) == 0)
 		}
+		if ok && known[upstream.Name] != e {
+			e.rateStatedAt = at
+		}
 		b.updateEntry(e, upstream)
 		e.coldUntil = at + upstream.WarmupLeft
 		b.byName[upstream.Name] = e
 		b.ranked = append(b.ranked, e)
 	}
+	b.forgetRatesOfGone()
 	b.rank()
 	b.selectSubset()
 }
@@ -211,7 +222,7 @@
 	var bestCost float64
 	for _, e := range b.subset {
 		b.examined++
-		if len(request.Exclude) > 0 && slices.Contains(request.Exclude, e.upstream.Name) {
+		if len(request.Exclude) > 0 && slices.Contains(request.Exclude, e.upstream.Name) || !e.isPermitted(at) {
 			continue
 		}
 		if e.phase == phaseWarming {
--- a/internal/loadbalancer/candidates.go
+++ b/internal/loadbalancer/candidates.go
@@ -37,7 +37,7 @@
 	if e.phase == phaseWarming {
 		e.finishWarmUp(at)
 	}
-	if e.phase == phaseSuspect || slices.Contains(request.Exclude, e.upstream.Name) {
+	if e.phase == phaseSuspect || e.rate.IsLimited() || slices.Contains(request.Exclude, e.upstream.Name) {
 		return false
 	}
 	if request.StaleAfter > 0 && e.isFresh(at, request.StaleAfter) {
--- a/internal/loadbalancer/entry.go
+++ b/internal/loadbalancer/entry.go
@@ -1,10 +1,13 @@
 package loadbalancer
 
 import (
+	"math"
 	"slices"
 	"time"
 
+	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/chart"
+	"github.com/figfront/figfront/internal/limit"
 )
 
 // entry holds the VM's state about one upstream. Times are measured from the
@@ -67,12 +70,22 @@
 	// isDrainSeenLocally means that this VM itself saw the upstream drain.
 	lastHeard          time.Duration
 	isDrainSeenLocally bool
+
+	// rate limits the sends to the upstream while it names a rate limit, namedRate.
+	// rateStatedAt is when the latest known response arrived that said something about
+	// it, rateChangedAt when namedRate last changed; isRateFromProbe means that the answer
+	// to a probe named it.
+	rate            limit.Rate
+	namedRate       callheader.Rate
+	rateStatedAt    time.Duration
+	rateChangedAt   time.Duration
+	isRateFromProbe bool
 }
 
 // newEntry returns the entry of a new upstream. It starts with a warm-up unless
 // isWarm is set.
 func newEntry(b *Balancer, at time.Duration, isWarm bool) *entry {
-	e := &entry{balancer: b, machine: upstreamChart.NewMachine(), idleSince: at}
+	e := &entry{balancer: b, machine: upstreamChart.NewMachine(), idleSince: at, rateStatedAt: math.MinInt64}
 	e.startWarmUp(at)
 	if isWarm {
 		e.fire(eventWarmedUp, at)
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -94,15 +94,7 @@
 	if at >= b.nextUnheardCheck {
 		b.suspectUnheard(at)
 	}
-	var p placement
-	for _, e := range b.subset {
-		p.isAnyFast = p.isAnyFast || e.phase != phaseSuspect && !e.isReportedSlow(at)
-		if b.isEligible(e, at, request) {
-			b.consider(&p, e, at, request, left)
-		} else if b.isLastResort(e, at, request) {
-			p.lastResort = e
-		}
-	}
+	p := b.collect(at, request, left)
 	isObjectiveLost := float64(left.Objective) < minResponseShare*float64(b.latencyModel.base)
 	mayBeSlow := isObjectiveLost && (left.Waiting == 0 || !p.isAnyFast)
 	chosen := p.timely
@@ -125,7 +117,21 @@
 	}
 }
 
-// placement collects the upstreams that come into question for a call.
+// collect returns the upstreams that come into question for a call.
+func (b *Balancer) collect(at time.Duration, request Request, left TimeLeft) placement {
+	var p placement
+	for _, e := range b.subset {
+		p.isAnyFast = p.isAnyFast || e.phase != phaseSuspect && !e.isReportedSlow(at) && e.isPermitted(at)
+		if b.isEligible(e, at, request) {
+			b.consider(&p, e, at, request, left)
+		} else if b.isLastResort(e, at, request) {
+			p.lastResort = e
+		}
+	}
+	return p
+}
+
+// placement holds the upstreams that come into question for a call.
 type placement struct {
 	// timely is the one of lowest cost that is expected to respond within the
 	// objective, late the slowest one that is expected to meet the deadline.
@@ -204,7 +210,7 @@
 	if e.isOutOfUse() || slices.Contains(request.Exclude, e.upstream.Name) {
 		return false
 	}
-	if e.phase == phaseSuspect && !e.isTrialAllowed(at, request) {
+	if e.phase == phaseSuspect && !e.isTrialAllowed(at, request) || !e.isPermitted(at) {
 		return false
 	}
 	return b.placementLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
@@ -222,7 +228,7 @@
 // probe has ended the suspicion.
 func (b *Balancer) isLastResort(e *entry, at time.Duration, request Request) bool {
 	return e.phase == phaseSuspect && e.isTrialDue(at-maxTrialDelay) && !slices.Contains(request.Exclude, e.upstream.Name) &&
-		b.placementLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
+		e.isPermitted(at) && b.placementLoad(e, at)+1 <= e.slots+maxQueued+loadMargin
 }
 
 // placementCost returns the expected latency, in units of the base latency.
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -7,7 +7,9 @@
 // Sent records that a call is sent to the chosen upstream.
 func (b *Balancer) Sent(now time.Time, choice Choice) {
 	if e, ok := b.byName[choice.Name]; ok {
-		e.addSend(b.since(now), choice.Bulk)
+		at := b.since(now)
+		e.addSend(at, choice.Bulk)
+		e.rate.Take(at)
 	}
 }
 
@@ -27,6 +29,9 @@
 		b.recordReport(e, at, result)
 	}
 	b.recordResult(e, at, choice, result)
+	if result.StatesRate {
+		b.RecordRate(now, RateNotice{Upstream: choice.Name, Rate: result.Rate})
+	}
 	if result.Draining {
 		e.fire(eventDrainSeen, at)
 		e.isDrainSeenLocally = true
@@ -74,6 +79,7 @@
 		return
 	}
 	at := b.since(now)
+	b.recordProbedRate(now, e, result.Rate)
 	if result.IsHealthy {
 		b.countReport(result.HasReport)
 	}
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -43,6 +43,7 @@
 	ClaimUnknown      Reason = "claim_unknown"
 	ClaimAnswerLost   Reason = "claim_answer_lost"
 	StoreUnavailable  Reason = "store_unavailable"
+	RateLimited       Reason = "rate_limited"
 	RetryBudget       Reason = "retry_budget"
 	AttemptsSpent     Reason = "attempts_spent"
 	CallerGone        Reason = "caller_gone"
@@ -55,4 +56,5 @@
 	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
 	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
 	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
+	RateLimited,
 }
