--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -95,6 +95,9 @@
 // one of faults, so that seeds select the same kinds as before it existed.
 var restoreFault = fault{"store comes back from a copy", storeRestore}
 
+// rateLimitFault is added to the selected kinds of a run with Options.RateLimits.
+var rateLimitFault = fault{"server names a rate limit", rateLimit}
+
 // restart starts the process of a VM again.
 func restart(v *VM) {
 	// Start fails only if the machine is out of resources; requests to this VM
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -120,16 +120,22 @@
 	l.violations = append(l.violations, Violation{Promise: promise, ID: id, Detail: detail})
 }
 
-// runsAfter returns the ids of the requests that a server started to run after a time,
-// each with the VM that its caller sent it to.
-func (l *Ledger) runsAfter(server string, after time.Time) map[string]*VM {
+// sentRun is one run of a request, with the VM that its caller sent it to.
+type sentRun struct {
+	id string
+	vm *VM
+	at time.Time
+}
+
+// runsAfter returns the runs that a server started after a time.
+func (l *Ledger) runsAfter(server string, after time.Time) []sentRun {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	found := make(map[string]*VM)
+	var found []sentRun
 	for id, r := range l.records {
 		for _, run := range r.executions {
 			if run.server == server && run.at.After(after) {
-				found[id] = r.vm
+				found = append(found, sentRun{id: id, vm: r.vm, at: run.at})
 			}
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,6 +55,8 @@
 	Only string
 	// StoreRestores adds restores of the store from a copy to the faults.
 	StoreRestores bool
+	// RateLimits adds servers that name a rate limit to the faults.
+	RateLimits bool
 	// Log receives a line for each fault.
 	Log io.Writer
 }
@@ -205,6 +207,9 @@
 	if run.options.StoreRestores && restoreFault.matches(run.options.Only) {
 		kinds = append(kinds, restoreFault)
 	}
+	if run.options.RateLimits && rateLimitFault.matches(run.options.Only) {
+		kinds = append(kinds, rateLimitFault)
+	}
 	for until := time.Now().Add(run.options.Duration); time.Now().Before(until) && ctx.Err() == nil; injected++ {
 		f := kinds[random.IntN(len(kinds))]
 		length := randomDuration(random, minFaultDuration, maxFaultDuration)
@@ -262,9 +267,9 @@
 		if m.leavingSince.IsZero() {
 			continue
 		}
-		for id, vm := range run.ledger.runsAfter(m.server.ID, m.leavingSince.Add(drainBound)) {
-			if vm.isFaultFreeSince(m.leavingSince.Add(-recoveryTime)) {
-				run.addTimedViolation("leaving server", fmt.Sprintf("%s ran %s, sent by %s", m.server.ID, id, vm.Name))
+		for _, r := range run.ledger.runsAfter(m.server.ID, m.leavingSince.Add(drainBound)) {
+			if r.vm.isFaultFreeSince(m.leavingSince.Add(-recoveryTime)) {
+				run.addTimedViolation("leaving server", fmt.Sprintf("%s ran %s, sent by %s", m.server.ID, r.id, r.vm.Name))
 			}
 		}
 	}
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -50,6 +50,15 @@
 		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
 		g.Expect(result.Served).To(BeNumerically(">", 0))
 	})
+	t.Run("rate limits", func(t *testing.T) {
+		limits := options
+		limits.Seed, limits.Only, limits.RateLimits = 1, "rate limit", true
+		result, err := soak.Execute(context.Background(), limits)
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
+		g.Expect(result.Faults).To(BeNumerically(">", 0))
+	})
 	for seed, cause := range regressions {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/figfront/figfront/platform/sitetest"
@@ -62,6 +63,8 @@
 	// leavingSince is when its entry was marked as draining in the store; zero if it does
 	// not leave as planned.
 	leavingSince time.Time
+	// isLimited is set while the server names a rate limit.
+	isLimited atomic.Bool
 }
 
 func newFleet(store *storetest.Store, ledger *Ledger, random *rand.Rand) *fleet {
