--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,6 +28,8 @@
 	name string
 	dial DialFunc
 	wrap WrapFunc
+	// links watches the direct connections to the upstreams; nil for a team's service.
+	links *links
 	// idleTimeout is how long an idle connection to an upstream is kept open.
 	idleTimeout time.Duration
 	counters    *telemetry.Counters
@@ -137,7 +140,7 @@
 		s.addresses[u.Name] = u.Address
 		known, ok := s.transports[u.Address]
 		if !ok || known.maxConnections != u.MaxConnections {
-			known = newTransport(u.Address, u.MaxConnections, s.idleTimeout, s.dial, s.wrap)
+			known = newTransport(u.Address, u.MaxConnections, s.idleTimeout, s.dialUpstream(), s.wrap)
 		}
 		transports[u.Address] = known
 	}
@@ -149,6 +152,25 @@
 	s.transports = transports
 }
 
+// recordAnswer records that an upstream answered.
+func (s *service) recordAnswer() {
+	if s.links != nil {
+		s.links.answered()
+	}
+}
+
+// dialUpstream returns the function that opens connections to upstreams.
+func (s *service) dialUpstream() DialFunc {
+	dial := s.dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	if s.links == nil {
+		return dial
+	}
+	return s.links.watchDial(dial)
+}
+
 // pickLocked chooses an upstream below its limit. A first send, which was already
 // admitted, may go to an upstream at its limit: hedges may have taken the slot.
 func (s *service) pickLocked(now time.Time, request loadbalancer.Request, extra bool) (loadbalancer.Choice, bool) {
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -77,6 +77,7 @@
 func (g *Gateway) newSiteService(name string) *service {
 	s := newService(siteTeam, name, g.options)
 	s.idleTimeout = siteIdleConnTimeout
+	s.links = newLinks(name, g.options)
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
 		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
@@ -159,5 +160,6 @@
 	s.tracker.path = settings.HealthPath
 	s.configureTransports(connected)
 	s.mu.Unlock()
+	s.links.setUpstreams(len(connected))
 	s.dispatcher.SetUpstreams(placed)
 }
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -43,14 +43,10 @@
 	roundTripper http.RoundTripper
 }
 
-// newTransport returns a transport without connections. A nil dial means the
-// network, a nil wrap no wrapper.
+// newTransport returns a transport without connections. A nil wrap means no wrapper.
 func newTransport(
 	address string, maxConnections int, idle time.Duration, dial DialFunc, wrap WrapFunc,
 ) *transport {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
 	t := &transport{
 		address:        address,
 		maxConnections: maxConnections,
--- /dev/null
+++ b/internal/reach/detector.go
@@ -0,0 +1,53 @@
+package reach
+
+import (
+	"time"
+)
+
+// minFailedPaths is the number of upstreams that have to fail in a row, without an answer of
+// any upstream in between, before the links count as lost.
+const minFailedPaths = 2
+
+// Detector decides from the direct connections of one VM to the upstreams of one service
+// whether the VM has lost its links. It is not safe for concurrent use.
+type Detector struct {
+	upstreams int
+	// failed holds the addresses of the upstreams that have failed since answeredAt.
+	failed     map[string]struct{}
+	answeredAt time.Time
+}
+
+// SetUpstreams sets the number of upstreams of the service.
+func (d *Detector) SetUpstreams(upstreams int) {
+	d.upstreams = upstreams
+}
+
+// Answered records that an upstream answered over a direct connection.
+func (d *Detector) Answered(now time.Time) {
+	d.answeredAt = now
+	clear(d.failed)
+}
+
+// Failed records that the upstream at an address could not be reached directly.
+func (d *Detector) Failed(address string) {
+	if d.failed == nil {
+		d.failed = make(map[string]struct{})
+	}
+	d.failed[address] = struct{}{}
+}
+
+// IsLost reports whether the VM has lost its links to the upstreams.
+func (d *Detector) IsLost() bool {
+	needed := min(minFailedPaths, d.upstreams)
+	return needed > 0 && len(d.failed) >= needed
+}
+
+// FailedPaths returns the number of upstreams that have failed since one answered.
+func (d *Detector) FailedPaths() int {
+	return len(d.failed)
+}
+
+// SilentFor returns the time since an upstream answered.
+func (d *Detector) SilentFor(now time.Time) time.Duration {
+	return now.Sub(d.answeredAt)
+}
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -39,6 +39,7 @@
 	GroupPeers    = "peers"
 	GroupStore    = "store"
 	GroupDispatch = "dispatch"
+	GroupLinks    = "links"
 	GroupLog      = "log"
 	// GroupLatencies holds histograms.
 	GroupLatencies = "latencies"
