--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
 	"github.com/figfront/figfront/internal/retry"
+	"github.com/figfront/figfront/internal/tunnel"
 )
 
 // Adapter translates between figfront and a platform. Its functions have to be safe
@@ -116,6 +117,9 @@
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport, RequireRequestID: true,
 		ProbesPerUpstream: settings.ProbesPerUpstream, Router: e.router,
+		Tunnels: tunnel.NewClient(settings.VM.Name, func(service string) []tunnel.VM {
+			return e.mesh.TunnelCandidates(service)
+		}, nil, parts.Counters),
 		RetryLimits: retry.Limits{
 			Share:    coordinatorRetryShare * settings.RetryRatio,
 			Constant: coordinatorSlackShare * settings.RetrySlack,
@@ -126,7 +130,8 @@
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Exchange,
-		Capacity: capacity(settings), Seeds: settings.Seeds, Eras: adapter.Eras, Dispatch: e.dispatch, OnLiveVMs: e.gateway.SetLiveVMs,
+		Capacity: capacity(settings), Seeds: settings.Seeds, Eras: adapter.Eras, Dispatch: e.dispatch,
+		Tunnels: tunnel.NewServer(e.gateway, parts.Log, parts.Counters), OnLiveVMs: e.gateway.SetLiveVMs,
 		Log: parts.Log, Counters: parts.Counters,
 	})
 	return e, err
@@ -281,8 +286,8 @@
 	coordinatorSlackShare = 0.3
 )
 
-// maxPeerConnections limits the connections from other VMs.
-const maxPeerConnections = 256
+// maxPeerConnections limits the connections from other VMs, tunnels included.
+const maxPeerConnections = 512
 
 // serveReady serves the platform's readiness check until ctx is done.
 func (e *entry) serveReady(ctx context.Context) error {
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -42,13 +42,22 @@
 
 // Serve serves impl on the listener until ctx ends.
 func Serve(ctx context.Context, listener net.Listener, impl api.DRPCExchangeServer) error {
-	return ServeDispatch(ctx, listener, impl, nil)
+	return ServeAll(ctx, listener, impl, nil, nil)
 }
 
 // ServeDispatch serves impl and, unless it is nil, dispatch on the listener until ctx
 // ends.
 func ServeDispatch(
 	ctx context.Context, listener net.Listener, impl api.DRPCExchangeServer, dispatch api.DRPCDispatchServer,
+) error {
+	return ServeAll(ctx, listener, impl, dispatch, nil)
+}
+
+// ServeAll serves impl and, unless they are nil, dispatch and tunnels on the listener until
+// ctx ends.
+func ServeAll(
+	ctx context.Context, listener net.Listener, impl api.DRPCExchangeServer, dispatch api.DRPCDispatchServer,
+	tunnels api.DRPCTunnelServer,
 ) error {
 	mux := drpcmux.New()
 	if err := api.DRPCRegisterExchange(mux, impl); err != nil {
@@ -59,6 +68,11 @@
 			return errors.Wrap(err, "register dispatch")
 		}
 	}
+	if tunnels != nil {
+		if err := api.DRPCRegisterTunnel(mux, tunnels); err != nil {
+			return errors.Wrap(err, "register tunnels")
+		}
+	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
 	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve exchange")
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -116,7 +116,7 @@
 		request.WithContext(httptrace.WithClientTrace(ctx, trace.clientTrace())))
 	trace.stopSilenceTimer()
 	if err == nil {
-		c.route.service.recordAnswer()
+		c.route.service.recordAnswer(trace)
 		err = c.checkResponse(trace, response)
 	}
 	if err != nil && trace.isUnsentOnDiscardedConn() && body.isInMemory() && c.isActive() {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/tunnel"
 	"github.com/figfront/figfront/internal/upload"
 )
 
@@ -54,6 +55,9 @@
 	// Router requests the placement of a site's calls from the coordinator of
 	// their service.
 	Router *dispatch.Router
+	// Tunnels opens connections to a site's upstreams through other VMs; nil means that
+	// there are none.
+	Tunnels *tunnel.Client
 	// Seed seeds the random number generators.
 	Seed uint64
 	// MaxCalls limits the concurrent calls of all teams; 0 means
--- /dev/null
+++ b/internal/gateway/linkcheck.go
@@ -0,0 +1,116 @@
+package gateway
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+// Parameters of link checks.
+const (
+	// linkCheckInterval is the time between two checks, and linkCheckTimeout the time in which
+	// an upstream has to answer one.
+	linkCheckInterval = 250 * time.Millisecond
+	linkCheckTimeout  = 300 * time.Millisecond
+	// maxLinkSilence is the time without an answer of any upstream from which on the links are
+	// checked.
+	maxLinkSilence = 500 * time.Millisecond
+)
+
+// errCheckUnanswered means that an upstream did not answer a link check.
+var errCheckUnanswered = errors.New("gateway: no answer to a link check")
+
+// linkChecker checks the links of this VM to the upstreams of a service while no other answer
+// shows that they are up, so that a loss is known before a caller notices it, and its end
+// without a caller's call. It keeps to one upstream as long as that one answers.
+type linkChecker struct {
+	links     *links
+	transport *http.Transport
+
+	mu        sync.Mutex
+	path      string
+	addresses []string
+	// current is the index of the upstream that is checked.
+	current int
+}
+
+// newLinkChecker returns a linkChecker that opens direct connections with dial.
+func newLinkChecker(links *links, dial DialFunc) *linkChecker {
+	return &linkChecker{
+		links: links,
+		transport: &http.Transport{
+			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+			IdleConnTimeout: siteIdleConnTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		},
+	}
+}
+
+// configure sets the upstreams and the path of their health check. The order of the
+// addresses must differ between VMs.
+func (c *linkChecker) configure(path string, addresses []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.path = path
+	c.addresses = addresses
+}
+
+// run checks the links until ctx ends.
+func (c *linkChecker) run(ctx context.Context) {
+	defer c.transport.CloseIdleConnections()
+	for ctx.Err() == nil {
+		if address, path, ok := c.next(); ok {
+			go c.check(ctx, address, path)
+		}
+		select {
+		case <-time.After(linkCheckInterval):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// next returns the upstream to check now; false if no check is needed.
+func (c *linkChecker) next() (address, path string, ok bool) {
+	if !c.links.isLost() && c.links.silentFor(time.Now()) < maxLinkSilence {
+		return "", "", false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.addresses) == 0 || c.path == "" {
+		return "", "", false
+	}
+	return c.addresses[c.current%len(c.addresses)], c.path, true
+}
+
+// check sends a health check and records whether any answer came. After a failure the next
+// upstream is checked.
+func (c *linkChecker) check(ctx context.Context, address, path string) {
+	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
+	defer cancel()
+	response, err := c.transport.RoundTrip((&http.Request{
+		Method: http.MethodGet,
+		URL:    &url.URL{Scheme: "http", Host: address, Path: path},
+		Host:   address,
+		Header: http.Header{"User-Agent": nil},
+	}).WithContext(ctx))
+	if err == nil {
+		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeResponseBytes))
+		_ = response.Body.Close()
+		c.links.answered()
+		return
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
+	c.links.failed(address, errors.Wrap(errCheckUnanswered, err.Error()))
+	c.transport.CloseIdleConnections()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.addresses) > 0 && c.addresses[c.current%len(c.addresses)] == address {
+		c.current = (c.current + 1) % len(c.addresses)
+	}
+}
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -1,12 +1,9 @@
 package gateway
 
 import (
-	"context"
-	"net"
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/figfront/figfront/internal/reach"
@@ -20,14 +17,17 @@
 	log      hclog.Logger
 	counters *telemetry.Counters
 
+	// onLost is called when the links are lost.
+	onLost func()
+
 	mu       sync.Mutex
 	detector reach.Detector
 	// lostAt is when the links were lost; zero while they are not.
 	lostAt time.Time
 }
 
-func newLinks(service string, options Options) *links {
-	return &links{service: service, log: options.Log, counters: options.Counters}
+func newLinks(service string, options Options, onLost func()) *links {
+	return &links{service: service, log: options.Log, counters: options.Counters, onLost: onLost}
 }
 
 // setUpstreams sets the number of upstreams.
@@ -64,18 +64,28 @@
 	}
 	l.lostAt = now
 	l.counters.Add(telemetry.GroupLinks, "lost", 1)
+	go l.onLost()
 	l.log.Warn("links to the upstreams lost", telemetry.FieldService, l.service, "failed", l.detector.FailedPaths(),
 		"silent_ms", l.detector.SilentFor(now).Milliseconds(), telemetry.FieldError, err)
 }
 
-// watchDial returns a dial function that records the failures of another one, unless its
-// context was cancelled.
-func (l *links) watchDial(dial DialFunc) DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil && !errors.Is(err, context.Canceled) {
-			l.failed(address, err)
-		}
-		return conn, err
+// isLost reports whether the links are lost.
+func (l *links) isLost() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.lostAt.IsZero()
+}
+
+// recordAnswer records that an upstream answered a send.
+func (s *service) recordAnswer(trace *sendTrace) {
+	if s.links != nil && trace.via() == "" {
+		s.links.answered()
 	}
 }
+
+// silentFor returns the time since an upstream answered over a direct connection.
+func (l *links) silentFor(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.detector.SilentFor(now)
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -131,7 +131,7 @@
 		return loadbalancer.ProbeResult{}, false
 	}
 	defer func() { _ = response.Body.Close() }()
-	s.links.answered()
+	s.recordAnswer(trace)
 	if trace.isStale() || response.Header.Get(outcome.HeaderRequestID) != "" {
 		trace.discardConn()
 		return loadbalancer.ProbeResult{}, false
--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -156,6 +156,17 @@
 	}
 }
 
+// via returns the name of the VM that the send's connection leads through; empty if it is
+// direct or there is none.
+func (t *sendTrace) via() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return ""
+	}
+	return viaOf(t.conn.Conn)
+}
+
 // isSilent reports whether a reused connection has received no byte since the
 // send was written.
 func (t *sendTrace) isSilent() bool {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -28,8 +28,11 @@
 	name string
 	dial DialFunc
 	wrap WrapFunc
-	// links watches the direct connections to the upstreams; nil for a team's service.
-	links *links
+	// links watches the direct connections to the upstreams, dialer opens connections and
+	// linkChecker checks the links; nil for a team's service.
+	links       *links
+	dialer      *dialer
+	linkChecker *linkChecker
 	// idleTimeout is how long an idle connection to an upstream is kept open.
 	idleTimeout time.Duration
 	counters    *telemetry.Counters
@@ -78,10 +81,14 @@
 func newService(teamName, name string, options Options) *service {
 	id := xxhash.Sum64String(teamName + "/" + name)
 	random := rand.New(rand.NewPCG(options.Seed, id))
+	dial := options.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
 	s := &service{
 		team:        teamName,
 		name:        name,
-		dial:        options.Dial,
+		dial:        dial,
 		wrap:        options.WrapTransport,
 		idleTimeout: idleConnTimeout,
 		counters:    options.Counters,
@@ -152,23 +159,12 @@
 	s.transports = transports
 }
 
-// recordAnswer records that an upstream answered.
-func (s *service) recordAnswer() {
-	if s.links != nil {
-		s.links.answered()
-	}
-}
-
 // dialUpstream returns the function that opens connections to upstreams.
 func (s *service) dialUpstream() DialFunc {
-	dial := s.dial
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
-	if s.links == nil {
-		return dial
+	if s.dialer != nil {
+		return s.dialer.dial
 	}
-	return s.links.watchDial(dial)
+	return s.dial
 }
 
 // pickLocked chooses an upstream below its limit. A first send, which was already
@@ -212,6 +208,11 @@
 }
 
 func (s *service) close() {
+	s.closeIdleConns()
+}
+
+// closeIdleConns closes the idle connections to all upstreams.
+func (s *service) closeIdleConns() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, t := range s.transports {
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -77,7 +78,9 @@
 func (g *Gateway) newSiteService(name string) *service {
 	s := newService(siteTeam, name, g.options)
 	s.idleTimeout = siteIdleConnTimeout
-	s.links = newLinks(name, g.options)
+	s.links = newLinks(name, g.options, s.closeIdleConns)
+	s.dialer = &dialer{vm: g.options.VM, service: name, direct: s.dial, links: s.links, tunnels: g.options.Tunnels}
+	s.linkChecker = newLinkChecker(s.links, s.dialer.dialDirect)
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
 		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
@@ -88,6 +91,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopProbes = cancel
 	go s.dispatcher.RunProbes(ctx)
+	go s.linkChecker.run(ctx)
 	return s
 }
 
@@ -161,5 +165,18 @@
 	s.configureTransports(connected)
 	s.mu.Unlock()
 	s.links.setUpstreams(len(connected))
+	s.linkChecker.configure(settings.HealthPath, s.shuffledAddresses(connected))
 	s.dispatcher.SetUpstreams(placed)
 }
+
+// shuffledAddresses returns the addresses of the upstreams in an order that differs between
+// VMs.
+func (s *service) shuffledAddresses(upstreams []dynamic.Upstream) []string {
+	addresses := make([]string, 0, len(upstreams))
+	for _, u := range upstreams {
+		addresses = append(addresses, u.Address)
+	}
+	rank := func(address string) uint64 { return xxhash.Sum64String(s.dialer.vm + "/" + address) }
+	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return addresses
+}
--- a/internal/gateway/transferlog.go
+++ b/internal/gateway/transferlog.go
@@ -32,6 +32,8 @@
 type transferRecord struct {
 	// Conn is empty when the send had no connection.
 	Conn connKind `json:"conn,omitempty"`
+	// Via is the VM that the connection led through; empty if it was direct.
+	Via string `json:"via,omitempty"`
 	// Written means that a byte of the call may have left this VM.
 	Written bool `json:"written"`
 	// Status and ResponseID describe a received response, also one that was rejected.
@@ -42,7 +44,7 @@
 
 // describeError returns the record of a send whose round trip failed.
 func (c *call) describeError(trace *sendTrace, err error) transferRecord {
-	record := transferRecord{Conn: trace.connKind(), Written: trace.mayHaveSent()}
+	record := transferRecord{Conn: trace.connKind(), Via: trace.via(), Written: trace.mayHaveSent()}
 	var rejected *callheader.RejectedError
 	if errors.As(err, &rejected) {
 		record.Status = rejected.Status
@@ -56,6 +58,7 @@
 func (c *call) describeResponse(trace *sendTrace, response *http.Response) transferRecord {
 	return transferRecord{
 		Conn:       trace.connKind(),
+		Via:        trace.via(),
 		Written:    trace.mayHaveSent(),
 		Status:     response.StatusCode,
 		ResponseID: c.responseID(response.Header.Get(outcome.HeaderRequestID)),
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/tunnel"
 )
 
 // Topics exchanged between the VMs of a zone.
@@ -65,6 +66,8 @@
 	Eras *platform.EraTracker
 	// Dispatch places calls for other VMs; nil disables this.
 	Dispatch api.DRPCDispatchServer
+	// Tunnels opens tunnels for other VMs; nil disables this.
+	Tunnels api.DRPCTunnelServer
 	// Dialer opens connections to other VMs; nil uses the network.
 	Dialer exchange.Dialer
 }
@@ -123,7 +126,7 @@
 // ctx ends.
 func (m *Mesh) Run(ctx context.Context, listener net.Listener) error {
 	group, ctx := errgroup.WithContext(ctx)
-	group.Go(func() error { return exchange.ServeDispatch(ctx, listener, m, m.options.Dispatch) })
+	group.Go(func() error { return exchange.ServeAll(ctx, listener, m, m.options.Dispatch, m.options.Tunnels) })
 	group.Go(func() error { return m.runHeartbeats(ctx) })
 	for _, seed := range m.options.Seeds {
 		if seed != m.options.Address {
@@ -279,6 +282,25 @@
 	return dispatch.VM{Name: first.VM, Address: first.Address}, true
 }
 
+// TunnelCandidates returns the other VMs of the site that may open tunnels to the upstreams
+// of a service for this VM, in an order that differs between VMs, with preference for
+// high-capacity VMs. VMs that are dead or leaving are left out.
+func (m *Mesh) TunnelCandidates(service string) []tunnel.VM {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var others []membership.Member
+	for _, member := range m.view.Members() {
+		if member.State != membership.StateDead && member.State != membership.StateLeaving {
+			others = append(others, member)
+		}
+	}
+	var candidates []tunnel.VM
+	for _, member := range membership.Ranked(service+"/"+m.options.VM, others) {
+		candidates = append(candidates, tunnel.VM{Name: member.VM, Address: member.Address})
+	}
+	return candidates
+}
+
 // maxReaderCandidates limits the candidates that IsReader considers.
 const maxReaderCandidates = 64
 
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -40,6 +40,7 @@
 	GroupStore    = "store"
 	GroupDispatch = "dispatch"
 	GroupLinks    = "links"
+	GroupTunnels  = "tunnels"
 	GroupLog      = "log"
 	// GroupLatencies holds histograms.
 	GroupLatencies = "latencies"
--- /dev/null
+++ b/internal/tunnel/client.go
@@ -0,0 +1,199 @@
+package tunnel
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/exchange"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// Limits of a Client.
+const (
+	// maxAttempts is the number of VMs that are tried for one tunnel.
+	maxAttempts = 6
+	// nextAttemptDelay is the time after which the next VM is tried as well.
+	nextAttemptDelay = 40 * time.Millisecond
+	// attemptTimeout limits one attempt.
+	attemptTimeout = 500 * time.Millisecond
+	// avoidDuration is how long a VM that has itself lost its links, or does not answer, is
+	// not tried again.
+	avoidDuration = time.Second
+	// maxRefusals is the number of VMs that have to refuse the upstream, because they can't
+	// connect to it or don't know it, before no other is tried.
+	maxRefusals = 2
+)
+
+// VM is another VM that may serve tunnels.
+type VM struct {
+	Name    string
+	Address string
+}
+
+// Client opens tunnels through other VMs. It is safe for concurrent use.
+type Client struct {
+	self string
+	// candidates returns the other VMs for a service, the preferred one first.
+	candidates func(service string) []VM
+	dialer     exchange.Dialer
+	counters   *telemetry.Counters
+
+	mu           sync.Mutex
+	avoidedUntil map[avoidance]time.Time
+}
+
+// avoidance names a VM that is not used for a service.
+type avoidance struct{ vm, service string }
+
+// NewClient returns a Client of the VM self. A nil dialer uses the network.
+func NewClient(self string, candidates func(service string) []VM, dialer exchange.Dialer, counters *telemetry.Counters) *Client {
+	return &Client{
+		self: self, candidates: candidates, dialer: dialer, counters: counters, avoidedUntil: make(map[avoidance]time.Time),
+	}
+}
+
+// ErrNoTunnel means that no VM could open a tunnel.
+var ErrNoTunnel = errors.New("tunnel: no VM opened one")
+
+// attempt is the result of one attempt.
+type attempt struct {
+	vm   VM
+	conn *Conn
+	err  error
+}
+
+// Dial opens a connection to the upstream of a service at an address. It tries the VMs in
+// turn, each without waiting long for the one before. The error wraps ErrNoTunnel, or a
+// RefusedError if maxRefusals VMs refused the upstream.
+func (c *Client) Dial(ctx context.Context, service, address string) (*Conn, error) {
+	untried := c.usable(service)
+	results := make(chan attempt, len(untried))
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	pending, refusals := 0, 0
+	next := time.NewTimer(0)
+	defer next.Stop()
+	for {
+		select {
+		case <-next.C:
+			if len(untried) == 0 {
+				continue
+			}
+			vm := untried[0]
+			untried = untried[1:]
+			pending++
+			go func() { results <- c.try(ctx, vm, service, address) }()
+			next.Reset(nextAttemptDelay)
+			continue
+		case result := <-results:
+			pending--
+			if result.err == nil {
+				go closeLater(results, pending)
+				c.counters.Add(telemetry.GroupTunnels, "opened", 1)
+				return result.conn, nil
+			}
+			refusals += c.recordFailure(service, result)
+			next.Reset(0)
+		case <-ctx.Done():
+			go closeLater(results, pending)
+			return nil, errors.Wrap(ErrNoTunnel, ctx.Err().Error())
+		}
+		switch {
+		case refusals >= maxRefusals:
+			go closeLater(results, pending)
+			return nil, RefusedError{NotConnected}
+		case pending == 0 && len(untried) == 0:
+			return nil, ErrNoTunnel
+		}
+	}
+}
+
+// closeLater closes the tunnels of attempts that end later.
+func closeLater(results <-chan attempt, pending int) {
+	for range pending {
+		if result := <-results; result.conn != nil {
+			_ = result.conn.Close()
+		}
+	}
+}
+
+// usable returns the VMs to try, at most maxAttempts.
+func (c *Client) usable(service string) []VM {
+	now := time.Now()
+	var usable []VM
+	for _, vm := range c.candidates(service) {
+		if !c.isAvoided(now, vm.Name, service) && len(usable) < maxAttempts {
+			usable = append(usable, vm)
+		}
+	}
+	return usable
+}
+
+func (c *Client) isAvoided(now time.Time, vm, service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return now.Before(c.avoidedUntil[avoidance{vm, service}])
+}
+
+// recordFailure records a failed attempt. It returns 1 if the VM refused the upstream,
+// otherwise 0, and then the VM is avoided for a while.
+func (c *Client) recordFailure(service string, result attempt) int {
+	c.counters.Add(telemetry.GroupTunnels, "failed", 1)
+	var refused RefusedError
+	if errors.As(result.err, &refused) && (refused.Refusal == NotConnected || refused.Refusal == UnknownUpstream) {
+		return 1
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoidedUntil[avoidance{result.vm.Name, service}] = time.Now().Add(avoidDuration)
+	return 0
+}
+
+// try opens a tunnel through one VM.
+func (c *Client) try(ctx context.Context, vm VM, service, address string) attempt {
+	conn, err := c.open(ctx, vm, service, address)
+	return attempt{vm: vm, conn: conn, err: err}
+}
+
+func (c *Client) open(ctx context.Context, vm VM, service, address string) (*Conn, error) {
+	raw, err := exchange.DialConn(ctx, vm.Address, c.dialer)
+	if err != nil {
+		return nil, err
+	}
+	streamCtx, cancel := context.WithCancel(context.Background())
+	conn := &Conn{via: vm.Name, address: upstreamAddress(address), conn: raw, cancel: cancel}
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	err = conn.open(streamCtx, &api.TunnelOpen{Service: service, Address: address, Vm: c.self})
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return conn, nil
+}
+
+// open requests the tunnel and waits until it is open.
+func (c *Conn) open(ctx context.Context, request *api.TunnelOpen) error {
+	stream, err := api.NewDRPCTunnelClient(c.conn).Open(ctx)
+	if err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	c.stream = stream
+	if err := stream.Send(&api.TunnelFrame{Open: request}); err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	frame, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(ErrBroken, err.Error())
+	}
+	if refusal := frame.GetOpened().GetRefusal(); refusal != "" {
+		return RefusedError{Refusal(refusal)}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tunnel/server.go
@@ -0,0 +1,146 @@
+package tunnel
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
+
+	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/telemetry"
+)
+
+// Limits of a Server.
+const (
+	// maxTunnels is the number of tunnels that a VM serves at a time. It leaves the larger
+	// part of the VM to its own callers.
+	maxTunnels = 128
+	// connectTimeout limits the time to connect to an upstream.
+	connectTimeout = 400 * time.Millisecond
+)
+
+// Refusal is why a VM opens no tunnel.
+type Refusal string
+
+// The refusals of a Server.
+const (
+	// NoLinks means that the VM has itself lost its links to the service's upstreams.
+	NoLinks Refusal = "no_links"
+	// Full means that the VM serves as many tunnels as it may.
+	Full Refusal = "full"
+	// UnknownUpstream means that the VM knows no such upstream that may get calls.
+	UnknownUpstream Refusal = "unknown_upstream"
+	// NotConnected means that the upstream could not be connected to.
+	NotConnected Refusal = "not_connected"
+)
+
+// Upstreams tells a Server about the upstreams of this VM.
+type Upstreams interface {
+	// DialDirect connects to an upstream of a service without a tunnel. The error wraps a
+	// RefusedError if the VM may not or can't do so.
+	DialDirect(ctx context.Context, service, address string) (net.Conn, error)
+}
+
+// RefusedError is the error of a tunnel that a VM refused to open.
+type RefusedError struct {
+	Refusal Refusal
+}
+
+// Error returns the refusal.
+func (e RefusedError) Error() string {
+	return "tunnel: refused: " + string(e.Refusal)
+}
+
+// Server opens tunnels for other VMs. It is safe for concurrent use.
+type Server struct {
+	upstreams Upstreams
+	log       hclog.Logger
+	counters  *telemetry.Counters
+	open      atomic.Int64
+}
+
+// NewServer returns a Server.
+func NewServer(upstreams Upstreams, log hclog.Logger, counters *telemetry.Counters) *Server {
+	return &Server{upstreams: upstreams, log: log, counters: counters}
+}
+
+// Open serves one tunnel until it ends.
+func (s *Server) Open(stream api.DRPCTunnel_OpenStream) error {
+	first, err := stream.Recv()
+	if err != nil {
+		return errors.Wrap(err, "receive")
+	}
+	if s.open.Add(1) > maxTunnels {
+		s.open.Add(-1)
+		return s.refuse(stream, RefusedError{Full})
+	}
+	defer s.open.Add(-1)
+	upstream, err := s.connect(stream.Context(), first.GetOpen())
+	if err != nil {
+		return s.refuse(stream, err)
+	}
+	defer func() { _ = upstream.Close() }()
+	s.counters.Add(telemetry.GroupTunnels, "served", 1)
+	if err := stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{}}); err != nil {
+		return errors.Wrap(err, "send")
+	}
+	go func() {
+		receiveInto(stream, upstream)
+	}()
+	return sendFrom(upstream, stream)
+}
+
+// connect connects to the upstream that a VM asks for.
+func (s *Server) connect(ctx context.Context, open *api.TunnelOpen) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	return s.upstreams.DialDirect(ctx, open.GetService(), open.GetAddress())
+}
+
+// refuse tells the other VM why no tunnel is opened.
+func (s *Server) refuse(stream api.DRPCTunnel_OpenStream, err error) error {
+	refused := RefusedError{NotConnected}
+	_ = errors.As(err, &refused)
+	s.counters.Add(telemetry.GroupTunnels, "refused_"+string(refused.Refusal), 1)
+	s.log.Debug("tunnel refused", telemetry.FieldReason, refused.Refusal, telemetry.FieldError, err)
+	return stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{Refusal: string(refused.Refusal)}})
+}
+
+// receiveInto passes what the other VM sends to the upstream. When the tunnel ends it closes
+// the connection to the upstream.
+func receiveInto(stream api.DRPCTunnel_OpenStream, upstream net.Conn) {
+	defer func() { _ = upstream.Close() }()
+	for {
+		frame, err := stream.Recv()
+		if err != nil {
+			return
+		}
+		if _, err := upstream.Write(frame.GetData()); err != nil {
+			return
+		}
+	}
+}
+
+// sendFrom passes what the upstream sends to the other VM until the connection ends. It
+// returns an error, which breaks the tunnel, unless the upstream closed it in order.
+func sendFrom(upstream net.Conn, stream api.DRPCTunnel_OpenStream) error {
+	buffer := make([]byte, maxFrameBytes)
+	for {
+		n, readErr := upstream.Read(buffer)
+		if n > 0 {
+			if err := stream.Send(&api.TunnelFrame{Data: buffer[:n]}); err != nil {
+				return errors.Wrap(err, "send")
+			}
+		}
+		if errors.Is(readErr, io.EOF) {
+			return stream.Send(&api.TunnelFrame{End: true})
+		}
+		if readErr != nil {
+			return errors.Wrap(readErr, "read from upstream")
+		}
+	}
+}
