--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -261,9 +261,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
-	if end.IsCancelled {
+	switch {
+	case end.IsUnattributed:
+		d.balancer.Abandoned(now, choice, end.Latency)
+	case end.IsCancelled:
 		d.balancer.Cancelled(now, choice, end.Latency)
-	} else {
+	default:
 		d.balancer.Done(now, choice, end.Result)
 		isAnswered := !end.Failed && !end.Shed
 		d.localRetryBudget.RecordResult(isAnswered)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -66,6 +66,9 @@
 	// IsCancelled means that the send was given up or never started. Then only
 	// the Latency of the Result is used.
 	IsCancelled bool
+	// IsUnattributed means, for a cancelled send, that its end says nothing about the
+	// upstream: this VM may have lost its links.
+	IsUnattributed bool
 	loadbalancer.Result
 }
 
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -59,6 +59,7 @@
 	encoded := &api.PlaceEnd{
 		Id: id, LatencyUs: end.Latency.Microseconds(), Cancelled: end.IsCancelled,
 		Bytes: int64(end.Bytes), Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
+		Unattributed: end.IsUnattributed,
 	}
 	if end.StatesRate {
 		encoded.Rate = &api.RateNotice{Named: end.Rate.IsNamed, PerSecond: end.Rate.PerSecond}
@@ -94,7 +95,8 @@
 	report := end.GetReport()
 	rate, isRateValid := decodeRate(end.GetRate())
 	return End{
-		IsCancelled: end.GetCancelled(),
+		IsCancelled:    end.GetCancelled(),
+		IsUnattributed: end.GetCancelled() && end.GetUnattributed(),
 		Result: loadbalancer.Result{
 			Latency:  time.Duration(end.GetLatencyUs()) * time.Microsecond,
 			Bytes:    int(end.GetBytes()),
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -184,7 +184,7 @@
 }
 
 // handleSendFailure returns the result of a send without an accepted response and
-// records the failure. A silent connection, a truncated request body, or a send that was
+// records the failure. A silent connection, the loss of this VM's links, a truncated request body, or a send that was
 // cancelled by its caller or by the response to another send is not held against the
 // upstream.
 func (c *call) handleSendFailure(
@@ -210,7 +210,11 @@
 	}
 	isAborted := isCancelled && !isLate
 	isTruncated := body.isTruncated != nil && body.isTruncated()
-	if isSilent || isAborted || isTruncated {
+	switch {
+	case isSilent || c.route.service.isPathAtFault(trace, err):
+		c.route.service.abandonSend(sent)
+		return result
+	case isAborted || isTruncated:
 		c.route.service.cancelSend(sent)
 		return result
 	}
--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -7,29 +7,26 @@
 	"net/url"
 	"sync"
 	"time"
-
-	"github.com/go-faster/errors"
 )
 
 // Parameters of link checks.
 const (
 	// linkCheckInterval is the time between two checks, and linkCheckTimeout the time in which
-	// an upstream has to answer one.
+	// an upstream has to answer one, and then to accept a connection.
 	linkCheckInterval = 250 * time.Millisecond
-	linkCheckTimeout  = 300 * time.Millisecond
+	linkCheckTimeout  = 250 * time.Millisecond
 	// maxLinkSilence is the time without an answer of any upstream from which on the links are
 	// checked.
 	maxLinkSilence = 500 * time.Millisecond
 )
 
-// errCheckUnanswered means that an upstream did not answer a link check.
-var errCheckUnanswered = errors.New("gateway: no answer to a link check")
-
 // linkChecker checks the links of this VM to the upstreams of a service while no other answer
 // shows that they are up, so that a loss is known before a caller notices it, and its end
 // without a caller's call. It keeps to one upstream as long as that one answers.
 type linkChecker struct {
-	links     *links
+	links *links
+	// dial opens direct connections and records failures.
+	dial      DialFunc
 	transport *http.Transport
 
 	mu        sync.Mutex
@@ -42,7 +39,7 @@
 // newLinkChecker returns a linkChecker that opens direct connections with dial.
 func newLinkChecker(links *links, dial DialFunc) *linkChecker {
 	return &linkChecker{
-		links: links,
+		links: links, dial: dial,
 		transport: &http.Transport{
 			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: siteIdleConnTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -86,9 +83,26 @@
 	return c.addresses[c.current%len(c.addresses)], c.path, true
 }
 
-// check sends a health check and records whether any answer came. After a failure the next
-// upstream is checked.
+// check checks the link to an upstream. An upstream that answers slowly or not at all can
+// still be connected to, and then the link is up. After a failure the next upstream is checked.
 func (c *linkChecker) check(ctx context.Context, address, path string) {
+	if c.isAnswered(ctx, address, path) {
+		c.links.answered()
+		return
+	}
+	c.leave(address)
+	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
+	defer cancel()
+	conn, err := c.dial(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
+	c.links.answered()
+}
+
+// isAnswered sends a health check and reports whether any answer came in time.
+func (c *linkChecker) isAnswered(ctx context.Context, address, path string) bool {
 	ctx, cancel := context.WithTimeout(ctx, linkCheckTimeout)
 	defer cancel()
 	response, err := c.transport.RoundTrip((&http.Request{
@@ -97,16 +111,16 @@
 		Host:   address,
 		Header: http.Header{"User-Agent": nil},
 	}).WithContext(ctx))
-	if err == nil {
-		_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeResponseBytes))
-		_ = response.Body.Close()
-		c.links.answered()
-		return
+	if err != nil {
+		return false
 	}
-	if errors.Is(ctx.Err(), context.Canceled) {
-		return
-	}
-	c.links.failed(address, errors.Wrap(errCheckUnanswered, err.Error()))
+	_, _ = io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeResponseBytes))
+	_ = response.Body.Close()
+	return true
+}
+
+// leave closes the connection that did not answer and turns to the next upstream.
+func (c *linkChecker) leave(address string) {
 	c.transport.CloseIdleConnections()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -1,13 +1,18 @@
 package gateway
 
 import (
+	"context"
+	"net"
 	"sync"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/reach"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/tunnel"
 )
 
 // links watches the direct connections of this VM to the upstreams of a service of a site.
@@ -17,8 +22,9 @@
 	log      hclog.Logger
 	counters *telemetry.Counters
 
-	// onLost is called when the links are lost.
-	onLost func()
+	// onSilent is called when the links are lost and connections hang: the open ones may hang
+	// as well.
+	onSilent func()
 
 	mu       sync.Mutex
 	detector reach.Detector
@@ -26,8 +32,8 @@
 	lostAt time.Time
 }
 
-func newLinks(service string, options Options, onLost func()) *links {
-	return &links{service: service, log: options.Log, counters: options.Counters, onLost: onLost}
+func newLinks(service string, options Options, onSilent func()) *links {
+	return &links{service: service, log: options.Log, counters: options.Counters, onSilent: onSilent}
 }
 
 // setUpstreams sets the number of upstreams.
@@ -64,11 +70,19 @@
 	}
 	l.lostAt = now
 	l.counters.Add(telemetry.GroupLinks, "lost", 1)
-	go l.onLost()
+	if isTimeout(err) {
+		go l.onSilent()
+	}
 	l.log.Warn("links to the upstreams lost", telemetry.FieldService, l.service, "failed", l.detector.FailedPaths(),
 		"silent_ms", l.detector.SilentFor(now).Milliseconds(), telemetry.FieldError, err)
 }
 
+// isTimeout reports whether a connection hung, as opposed to one that was refused.
+func isTimeout(err error) bool {
+	var netErr net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+}
+
 // isLost reports whether the links are lost.
 func (l *links) isLost() bool {
 	l.mu.Lock()
@@ -89,3 +103,14 @@
 	defer l.mu.Unlock()
 	return l.detector.SilentFor(now)
 }
+
+// isPathAtFault reports whether a send that failed says nothing about its upstream, because
+// this VM has lost its links and no other VM failed to reach the upstream either.
+func (s *service) isPathAtFault(trace *sendTrace, err error) bool {
+	var rejected *callheader.RejectedError
+	var refused tunnel.RefusedError
+	if s.links == nil || !s.links.isLost() || trace.via() != "" {
+		return false
+	}
+	return !errors.As(err, &rejected) && !errors.As(err, &refused)
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -26,6 +26,9 @@
 // placeSend has a send of a site's call placed and starts it.
 func (c *call) placeSend(kind sendKind) (send, *outcome.Problem) {
 	s := c.route.service
+	if s.dialer.isOutOfReach() {
+		return send{}, c.noUpstreamProblem(outcome.ConnectFailed)
+	}
 	for range maxPlacements {
 		request := c.placementRequest(kind)
 		grant, err := c.gateway.options.Router.Place(c.ctx, s.name, s.dispatcher, request)
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -136,6 +136,17 @@
 	s.limits.cancelled(sent.choice.Name)
 }
 
+// abandonSend records that a send ended for a reason that says nothing about its upstream.
+func (s *service) abandonSend(sent send) {
+	if sent.grant == nil {
+		s.cancelSend(sent)
+		return
+	}
+	end := dispatch.End{IsCancelled: true, IsUnattributed: true}
+	end.Latency = time.Since(sent.started)
+	sent.grant.End(end)
+}
+
 // hedgeDelay returns the delay after which a lookup is hedged; false until enough
 // latencies were observed.
 func (s *service) hedgeDelay() (time.Duration, bool) {
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -71,6 +71,15 @@
 	}
 }
 
+// Abandoned records that a send ended after the elapsed time for a reason that says nothing
+// about the upstream.
+func (b *Balancer) Abandoned(now time.Time, choice Choice, elapsed time.Duration) {
+	if e, ok := b.byName[choice.Name]; ok {
+		at := b.since(now)
+		e.removeSend(at, at-elapsed, choice.Bulk)
+	}
+}
+
 // Probed records the result of a probe. A probe without an answer is recorded
 // as not Healthy.
 func (b *Balancer) Probed(now time.Time, name string, result ProbeResult) {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -42,23 +42,33 @@
 	dialer     exchange.Dialer
 	counters   *telemetry.Counters
 
-	mu           sync.Mutex
-	avoidedUntil map[avoidance]time.Time
+	mu      sync.Mutex
+	avoided map[avoidedVM]avoidance
 }
 
-// avoidance names a VM that is not used for a service.
-type avoidance struct{ vm, service string }
+// avoidedVM names a VM that is not used for a service.
+type avoidedVM struct{ vm, service string }
+
+// avoidance is until when and why a VM is not used.
+type avoidance struct {
+	until time.Time
+	// hasNoLinks means that the VM has itself lost its links.
+	hasNoLinks bool
+}
 
 // NewClient returns a Client of the VM self. A nil dialer uses the network.
 func NewClient(self string, candidates func(service string) []VM, dialer exchange.Dialer, counters *telemetry.Counters) *Client {
 	return &Client{
-		self: self, candidates: candidates, dialer: dialer, counters: counters, avoidedUntil: make(map[avoidance]time.Time),
+		self: self, candidates: candidates, dialer: dialer, counters: counters, avoided: make(map[avoidedVM]avoidance),
 	}
 }
 
-// ErrNoTunnel means that no VM could open a tunnel.
+// ErrNoTunnel means that no VM could open a tunnel, although some may reach the upstreams.
 var ErrNoTunnel = errors.New("tunnel: no VM opened one")
 
+// ErrNoLinks means that there is no other VM, or that all of them have lost their links too.
+var ErrNoLinks = errors.New("tunnel: no VM has links to the upstreams")
+
 // attempt is the result of one attempt.
 type attempt struct {
 	vm   VM
@@ -67,13 +77,16 @@
 }
 
 // Dial opens a connection to the upstream of a service at an address. It tries the VMs in
-// turn, each without waiting long for the one before. The error wraps ErrNoTunnel, or a
-// RefusedError if maxRefusals VMs refused the upstream.
+// turn, each without waiting long for the one before. The error wraps ErrNoTunnel, ErrNoLinks
+// or, if maxRefusals VMs refused the upstream, a RefusedError.
 func (c *Client) Dial(ctx context.Context, service, address string) (*Conn, error) {
 	untried := c.usable(service)
 	results := make(chan attempt, len(untried))
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
+	if len(untried) == 0 {
+		return nil, c.failure(service)
+	}
 	pending, refusals := 0, 0
 	next := time.NewTimer(0)
 	defer next.Stop()
@@ -107,7 +120,7 @@
 			go closeLater(results, pending)
 			return nil, RefusedError{NotConnected}
 		case pending == 0 && len(untried) == 0:
-			return nil, ErrNoTunnel
+			return nil, c.failure(service)
 		}
 	}
 }
@@ -124,19 +137,30 @@
 // usable returns the VMs to try, at most maxAttempts.
 func (c *Client) usable(service string) []VM {
 	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	var usable []VM
 	for _, vm := range c.candidates(service) {
-		if !c.isAvoided(now, vm.Name, service) && len(usable) < maxAttempts {
+		isAvoided := now.Before(c.avoided[avoidedVM{vm.Name, service}].until)
+		if !isAvoided && len(usable) < maxAttempts {
 			usable = append(usable, vm)
 		}
 	}
 	return usable
 }
 
-func (c *Client) isAvoided(now time.Time, vm, service string) bool {
+// failure returns the error of a tunnel that no VM opened.
+func (c *Client) failure(service string) error {
+	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return now.Before(c.avoidedUntil[avoidance{vm, service}])
+	for _, vm := range c.candidates(service) {
+		known := c.avoided[avoidedVM{vm.Name, service}]
+		if !known.hasNoLinks || now.After(known.until) {
+			return ErrNoTunnel
+		}
+	}
+	return ErrNoLinks
 }
 
 // recordFailure records a failed attempt. It returns 1 if the VM refused the upstream,
@@ -149,7 +173,9 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoidedUntil[avoidance{result.vm.Name, service}] = time.Now().Add(avoidDuration)
+	c.avoided[avoidedVM{result.vm.Name, service}] = avoidance{
+		until: time.Now().Add(avoidDuration), hasNoLinks: refused.Refusal == NoLinks,
+	}
 	return 0
 }
 
