--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -95,8 +95,8 @@
 
 // Place asks the other VM to place a call of a service. rates exchanges with it what both
 // know about rate limits. It returns a Refusal
-// when that VM refuses the call, an error that wraps ErrUnavailable when there
-// is no decision, and the error of ctx when ctx ends first.
+// when that VM refuses the call, ErrNoLinks when it has lost its links, an error that wraps
+// ErrUnavailable when there is no decision, and the error of ctx when ctx ends first.
 func (c *Client) Place(ctx context.Context, service string, rates RateBook, r Request) (Grant, error) {
 	id, replies := c.register()
 	defer c.unregister(id)
@@ -112,8 +112,11 @@
 	}
 	rates.LearnRates(decodeRates(reply.GetRates()))
 	if reply.GetUpstream() == "" {
-		if reply.GetReason() == replyUnknownService {
+		switch reply.GetReason() {
+		case replyUnknownService:
 			return Grant{}, ErrUnavailable
+		case replyNoLinks:
+			return Grant{}, ErrNoLinks
 		}
 		return Grant{}, decodeRefusal(c.vm, reply)
 	}
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -35,7 +35,10 @@
 	// RetryLimits limits the extra sends that this VM places as the coordinator.
 	// Its Share also limits those that it places locally.
 	RetryLimits retry.Limits
-	Counters    *telemetry.Counters
+	// HasLostLinks reports whether this VM has lost its links to the upstreams; it then
+	// places no calls of other VMs. nil means that it never has.
+	HasLostLinks func() bool
+	Counters     *telemetry.Counters
 	// Log may be nil.
 	Log    hclog.Logger
 	Random *rand.Rand
@@ -92,6 +95,9 @@
 
 // NewDispatcher returns a Dispatcher without upstreams.
 func NewDispatcher(options Options) *Dispatcher {
+	if options.HasLostLinks == nil {
+		options.HasLostLinks = func() bool { return false }
+	}
 	if options.Log == nil {
 		options.Log = hclog.NewNullLogger()
 	}
@@ -299,6 +305,11 @@
 	return len(d.upstreams) > 0
 }
 
+// HasLostLinks reports whether this VM has lost its links to the upstreams.
+func (d *Dispatcher) HasLostLinks() bool {
+	return d.options.HasLostLinks()
+}
+
 // RecordRemoteCall records that a call of another VM arrived. While such calls
 // arrive, this VM acts as the coordinator of the service.
 func (d *Dispatcher) RecordRemoteCall(now time.Time, vm string) {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -91,6 +91,8 @@
 type LocalPlacer interface {
 	Placer
 	RateBook
+	// HasLostLinks reports whether this VM has lost its links to the upstreams.
+	HasLostLinks() bool
 }
 
 // Refusal is the error of a call that is not sent to any upstream.
@@ -126,6 +128,10 @@
 	return "dispatch: refused: " + string(r.Reason)
 }
 
+// ErrNoLinks means that the coordinator of a service has lost its links to the upstreams and
+// that another VM has to take its place.
+var ErrNoLinks = errors.New("dispatch: coordinator has lost its links")
+
 // ErrUnavailable means that the coordinator of a service gave no decision: it
 // can't be reached, did not reply in time or does not know the service.
 var ErrUnavailable = errors.New("dispatch: coordinator unavailable")
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -19,6 +19,11 @@
 	avoidDuration = 2 * time.Second
 	// dialTimeout limits the time to open a stream.
 	dialTimeout = 500 * time.Millisecond
+	// noLinksDuration is how long a VM that has lost its links to a service's upstreams is not
+	// used as its coordinator.
+	noLinksDuration = time.Second
+	// maxCoordinators is the number of VMs that are asked to place one call.
+	maxCoordinators = 3
 )
 
 // VM is another VM that can place calls.
@@ -44,34 +49,58 @@
 	clients      map[VM]*Client
 	dialing      map[VM]bool
 	avoidedUntil map[string]time.Time
+	// noLinksUntil holds until when a VM is not used for a service.
+	noLinksUntil map[serviceVM]time.Time
 }
 
+// serviceVM names a VM with regard to one service.
+type serviceVM struct{ service, vm string }
+
 // NewRouter returns a Router without open streams. dialer may be nil.
 func NewRouter(coordinator CoordinatorFunc, dialer exchange.Dialer, log hclog.Logger, counters *telemetry.Counters) *Router {
 	return &Router{
 		coordinator: coordinator, dialer: dialer, log: log, counters: counters,
 		clients: make(map[VM]*Client), dialing: make(map[VM]bool), avoidedUntil: make(map[string]time.Time),
+		noLinksUntil: make(map[serviceVM]time.Time),
 	}
 }
 
 // Place returns the upstream for a send. local places the calls of the service
 // on this VM; it is used when this VM is the coordinator or the coordinator is
-// unavailable.
+// unavailable. A VM that has lost its links to the upstreams is no coordinator.
 func (r *Router) Place(ctx context.Context, service string, local LocalPlacer, request Request) (Grant, error) {
-	client, isLocal := r.client(service)
-	switch {
-	case isLocal:
-		return local.Place(ctx, request)
-	case client == nil:
-		r.counters.Add(telemetry.GroupDispatch, "alone", 1)
-		return local.Place(ctx, request)
+	if local.HasLostLinks() {
+		r.recordNoLinks(service, request.VM)
 	}
-	grant, err := client.Place(ctx, service, local, request)
-	if errors.Is(err, ErrUnavailable) {
-		r.counters.Add(telemetry.GroupDispatch, "unanswered", 1)
-		return local.Place(ctx, request)
+	for range maxCoordinators {
+		client, isLocal := r.client(service)
+		if isLocal {
+			return local.Place(ctx, request)
+		}
+		if client == nil {
+			break
+		}
+		grant, err := client.Place(ctx, service, local, request)
+		switch {
+		case errors.Is(err, ErrNoLinks):
+			r.recordNoLinks(service, client.vm)
+			continue
+		case errors.Is(err, ErrUnavailable):
+			r.counters.Add(telemetry.GroupDispatch, "unanswered", 1)
+			return local.Place(ctx, request)
+		}
+		return grant, err
 	}
-	return grant, err
+	r.counters.Add(telemetry.GroupDispatch, "alone", 1)
+	return local.Place(ctx, request)
+}
+
+// recordNoLinks records that a VM has lost its links to a service's upstreams.
+func (r *Router) recordNoLinks(service, vm string) {
+	r.counters.Add(telemetry.GroupDispatch, "no_links", 1)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noLinksUntil[serviceVM{service, vm}] = time.Now().Add(noLinksDuration)
 }
 
 // connectInterval is the time between two checks for missing streams.
@@ -100,7 +129,9 @@
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	vm, ok := r.coordinator(service, func(name string) bool { return now.Before(r.avoidedUntil[name]) })
+	vm, ok := r.coordinator(service, func(name string) bool {
+		return now.Before(r.avoidedUntil[name]) || now.Before(r.noLinksUntil[serviceVM{service, name}])
+	})
 	if !ok {
 		return nil, true
 	}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -125,6 +125,10 @@
 		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replyUnknownService})
 		return
 	}
+	if dispatcher.HasLostLinks() {
+		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replyNoLinks})
+		return
+	}
 	ctx, cancel := context.WithCancel(s.ctx)
 	served := &servedCall{cancel: cancel, arrived: time.Now()}
 	s.mu.Lock()
@@ -135,10 +139,11 @@
 	go s.placeCall(ctx, dispatcher, call, served)
 }
 
-// Reasons of replies that are not refusals: the VM does not know the service, or
-// the call waits to be placed.
+// Reasons of replies that are not refusals: the VM does not know the service, has lost its
+// links to the upstreams, or the call waits to be placed.
 const (
 	replyUnknownService = "unknown"
+	replyNoLinks        = "no_links"
 	replyWaiting        = "waiting"
 )
 
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -85,7 +85,8 @@
 		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
 		ProbesPerUpstream: g.options.ProbesPerUpstream, RetryLimits: g.options.RetryLimits, Counters: g.options.Counters,
-		Random: rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
+		HasLostLinks: s.links.isLost,
+		Random:       rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
 	})
 	s.dispatcher.SetLiveVMs(g.site.vms)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -33,11 +33,3 @@
 	_, ok := s.transports[address]
 	return ok
 }
-
-// HasLostLinks reports whether this VM has lost its links to the upstreams of a service.
-func (g *Gateway) HasLostLinks(serviceName string) bool {
-	g.mu.Lock()
-	s, ok := g.site.services[serviceName]
-	g.mu.Unlock()
-	return ok && s.links.isLost()
-}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -259,14 +259,14 @@
 
 // Coordinator returns the coordinator of a service, the VM of the site that places the
 // service's calls. It is chosen by rendezvous hashing, with preference for
-// high-capacity VMs, among this VM and the other VMs for which isAvoided returns
+// high-capacity VMs, among this and the other VMs for which isAvoided returns
 // false; VMs that are dead or leaving are excluded. The second result is false when
 // this VM itself is the coordinator or there is none.
 func (m *Mesh) Coordinator(service string, isAvoided func(vm string) bool) (dispatch.VM, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var candidates []membership.Member
-	if !m.isLeaving {
+	if !m.isLeaving && !isAvoided(m.options.VM) {
 		candidates = append(candidates, m.view.Self())
 	}
 	for _, member := range m.view.Members() {
