--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -83,8 +83,8 @@
 	return c.addresses[c.current%len(c.addresses)], c.path, true
 }
 
-// check checks the link to an upstream. An upstream that answers slowly or not at all can
-// still be connected to, and then the link is up. After a failure the next upstream is checked.
+// check checks the link to an upstream. An upstream that does not answer in time may still be
+// connected to. After a failure the next upstream is checked.
 func (c *linkChecker) check(ctx context.Context, address, path string) {
 	if c.isAnswered(ctx, address, path) {
 		c.links.answered()
@@ -98,7 +98,7 @@
 		return
 	}
 	_ = conn.Close()
-	c.links.answered()
+	c.links.opened(address)
 }
 
 // isAnswered sends a health check and reports whether any answer came in time.
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -60,14 +60,32 @@
 
 // failed records that the upstream at an address could not be reached directly.
 func (l *links) failed(address string, err error) {
-	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counters.Add(telemetry.GroupLinks, "failed", 1)
 	l.detector.Failed(address)
+	l.noticeLossLocked(err)
+}
+
+// opened records that the upstream at an address accepted a direct connection and did not
+// answer.
+func (l *links) opened(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.counters.Add(telemetry.GroupLinks, "unanswered", 1)
+	l.detector.Opened(time.Now(), address)
+	l.noticeLossLocked(errUnanswered)
+}
+
+// errUnanswered means that upstreams accept connections and do not answer.
+var errUnanswered = errors.New("gateway: connections open and are not answered")
+
+// noticeLossLocked logs the loss of the links, if they are lost since the last failure.
+func (l *links) noticeLossLocked(err error) {
 	if !l.detector.IsLost() || !l.lostAt.IsZero() {
 		return
 	}
+	now := time.Now()
 	l.lostAt = now
 	l.counters.Add(telemetry.GroupLinks, "lost", 1)
 	if isTimeout(err) {
@@ -80,7 +98,7 @@
 // isTimeout reports whether a connection hung, as opposed to one that was refused.
 func isTimeout(err error) bool {
 	var netErr net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
+	return errors.Is(err, errUnanswered) || errors.Is(err, context.DeadlineExceeded) || errors.As(err, &netErr) && netErr.Timeout()
 }
 
 // isLost reports whether the links are lost.
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -8,6 +8,10 @@
 // any upstream in between, before the links count as lost.
 const minFailedPaths = 2
 
+// maxOpenSilence is the time without any answer after which a connection that only opens is no
+// sign of life.
+const maxOpenSilence = time.Second
+
 // Detector decides from the direct connections of one VM to the upstreams of one service
 // whether the VM has lost its links. It is not safe for concurrent use.
 type Detector struct {
@@ -36,6 +40,17 @@
 	d.failed[address] = struct{}{}
 }
 
+// Opened records that the upstream at an address accepted a direct connection and did not
+// answer. Soon after an answer of another one that is a sign that the link is up and the
+// upstream is slow; after maxOpenSilence it is a failure like others.
+func (d *Detector) Opened(now time.Time, address string) {
+	if d.SilentFor(now) >= maxOpenSilence {
+		d.Failed(address)
+		return
+	}
+	clear(d.failed)
+}
+
 // IsLost reports whether the VM has lost its links to the upstreams.
 func (d *Detector) IsLost() bool {
 	needed := min(minFailedPaths, d.upstreams)
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -43,3 +43,18 @@
 	d.SetUpstreams(1)
 	g.Expect(d.IsLost()).To(BeTrue())
 }
+
+func TestConnectionsThatOnlyOpenAreALossOfLinksAfterAWhile(t *testing.T) {
+	g := NewWithT(t)
+	var d reach.Detector
+	d.SetUpstreams(3)
+	now := time.Unix(1000, 0)
+	d.Answered(now)
+	d.Failed("a")
+	d.Opened(now.Add(500*time.Millisecond), "b")
+	d.Opened(now.Add(600*time.Millisecond), "c")
+	g.Expect(d.IsLost()).To(BeFalse(), "slow upstreams")
+	d.Opened(now.Add(1500*time.Millisecond), "b")
+	d.Opened(now.Add(1600*time.Millisecond), "c")
+	g.Expect(d.IsLost()).To(BeTrue())
+}
