--- a/internal/gateway/dial.go
+++ b/internal/gateway/dial.go
@@ -35,9 +35,10 @@
 func (d *dialer) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	began := time.Now()
 	conn, err := d.direct(ctx, network, address)
 	if err != nil && !errors.Is(err, context.Canceled) {
-		d.links.failed(address, err)
+		d.links.failed(began, address, err)
 	}
 	return conn, err
 }
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -58,12 +58,13 @@
 	l.lostAt = time.Time{}
 }
 
-// failed records that the upstream at an address could not be reached directly.
-func (l *links) failed(address string, err error) {
+// failed records that the upstream at an address could not be reached directly, by an attempt
+// that began at a time.
+func (l *links) failed(began time.Time, address string, err error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.counters.Add(telemetry.GroupLinks, "failed", 1)
-	l.detector.Failed(address)
+	l.detector.Failed(began, address)
 	l.noticeLossLocked(err)
 }
 
--- a/internal/reach/detector.go
+++ b/internal/reach/detector.go
@@ -32,8 +32,16 @@
 	clear(d.failed)
 }
 
-// Failed records that the upstream at an address could not be reached directly.
-func (d *Detector) Failed(address string) {
+// Failed records that the upstream at an address could not be reached directly, by an attempt
+// that began at a time. If another upstream has answered since then, the links are up.
+func (d *Detector) Failed(began time.Time, address string) {
+	if d.answeredAt.After(began) {
+		return
+	}
+	d.fail(address)
+}
+
+func (d *Detector) fail(address string) {
 	if d.failed == nil {
 		d.failed = make(map[string]struct{})
 	}
@@ -45,7 +53,7 @@
 // upstream is slow; after maxOpenSilence it is a failure like others.
 func (d *Detector) Opened(now time.Time, address string) {
 	if d.SilentFor(now) >= maxOpenSilence {
-		d.Failed(address)
+		d.fail(address)
 		return
 	}
 	clear(d.failed)
--- a/internal/reach/detector_test.go
+++ b/internal/reach/detector_test.go
@@ -14,11 +14,11 @@
 	var d reach.Detector
 	d.SetUpstreams(3)
 	for range 5 {
-		d.Failed("a")
+		d.Failed(time.Unix(2000, 0), "a")
 	}
 	g.Expect(d.IsLost()).To(BeFalse())
 	d.Answered(time.Unix(1, 0))
-	d.Failed("b")
+	d.Failed(time.Unix(2000, 0), "b")
 	g.Expect(d.IsLost()).To(BeFalse())
 }
 
@@ -26,8 +26,8 @@
 	g := NewWithT(t)
 	var d reach.Detector
 	d.SetUpstreams(3)
-	d.Failed("a")
-	d.Failed("b")
+	d.Failed(time.Unix(2000, 0), "a")
+	d.Failed(time.Unix(2000, 0), "b")
 	g.Expect(d.IsLost()).To(BeTrue())
 	now := time.Unix(1, 0)
 	d.Answered(now)
@@ -38,7 +38,7 @@
 func TestServiceWithoutUpstreamsHasNoLinksToLose(t *testing.T) {
 	g := NewWithT(t)
 	var d reach.Detector
-	d.Failed("a")
+	d.Failed(time.Unix(2000, 0), "a")
 	g.Expect(d.IsLost()).To(BeFalse())
 	d.SetUpstreams(1)
 	g.Expect(d.IsLost()).To(BeTrue())
@@ -50,7 +50,7 @@
 	d.SetUpstreams(3)
 	now := time.Unix(1000, 0)
 	d.Answered(now)
-	d.Failed("a")
+	d.Failed(time.Unix(2000, 0), "a")
 	d.Opened(now.Add(500*time.Millisecond), "b")
 	d.Opened(now.Add(600*time.Millisecond), "c")
 	g.Expect(d.IsLost()).To(BeFalse(), "slow upstreams")
@@ -58,3 +58,18 @@
 	d.Opened(now.Add(1600*time.Millisecond), "c")
 	g.Expect(d.IsLost()).To(BeTrue())
 }
+
+func TestTimeoutsWhileOtherUpstreamsAnswerAreNoLossOfLinks(t *testing.T) {
+	g := NewWithT(t)
+	var d reach.Detector
+	d.SetUpstreams(5)
+	began := time.Unix(1000, 0)
+	d.Answered(began.Add(400 * time.Millisecond))
+	d.Failed(began, "a")
+	d.Failed(began, "b")
+	g.Expect(d.IsLost()).To(BeFalse())
+	later := began.Add(450 * time.Millisecond)
+	d.Failed(later, "a")
+	d.Failed(later, "b")
+	g.Expect(d.IsLost()).To(BeTrue())
+}
