--- a/cmd/figfront-soak/main.go
+++ b/cmd/figfront-soak/main.go
@@ -31,6 +31,7 @@
 	Only     string        `help:"Inject only the kinds of faults whose name contains this text."`
 	Restores bool          `help:"Let the store come back from older copies." default:"true" negatable:""`
 	Limits   bool          `help:"Let servers name rate limits." default:"true" negatable:""`
+	Links    bool          `help:"Let VMs lose their links to servers and to each other." default:"true" negatable:""`
 	Untimed  bool          `help:"Check only promises that have no time."`
 	Verbose  bool          `help:"Print each fault." short:"v"`
 }
@@ -70,7 +71,7 @@
 		group.Go(func() error {
 			result, err := soak.Execute(ctx, soak.Options{
 				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm,
-				CheckTimed: !args.Untimed, Callers: args.Callers, Only: args.Only, StoreRestores: args.Restores, RateLimits: args.Limits, Log: log,
+				CheckTimed: !args.Untimed, Callers: args.Callers, Only: args.Only, StoreRestores: args.Restores, RateLimits: args.Limits, LinkLosses: args.Links, Log: log,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/config/inifile/section.go
+++ b/internal/config/inifile/section.go
@@ -183,6 +183,19 @@
 	s.parseAddress(key, value, dst)
 }
 
+// IP reads an optional IP address; an absent key leaves dst as it is.
+func (s *Section) IP(key string, dst *string) {
+	value, ok := s.lookup(key)
+	if !ok {
+		return
+	}
+	if _, err := netip.ParseAddr(value); err != nil {
+		s.Fault(key, value, "an IP address")
+		return
+	}
+	*dst = value
+}
+
 // RequiredAddress reads a required address of the form IP:port.
 func (s *Section) RequiredAddress(key string, dst *string) {
 	value, ok := s.lookup(key)
--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -19,8 +19,13 @@
 	Ready string
 	// Operators is the address that serves health, readiness and counters.
 	Operators string
-	// Exchange is the address at which other VMs reach this one.
-	Exchange string
+	// Exchange is the address that serves other VMs, and Advertised the one at which they
+	// reach it.
+	Exchange   string
+	Advertised string
+	// Source is the local IP address of connections to upstreams; empty means that the
+	// system chooses it.
+	Source string
 	// Seeds are the exchange addresses of a few other VMs, which may be unreachable.
 	Seeds []string
 	// Store is the address of the platform's store.
@@ -69,6 +74,8 @@
 	section.RequiredAddress("ready", &e.Ready)
 	section.RequiredAddress("operators", &e.Operators)
 	section.RequiredAddress("exchange", &e.Exchange)
+	section.Address("advertised", &e.Advertised, e.Exchange)
+	section.IP("source", &e.Source)
 	section.Addresses("seeds", &e.Seeds)
 	section.RequiredAddress("store", &e.Store)
 	section.Float("asks_per_second", &e.ProbesPerUpstream, 60, 0, 10000)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -115,6 +116,7 @@
 	})
 	e.gateway = gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
+		Dial: upstreamDialer(settings.Source),
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport, RequireRequestID: true,
 		ProbesPerUpstream: settings.ProbesPerUpstream, Router: e.router,
 		Tunnels: tunnel.NewClient(settings.VM.Name, func(service string) []tunnel.VM {
@@ -129,8 +131,8 @@
 	adapter.Eras.Notify(newEraObserver(parts.Log, parts.Counters))
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
-		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Exchange,
-		Capacity: capacity(settings), Seeds: settings.Seeds, Eras: adapter.Eras, Dispatch: e.dispatch,
+		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Advertised,
+		Capacity: capacity(settings), Seeds: otherSeeds(settings), Eras: adapter.Eras, Dispatch: e.dispatch,
 		Tunnels: tunnel.NewServer(e.gateway, parts.Log, parts.Counters), OnLiveVMs: e.gateway.SetLiveVMs,
 		Log: parts.Log, Counters: parts.Counters,
 	})
@@ -192,6 +194,21 @@
 	return min(settings.Cores, settings.LinkMbps/mbpsPerCore)
 }
 
+// otherSeeds returns the seeds without this VM's own address.
+func otherSeeds(settings *static.Entry) []string {
+	return slices.DeleteFunc(slices.Clone(settings.Seeds), func(seed string) bool { return seed == settings.Exchange })
+}
+
+// upstreamDialer returns a function that opens connections to upstreams from a local IP
+// address; nil if the system chooses that.
+func upstreamDialer(source string) gateway.DialFunc {
+	if source == "" {
+		return nil
+	}
+	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+	return dialer.DialContext
+}
+
 // reload applies changed settings. Only the address of the store takes effect
 // without a restart.
 func (e *entry) reload(settings *static.Entry) {
@@ -230,7 +247,7 @@
 func (e *entry) newVMFollower() *follow.VMFollower {
 	return &follow.VMFollower{
 		Source:   e.mesh.AddRecordSet("vms", e.adapter.VMs, vmRecordOptions),
-		Self:     platform.VM{Name: e.settings.VM.Name, Zone: e.settings.VM.Zone, Address: e.settings.Exchange, Capacity: capacity(e.settings)},
+		Self:     platform.VM{Name: e.settings.VM.Name, Zone: e.settings.VM.Zone, Address: e.settings.Advertised, Capacity: capacity(e.settings)},
 		Announce: e.adapter.Announce, Decode: e.adapter.DecodeVM, Apply: e.mesh.MergeVMs,
 		Log: e.parts.Log, Counters: e.parts.Counters, Clock: &e.storeClock,
 	}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -22,6 +22,7 @@
 type record struct {
 	request    sitetest.Request
 	vm         *VM
+	sentAt     time.Time
 	executions []execution
 	response   sitetest.Response
 	isFinished bool
@@ -54,7 +55,7 @@
 func (l *Ledger) Sent(request sitetest.Request, vm *VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.records[request.ID] = &record{request: request, vm: vm}
+	l.records[request.ID] = &record{request: request, vm: vm, sentAt: time.Now()}
 }
 
 // Ran records that a server runs a request with the given body.
@@ -142,6 +143,23 @@
 	return found
 }
 
+// servedBy counts the finished requests that were sent to a VM between two times, and how
+// many of them succeeded.
+func (l *Ledger) servedBy(vm *VM, from, to time.Time) (finished, served int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.records {
+		if r.vm != vm || !r.isFinished || r.sentAt.Before(from) || r.sentAt.After(to) {
+			continue
+		}
+		finished++
+		if r.response.IsSuccess() {
+			served++
+		}
+	}
+	return finished, served
+}
+
 // Violations returns a copy of the violations recorded so far.
 func (l *Ledger) Violations() []Violation {
 	l.mu.Lock()
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -21,6 +21,8 @@
 	DropResponses
 	// DropAll drops both directions; new connections are still accepted.
 	DropAll
+	// ResetAll resets all connections.
+	ResetAll
 )
 
 // linkDelay is the delay of a slow link for each block of bytes.
@@ -37,7 +39,10 @@
 
 	mu    sync.Mutex
 	state LinkState
-	conns map[net.Conn]struct{}
+	// hostStates holds the states of the links of single client hosts, where they differ
+	// from state.
+	hostStates map[string]LinkState
+	conns      map[net.Conn]struct{}
 }
 
 // NewProxy starts a proxy on a free port of loopback that forwards to target (host:port).
@@ -46,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Proxy{listener: listener, target: target, conns: make(map[net.Conn]struct{})}
+	p := &Proxy{listener: listener, target: target, conns: make(map[net.Conn]struct{}), hostStates: make(map[string]LinkState)}
 	go p.accept()
 	return p, nil
 }
@@ -63,16 +68,46 @@
 	p.state = state
 }
 
+// SetFor sets the state of the links of the clients at one host; Healthy means that they have
+// the state of all again.
+func (p *Proxy) SetFor(host string, state LinkState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if state == Healthy {
+		delete(p.hostStates, host)
+		return
+	}
+	p.hostStates[host] = state
+	if state == ResetAll {
+		for conn := range p.conns {
+			if hostOf(conn) == host {
+				reset(conn)
+			}
+		}
+	}
+}
+
+// hostOf returns the host at the other end of a connection.
+func hostOf(conn net.Conn) string {
+	host, _, _ := net.SplitHostPort(conn.RemoteAddr().String())
+	return host
+}
+
+// reset closes a connection with a TCP reset.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // Reset closes all connections with a TCP reset on both sides. New connections are
 // still accepted.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for conn := range p.conns {
-		if tcp, ok := conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0)
-		}
-		_ = conn.Close()
+		reset(conn)
 	}
 }
 
@@ -93,6 +128,11 @@
 }
 
 func (p *Proxy) serve(client net.Conn) {
+	host := hostOf(client)
+	if p.stateFor(host) == ResetAll {
+		reset(client)
+		return
+	}
 	target, err := net.Dial("tcp", p.target)
 	if err != nil {
 		_ = client.Close()
@@ -100,8 +140,8 @@
 	}
 	p.track(client, target)
 	var pipes sync.WaitGroup
-	pipes.Go(func() { p.pipe(target, client, DropRequests) })
-	pipes.Go(func() { p.pipe(client, target, DropResponses) })
+	pipes.Go(func() { p.pipe(target, client, host, DropRequests) })
+	pipes.Go(func() { p.pipe(client, target, host, DropResponses) })
 	pipes.Wait()
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -119,7 +159,7 @@
 
 // pipe copies one direction of a connection until either side closes. It discards the
 // bytes while the link is in dropState or in DropAll.
-func (p *Proxy) pipe(dst, src net.Conn, dropState LinkState) {
+func (p *Proxy) pipe(dst, src net.Conn, host string, dropState LinkState) {
 	defer func() {
 		_ = dst.Close()
 		_ = src.Close()
@@ -130,7 +170,7 @@
 		if err != nil {
 			return
 		}
-		state := p.currentState()
+		state := p.stateFor(host)
 		if state == dropState || state == DropAll {
 			continue
 		}
@@ -143,8 +183,12 @@
 	}
 }
 
-func (p *Proxy) currentState() LinkState {
+// stateFor returns the state of the link of a client host.
+func (p *Proxy) stateFor(host string) LinkState {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if state, ok := p.hostStates[host]; ok {
+		return state
+	}
 	return p.state
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,6 +55,9 @@
 	Only string
 	// StoreRestores adds restores of the store from a copy to the faults.
 	StoreRestores bool
+	// LinkLosses adds losses of the links between a VM and all servers, and of links between
+	// VMs, to the faults.
+	LinkLosses bool
 	// RateLimits adds servers that name a rate limit to the faults.
 	RateLimits bool
 	// Log receives a line for each fault.
@@ -207,6 +210,13 @@
 	if run.options.StoreRestores && restoreFault.matches(run.options.Only) {
 		kinds = append(kinds, restoreFault)
 	}
+	if run.options.LinkLosses {
+		for _, f := range linkFaults {
+			if f.matches(run.options.Only) {
+				kinds = append(kinds, f)
+			}
+		}
+	}
 	if run.options.RateLimits && rateLimitFault.matches(run.options.Only) {
 		kinds = append(kinds, rateLimitFault)
 	}
@@ -301,6 +311,7 @@
 				run.addTimedViolation("planned stop", v.Name+" did not exit in time")
 			}
 			v.store.Close()
+			v.peers.Close()
 		})
 	}
 	stops.Wait()
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -59,6 +59,15 @@
 		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
 		g.Expect(result.Faults).To(BeNumerically(">", 0))
 	})
+	t.Run("links", func(t *testing.T) {
+		links := options
+		links.Seed, links.Only, links.LinkLosses = 1, "links to", true
+		result, err := soak.Execute(context.Background(), links)
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
+		g.Expect(result.Faults).To(BeNumerically(">", 0))
+	})
 	for seed, cause := range regressions {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -48,6 +48,9 @@
 	// rates holds the probability of each behavior other than Serve.
 	rates   map[sitetest.Behavior]float64
 	members []*member
+	// linkStates holds the states of the links of single VMs to all servers, by the VM's
+	// source host.
+	linkStates map[string]LinkState
 }
 
 // member is a server behind its proxy.
@@ -68,7 +71,7 @@
 }
 
 func newFleet(store *storetest.Store, ledger *Ledger, random *rand.Rand) *fleet {
-	return &fleet{store: store, ledger: ledger, random: random, rates: make(map[sitetest.Behavior]float64)}
+	return &fleet{store: store, ledger: ledger, random: random, rates: make(map[sitetest.Behavior]float64), linkStates: make(map[string]LinkState)}
 }
 
 // add starts another server behind a proxy and writes its entry.
@@ -89,6 +92,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.members = append(f.members, m)
+	for source, state := range f.linkStates {
+		proxy.SetFor(source, state)
+	}
 	return f.writeLocked(m)
 }
 
@@ -145,6 +151,16 @@
 	f.rates[behavior] = rate
 }
 
+// setLinks sets the state of the links of the VM with a source host to all servers.
+func (f *fleet) setLinks(source string, state LinkState) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.linkStates[source] = state
+	for _, m := range f.members {
+		m.proxy.SetFor(source, state)
+	}
+}
+
 // pick returns a random server that is running and not leaving; nil if fewer than three
 // are left.
 func (f *fleet) pick() *member {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -31,8 +31,16 @@
 	options vmOptions
 	// exchangeAddress is the host:port at which the other VMs reach it.
 	exchangeAddress string
-	// store is the proxy through which the process reaches the store.
-	store *Proxy
+	// store is the proxy through which the process reaches the store, and peers the one
+	// through which the other VMs reach the process.
+	store, peers *Proxy
+	// source is the loopback host from which the process connects to servers.
+	source string
+
+	// hasLostLinks is set while the process has no links to servers, and linksRestoredAt is
+	// when a loss last ended, in nanoseconds of Unix time.
+	hasLostLinks    atomic.Bool
+	linksRestoredAt atomic.Int64
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -62,8 +70,15 @@
 	if err != nil {
 		return nil, err
 	}
+	peers, err := NewProxy(exchangeAddress)
+	if err != nil {
+		return nil, err
+	}
 	listenAddress, err := freeAddress(options.host)
-	return &VM{Name: name, Zone: zone, ListenAddress: listenAddress, options: options, exchangeAddress: exchangeAddress, store: store}, err
+	return &VM{
+		Name: name, Zone: zone, ListenAddress: listenAddress, options: options, exchangeAddress: exchangeAddress,
+		store: store, peers: peers, source: nextLoopbackHost(),
+	}, err
 }
 
 // runCount counts the runs of this test process.
@@ -146,8 +161,8 @@
 		return "", err
 	}
 	settings := fmt.Sprintf("[vm]\nname = %s\nzone = %s\n[entry]\nlisten = %s\nready = %s\noperators = %s\nexchange = %s\n"+
-		"seeds = %s\nstore = %s\nheartbeat = %s\ndrain_bound = %s\nconfig_bound = %s\nstop_lag = 300ms\nstop_timeout = %s\n",
-		v.Name, v.Zone, v.ListenAddress, ready, operators, v.exchangeAddress, v.options.seeds, v.store.Address(),
+		"advertised = %s\nsource = %s\nseeds = %s\nstore = %s\nheartbeat = %s\ndrain_bound = %s\nconfig_bound = %s\nstop_lag = 300ms\nstop_timeout = %s\n",
+		v.Name, v.Zone, v.ListenAddress, ready, operators, v.exchangeAddress, v.peers.Address(), v.source, v.options.seeds, v.store.Address(),
 		heartbeatInterval, drainBound, configBound, stopTimeout)
 	path := filepath.Join(v.options.dir, v.Name+".ini")
 	return path, os.WriteFile(path, []byte(settings), 0o600)
