--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -228,39 +228,6 @@
 // errBudgetSpent means that the retry budget does not cover an extra send.
 var errBudgetSpent = errors.New("dispatch: retry budget spent")
 
-// refusal returns the Refusal of a call that arrived at the given time.
-func (d *Dispatcher) refusal(r Request, reason outcome.Reason, arrived time.Time) Refusal {
-	now := time.Now()
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	supply := d.balancer.RateSupply(now, r.balancerRequest())
-	var nextSend time.Duration
-	if supply.IsLimited {
-		nextSend = supply.First + time.Duration(float64(len(d.waiters))/supply.PerSecond*float64(time.Second))
-	}
-	isWithheld := supply.IsLimited && supply.First > 0
-	if isWithheld && (reason == outcome.QueueFull || reason == outcome.NoUpstream) {
-		reason = outcome.RateLimited
-	}
-	refusal := Refusal{
-		Reason:   reason,
-		PlacedBy: d.options.VM,
-		Basis: RefusalBasis{
-			Upstreams:      len(d.upstreams),
-			Free:           d.balancer.Free(now, r.balancerRequest()),
-			Waiting:        len(d.waiters),
-			SendsPerSecond: d.backlog.SendsPerSecond(now),
-			BaseLatency:    d.balancer.BaseLatency(),
-			Waited:         now.Sub(arrived),
-			NextSend:       nextSend,
-		},
-	}
-	if !r.Extra {
-		d.watchRefusalLocked(now, refusal)
-	}
-	return refusal
-}
-
 // recordEnd records how a send ended and wakes a waiting call.
 func (d *Dispatcher) recordEnd(choice loadbalancer.Choice, end End) {
 	now := time.Now()
--- /dev/null
+++ b/internal/dispatch/refusal.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/outcome"
+)
+
+// refusal returns the Refusal of a call that arrived at the given time.
+func (d *Dispatcher) refusal(r Request, reason outcome.Reason, arrived time.Time) Refusal {
+	now := time.Now()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	supply := d.balancer.RateSupply(now, r.balancerRequest())
+	refusal := Refusal{
+		Reason:   withheldReason(reason, supply),
+		PlacedBy: d.options.VM,
+		Basis: RefusalBasis{
+			Upstreams:      len(d.upstreams),
+			Free:           d.balancer.Free(now, r.balancerRequest()),
+			Waiting:        len(d.waiters),
+			SendsPerSecond: d.backlog.SendsPerSecond(now),
+			BaseLatency:    d.balancer.BaseLatency(),
+			Waited:         now.Sub(arrived),
+			NextSend:       nextSend(supply, len(d.waiters)),
+		},
+	}
+	if !r.Extra {
+		d.watchRefusalLocked(now, refusal)
+	}
+	return refusal
+}
+
+// withheldReason returns RateLimited in place of a reason that says less, if the rate limits
+// of the upstreams withhold the call.
+func withheldReason(reason outcome.Reason, supply loadbalancer.RateSupply) outcome.Reason {
+	isWithheld := supply.IsLimited && supply.First > 0
+	if isWithheld && (reason == outcome.QueueFull || reason == outcome.NoUpstream) {
+		return outcome.RateLimited
+	}
+	return reason
+}
+
+// nextSend returns the time until the rate limits permit another call behind those that wait;
+// 0 if not all upstreams have one.
+func nextSend(supply loadbalancer.RateSupply, waiting int) time.Duration {
+	if !supply.IsLimited {
+		return 0
+	}
+	return supply.First + time.Duration(float64(waiting)/supply.PerSecond*float64(time.Second))
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -194,21 +193,6 @@
 	return min(settings.Cores, settings.LinkMbps/mbpsPerCore)
 }
 
-// otherSeeds returns the seeds without this VM's own address.
-func otherSeeds(settings *static.Entry) []string {
-	return slices.DeleteFunc(slices.Clone(settings.Seeds), func(seed string) bool { return seed == settings.Exchange })
-}
-
-// upstreamDialer returns a function that opens connections to upstreams from a local IP
-// address; nil if the system chooses that.
-func upstreamDialer(source string) gateway.DialFunc {
-	if source == "" {
-		return nil
-	}
-	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
-	return dialer.DialContext
-}
-
 // reload applies changed settings. Only the address of the store takes effect
 // without a restart.
 func (e *entry) reload(settings *static.Entry) {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,12 +12,10 @@
 	"google.golang.org/protobuf/proto"
 
 	api "github.com/figfront/figfront/api/exchange"
-	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
-	"github.com/figfront/figfront/internal/tunnel"
 )
 
 // Topics exchanged between the VMs of a zone.
@@ -257,50 +255,6 @@
 	return true
 }
 
-// Coordinator returns the coordinator of a service, the VM of the site that places the
-// service's calls. It is chosen by rendezvous hashing, with preference for
-// high-capacity VMs, among this and the other VMs for which isAvoided returns
-// false; VMs that are dead or leaving are excluded. The second result is false when
-// this VM itself is the coordinator or there is none.
-func (m *Mesh) Coordinator(service string, isAvoided func(vm string) bool) (dispatch.VM, bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var candidates []membership.Member
-	if !m.isLeaving && !isAvoided(m.options.VM) {
-		candidates = append(candidates, m.view.Self())
-	}
-	for _, member := range m.view.Members() {
-		isGone := member.State == membership.StateDead || member.State == membership.StateLeaving
-		if !isGone && !isAvoided(member.VM) {
-			candidates = append(candidates, member)
-		}
-	}
-	first, ok := membership.First(service, candidates)
-	if !ok || first.VM == m.options.VM {
-		return dispatch.VM{}, false
-	}
-	return dispatch.VM{Name: first.VM, Address: first.Address}, true
-}
-
-// TunnelCandidates returns the other VMs of the site that may open tunnels to the upstreams
-// of a service for this VM, in an order that differs between VMs, with preference for
-// high-capacity VMs. VMs that are dead or leaving are left out.
-func (m *Mesh) TunnelCandidates(service string) []tunnel.VM {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	var others []membership.Member
-	for _, member := range m.view.Members() {
-		if member.State != membership.StateDead && member.State != membership.StateLeaving {
-			others = append(others, member)
-		}
-	}
-	var candidates []tunnel.VM
-	for _, member := range membership.Ranked(service+"/"+m.options.VM, others) {
-		candidates = append(candidates, tunnel.VM{Name: member.VM, Address: member.Address})
-	}
-	return candidates
-}
-
 // maxReaderCandidates limits the candidates that IsReader considers.
 const maxReaderCandidates = 64
 
