--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -18,6 +18,11 @@
 	// maxLinkSilence is the time without an answer of any upstream from which on the links are
 	// checked.
 	maxLinkSilence = 500 * time.Millisecond
+	// linkCheckShare is the part of the limit on probes of an upstream that the checks of all
+	// VMs together use at most, and unknownVMs the number of VMs that is assumed while it is
+	// not known. A check that fails takes two connections.
+	linkCheckShare = 0.2
+	unknownVMs     = 12
 )
 
 // linkChecker checks the links of this VM to the upstreams of a service while no other answer
@@ -29,17 +34,25 @@
 	dial      DialFunc
 	transport *http.Transport
 
+	// probesPerUpstream limits the probes per second that one upstream receives from all
+	// VMs; 0 means no limit.
+	probesPerUpstream float64
+
 	mu        sync.Mutex
 	path      string
 	addresses []string
+	// vms is the number of VMs that share the limit; 0 while unknown.
+	vms int
+	// checkedAt is when the last check began.
+	checkedAt time.Time
 	// current is the index of the upstream that is checked.
 	current int
 }
 
 // newLinkChecker returns a linkChecker that opens direct connections with dial.
-func newLinkChecker(links *links, dial DialFunc) *linkChecker {
+func newLinkChecker(links *links, dial DialFunc, probesPerUpstream float64) *linkChecker {
 	return &linkChecker{
-		links: links, dial: dial,
+		links: links, dial: dial, probesPerUpstream: probesPerUpstream,
 		transport: &http.Transport{
 			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: siteIdleConnTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -56,6 +69,27 @@
 	c.addresses = addresses
 }
 
+// setLiveVMs sets the number of VMs that share the limit on probes.
+func (c *linkChecker) setLiveVMs(vms int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.vms = vms
+}
+
+// minIntervalLocked returns the shortest time between two checks of this VM.
+func (c *linkChecker) minIntervalLocked() time.Duration {
+	if c.probesPerUpstream == 0 {
+		return 0
+	}
+	vms := c.vms
+	if vms == 0 {
+		vms = unknownVMs
+	}
+	const connsPerCheck = 2
+	perSecond := linkCheckShare * c.probesPerUpstream * float64(len(c.addresses)) / float64(vms) / connsPerCheck
+	return time.Duration(float64(time.Second) / perSecond)
+}
+
 // run checks the links until ctx ends.
 func (c *linkChecker) run(ctx context.Context) {
 	defer c.transport.CloseIdleConnections()
@@ -80,6 +114,11 @@
 	if len(c.addresses) == 0 || c.path == "" {
 		return "", "", false
 	}
+	now := time.Now()
+	if now.Sub(c.checkedAt) < c.minIntervalLocked() {
+		return "", "", false
+	}
+	c.checkedAt = now
 	return c.addresses[c.current%len(c.addresses)], c.path, true
 }
 
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -80,7 +80,7 @@
 	s.idleTimeout = siteIdleConnTimeout
 	s.links = newLinks(name, g.options, s.closeIdleConns)
 	s.dialer = &dialer{vm: g.options.VM, service: name, direct: s.dial, links: s.links, tunnels: g.options.Tunnels}
-	s.linkChecker = newLinkChecker(s.links, s.dialer.dialDirect)
+	s.linkChecker = newLinkChecker(s.links, s.dialer.dialDirect, g.options.ProbesPerUpstream)
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
 		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
@@ -89,6 +89,7 @@
 		Random:       rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
 	})
 	s.dispatcher.SetLiveVMs(g.site.vms)
+	s.linkChecker.setLiveVMs(g.site.vms)
 	ctx, cancel := context.WithCancel(context.Background())
 	s.stopProbes = cancel
 	go s.dispatcher.RunProbes(ctx)
@@ -110,6 +111,7 @@
 	g.site.vms = vms
 	for _, s := range g.site.services {
 		s.dispatcher.SetLiveVMs(vms)
+		s.linkChecker.setLiveVMs(vms)
 	}
 }
 
