--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -59,6 +59,10 @@
 // waiting call.
 const maxRecheckInterval = 8 * time.Millisecond
 
+// leftIdleTime is the idle time after which an upstream is left to less urgent calls: each
+// waiting call has then had several attempts to get it.
+const leftIdleTime = 50 * time.Millisecond
+
 // Dispatcher places the calls of one service with the state that this VM holds.
 // It is safe for concurrent use.
 type Dispatcher struct {
@@ -186,7 +190,8 @@
 		return Grant{}, loadbalancer.Refuse, nil
 	}
 	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, wait))
-	if verdict == loadbalancer.Send && d.isMoreUrgentWaitingLocked(r.Priority) {
+	isLeftIdle := d.balancer.IdleTime(now, choice) >= leftIdleTime
+	if verdict == loadbalancer.Send && d.isMoreUrgentWaitingLocked(r.Priority) && !isLeftIdle {
 		verdict = loadbalancer.Wait
 	}
 	if verdict != loadbalancer.Send {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -32,7 +32,7 @@
 	Objective time.Time
 	Deadline  time.Time
 	// Priority orders waiting calls; 0 is the most urgent. A call is not placed
-	// while a more urgent one waits.
+	// while a more urgent one waits, except at an upstream that those leave idle.
 	Priority int
 	// Extra marks a hedge or a retry. It is paid from the retry budget and
 	// never waits.
--- a/internal/loadbalancer/idle.go
+++ b/internal/loadbalancer/idle.go
@@ -75,6 +75,16 @@
 	}
 }
 
+// IdleTime returns how long the chosen upstream has stood idle.
+func (b *Balancer) IdleTime(now time.Time, choice Choice) time.Duration {
+	at := b.since(now)
+	e, ok := b.byName[choice.Name]
+	if !ok || !b.isIdle(e, at) {
+		return 0
+	}
+	return at - e.idleSince
+}
+
 // isIdle reports whether no call is known at the upstream.
 func (b *Balancer) isIdle(e *entry, at time.Duration) bool {
 	return e.inFlight() == 0 && b.placementLoad(e, at) < idleLoad
