--- a/internal/dispatch/rates.go
+++ b/internal/dispatch/rates.go
@@ -100,6 +100,13 @@
 	return d.balancer.RateNotices(now, known)
 }
 
+// NamesRate reports whether an upstream names a rate limit.
+func (d *Dispatcher) NamesRate(upstream string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.balancer.NamedRate(upstream).IsNamed
+}
+
 // rateSupply returns what the rate limits of the upstreams permit for a call.
 func (d *Dispatcher) rateSupply(r Request) loadbalancer.RateSupply {
 	now := time.Now()
--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -38,21 +38,30 @@
 	// VMs; 0 means no limit.
 	probesPerUpstream float64
 
-	mu        sync.Mutex
-	path      string
-	addresses []string
+	// isRateLimited reports whether the upstream with a name names a rate limit; it is not
+	// checked then.
+	isRateLimited func(name string) bool
+
+	mu      sync.Mutex
+	path    string
+	targets []checkTarget
 	// vms is the number of VMs that share the limit; 0 while unknown.
 	vms int
 	// checkedAt is when the last check began.
 	checkedAt time.Time
-	// current is the index of the upstream that is checked.
+	// current, modulo the number of upstreams, is the index of the one that is checked.
 	current int
 }
 
+// checkTarget is an upstream that may be checked.
+type checkTarget struct{ name, address string }
+
 // newLinkChecker returns a linkChecker that opens direct connections with dial.
-func newLinkChecker(links *links, dial DialFunc, probesPerUpstream float64) *linkChecker {
+func newLinkChecker(
+	links *links, dial DialFunc, probesPerUpstream float64, isRateLimited func(name string) bool,
+) *linkChecker {
 	return &linkChecker{
-		links: links, dial: dial, probesPerUpstream: probesPerUpstream,
+		links: links, dial: dial, probesPerUpstream: probesPerUpstream, isRateLimited: isRateLimited,
 		transport: &http.Transport{
 			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: siteIdleConnTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -61,12 +70,12 @@
 }
 
 // configure sets the upstreams and the path of their health check. The order of the
-// addresses must differ between VMs.
-func (c *linkChecker) configure(path string, addresses []string) {
+// upstreams must differ between VMs.
+func (c *linkChecker) configure(path string, targets []checkTarget) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.path = path
-	c.addresses = addresses
+	c.targets = targets
 }
 
 // setLiveVMs sets the number of VMs that share the limit on probes.
@@ -86,7 +95,7 @@
 		vms = unknownVMs
 	}
 	const connsPerCheck = 2
-	perSecond := linkCheckShare * c.probesPerUpstream * float64(len(c.addresses)) / float64(vms) / connsPerCheck
+	perSecond := linkCheckShare * c.probesPerUpstream * float64(len(c.targets)) / float64(vms) / connsPerCheck
 	return time.Duration(float64(time.Second) / perSecond)
 }
 
@@ -111,15 +120,19 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.addresses) == 0 || c.path == "" {
-		return "", "", false
-	}
 	now := time.Now()
-	if now.Sub(c.checkedAt) < c.minIntervalLocked() {
+	if len(c.targets) == 0 || c.path == "" || now.Sub(c.checkedAt) < c.minIntervalLocked() {
 		return "", "", false
 	}
-	c.checkedAt = now
-	return c.addresses[c.current%len(c.addresses)], c.path, true
+	for range c.targets {
+		target := c.targets[c.current%len(c.targets)]
+		if !c.isRateLimited(target.name) {
+			c.checkedAt = now
+			return target.address, c.path, true
+		}
+		c.current++
+	}
+	return "", "", false
 }
 
 // check checks the link to an upstream. An upstream that does not answer in time may still be
@@ -163,7 +176,7 @@
 	c.transport.CloseIdleConnections()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.addresses) > 0 && c.addresses[c.current%len(c.addresses)] == address {
-		c.current = (c.current + 1) % len(c.addresses)
+	if len(c.targets) > 0 && c.targets[c.current%len(c.targets)].address == address {
+		c.current++
 	}
 }
--- a/internal/gateway/linkcheck_test.go
+++ b/internal/gateway/linkcheck_test.go
@@ -26,14 +26,14 @@
 			return nil, errors.New("refused")
 		}
 		options := Options{Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters()}
-		checker := newLinkChecker(newLinks("s", options, func() {}), refuse, probesPerSecond)
-		addresses := []string{"10.0.0.1:1", "10.0.0.2:1"}
-		checker.configure("/health", addresses)
+		checker := newLinkChecker(newLinks("s", options, func() {}), refuse, probesPerSecond, func(string) bool { return false })
+		targets := []checkTarget{{name: "a", address: "10.0.0.1:1"}, {name: "b", address: "10.0.0.2:1"}}
+		checker.configure("/health", targets)
 		checker.setLiveVMs(vms)
 		ctx, cancel := context.WithTimeout(context.Background(), length)
 		defer cancel()
 		checker.run(ctx)
-		ofAll := float64(dials) * vms / float64(len(addresses)) / length.Seconds()
+		ofAll := float64(dials) * vms / float64(len(targets)) / length.Seconds()
 		g.Expect(ofAll).To(BeNumerically("<=", linkCheckShare*probesPerSecond*1.1))
 		g.Expect(dials).To(BeNumerically(">", 1))
 	})
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -80,7 +80,9 @@
 	s.idleTimeout = siteIdleConnTimeout
 	s.links = newLinks(name, g.options, s.closeIdleConns)
 	s.dialer = &dialer{vm: g.options.VM, service: name, direct: s.dial, links: s.links, tunnels: g.options.Tunnels}
-	s.linkChecker = newLinkChecker(s.links, s.dialer.dialDirect, g.options.ProbesPerUpstream)
+	s.linkChecker = newLinkChecker(s.links, s.dialer.dialDirect, g.options.ProbesPerUpstream, func(name string) bool {
+		return s.dispatcher.NamesRate(name)
+	})
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
 		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
@@ -168,18 +170,17 @@
 	s.configureTransports(connected)
 	s.mu.Unlock()
 	s.links.setUpstreams(len(connected))
-	s.linkChecker.configure(settings.HealthPath, s.shuffledAddresses(connected))
+	s.linkChecker.configure(settings.HealthPath, s.checkTargets(connected))
 	s.dispatcher.SetUpstreams(placed)
 }
 
-// shuffledAddresses returns the addresses of the upstreams in an order that differs between
-// VMs.
-func (s *service) shuffledAddresses(upstreams []dynamic.Upstream) []string {
-	addresses := make([]string, 0, len(upstreams))
+// checkTargets returns the upstreams in an order that differs between VMs.
+func (s *service) checkTargets(upstreams []dynamic.Upstream) []checkTarget {
+	targets := make([]checkTarget, 0, len(upstreams))
 	for _, u := range upstreams {
-		addresses = append(addresses, u.Address)
+		targets = append(targets, checkTarget{name: u.Name, address: u.Address})
 	}
-	rank := func(address string) uint64 { return xxhash.Sum64String(s.dialer.vm + "/" + address) }
-	slices.SortFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
-	return addresses
+	rank := func(t checkTarget) uint64 { return xxhash.Sum64String(s.dialer.vm + "/" + t.address) }
+	slices.SortFunc(targets, func(a, b checkTarget) int { return cmp.Compare(rank(a), rank(b)) })
+	return targets
 }
