--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -183,16 +183,6 @@
 	return err
 }
 
-// mbpsPerCore is the bandwidth, in megabits per second, that work for other VMs
-// needs for each core that it uses.
-const mbpsPerCore = 100
-
-// capacity returns how much work the VM can do for other VMs, in cores. It is
-// limited by the VM's cores or by its bandwidth, whichever is scarcer.
-func capacity(settings *static.Entry) float64 {
-	return min(settings.Cores, settings.LinkMbps/mbpsPerCore)
-}
-
 // reload applies changed settings. Only the address of the store takes effect
 // without a restart.
 func (e *entry) reload(settings *static.Entry) {
--- a/internal/entry/network.go
+++ b/internal/entry/network.go
@@ -22,3 +22,13 @@
 	dialer := &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
 	return dialer.DialContext
 }
+
+// mbpsPerCore is the bandwidth, in megabits per second, that work for other VMs
+// needs for each core that it uses.
+const mbpsPerCore = 100
+
+// capacity returns how much work the VM can do for other VMs, in cores. It is
+// limited by the VM's cores or by its bandwidth, whichever is scarcer.
+func capacity(settings *static.Entry) float64 {
+	return min(settings.Cores, settings.LinkMbps/mbpsPerCore)
+}
