--- a/tools/knownred/main.go
+++ b/tools/knownred/main.go
@@ -44,6 +44,7 @@
 
 // results holds the outcome and the output of each test of a run.
 type results struct {
+	started map[testID]bool
 	passed  map[testID]bool
 	failed  map[testID]bool
 	skipped map[testID]bool
@@ -84,7 +85,8 @@
 // output of builds to out.
 func readResults(in io.Reader, out io.Writer) *results {
 	r := &results{
-		passed: map[testID]bool{}, failed: map[testID]bool{}, skipped: map[testID]bool{},
+		started: map[testID]bool{},
+		passed:  map[testID]bool{}, failed: map[testID]bool{}, skipped: map[testID]bool{},
 		output: map[testID][]string{},
 	}
 	scanner := bufio.NewScanner(in)
@@ -108,6 +110,8 @@
 func (r *results) add(e event, out io.Writer) {
 	id := testID{pkg: e.Package, name: e.Test}
 	switch e.Action {
+	case "run":
+		r.started[id] = true
 	case "output":
 		r.output[id] = append(r.output[id], e.Output)
 	case "build-output":
@@ -142,10 +146,11 @@
 		}
 		unexpected++
 		fmt.Fprintln(out, "FAILED:", id)
-		for _, line := range r.output[id] {
-			fmt.Fprint(out, line)
-		}
+		r.printOutput(id, out)
 	}
+	unended := r.printUnended(out)
+	failed += unended
+	unexpected += unended
 	for _, id := range sorted(r.passed) {
 		if slices.Contains(knownFailures, id.String()) {
 			fmt.Fprintln(out, "KNOWN RED BUT PASSES, take it off the list:", id)
@@ -167,6 +172,29 @@
 	return unexpected == 0 && passed > 0
 }
 
+// printOutput prints the output of a test.
+func (r *results) printOutput(id testID, out io.Writer) {
+	for _, line := range r.output[id] {
+		fmt.Fprint(out, line)
+	}
+}
+
+// printUnended prints the tests that started and did not end, with their output, and
+// returns their number. A process that crashes reports none of its tests as failed, and
+// runs none of those after it, so the list excuses none of them.
+func (r *results) printUnended(out io.Writer) int {
+	unended := 0
+	for _, id := range sorted(r.started) {
+		if r.passed[id] || r.failed[id] || r.skipped[id] {
+			continue
+		}
+		unended++
+		fmt.Fprintln(out, "DID NOT END:", id)
+		r.printOutput(id, out)
+	}
+	return unended
+}
+
 // sorted returns the tests sorted by package and name.
 func sorted(set map[testID]bool) []testID {
 	return slices.SortedFunc(maps.Keys(set), func(a, b testID) int {
--- a/tools/knownred/main_test.go
+++ b/tools/knownred/main_test.go
@@ -74,3 +74,29 @@
 		t.Fatal("a package that does not build passed")
 	}
 }
+
+// outputEvent returns an event of a test with an output.
+func outputEvent(action, pkg, test, output string) string {
+	return `{"Action":"` + action + `","Package":"github.com/figfront/figfront/` + pkg + `","Test":"` + test +
+		`","Output":"` + output + `"}` + "\n"
+}
+
+func TestOutputOfATestThatNeverEndedIsPrinted(t *testing.T) {
+	lines := passLine + outputEvent("run", "a", "TestOK", "") + outputEvent("output", "a", "TestOK", "quiet") +
+		outputEvent("run", "a", "TestX", "") + outputEvent("output", "a", "TestX", "fatal error: out of order") +
+		failEvent("a", "")
+	ok, out := evaluate(t, nil, lines)
+	if ok || !strings.Contains(out, "DID NOT END: a TestX") || !strings.Contains(out, "fatal error: out of order") {
+		t.Fatalf("the cause of a package's failure is missing: %s", out)
+	}
+	if strings.Contains(out, "quiet") {
+		t.Fatalf("the output of a test that passed was printed: %s", out)
+	}
+}
+
+func TestKnownFailureDoesNotExcuseACrashOfItsPackage(t *testing.T) {
+	lines := passLine + failEvent("a", "TestX") + outputEvent("run", "a", "TestY", "") + failEvent("a", "")
+	if ok, out := evaluate(t, []string{"a TestX"}, lines); ok || !strings.Contains(out, "DID NOT END: a TestY") {
+		t.Fatalf("a crash after a known failure passed: %s", out)
+	}
+}
