--- a/internal/dispatch/closed.go
+++ b/internal/dispatch/closed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -41,12 +42,11 @@
 }
 
 // watchRefusalLocked reports a service that refuses all calls although upstreams are
-// free.
-func (d *Dispatcher) watchRefusalLocked(now time.Time, refusal Refusal) {
+// free; estimate is that for the refused call.
+func (d *Dispatcher) watchRefusalLocked(now time.Time, refusal Refusal, estimate loadbalancer.BaseEstimate) {
 	if !d.closed.refused(now, refusal.Basis.Free) {
 		return
 	}
-	estimate := d.balancer.BaseEstimate(now)
 	d.options.Counters.Add(telemetry.GroupDispatch, "closed", 1)
 	d.options.Log.Warn("service refuses all calls while upstreams are free", telemetry.FieldService, d.options.Service,
 		telemetry.FieldReason, refusal.Reason, "upstreams", refusal.Basis.Upstreams, "free", refusal.Basis.Free,
--- a/internal/dispatch/fleet_test.go
+++ b/internal/dispatch/fleet_test.go
@@ -279,7 +279,9 @@
 	deadline  time.Duration
 	// priority is the priority of every call.
 	priority int
-	seed     uint64
+	// isBooking means that no call may be sent twice.
+	isBooking bool
+	seed      uint64
 }
 
 // run sends the load through place and returns the outcome of each call.
@@ -311,7 +313,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), l.deadline)
 	defer cancel()
 	grant, err := place(ctx, dispatch.Request{
-		Zone: "a", Objective: arrived.Add(l.objective), Deadline: arrived.Add(l.deadline), Priority: l.priority,
+		Zone: "a", Objective: arrived.Add(l.objective), Deadline: arrived.Add(l.deadline), Priority: l.priority, NoTrial: l.isBooking,
 	})
 	if err != nil {
 		return result{arrived: arrived, took: time.Since(arrived), isRefused: true}
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -12,22 +12,24 @@
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	supply := d.balancer.RateSupply(now, r.balancerRequest())
+	request := r.balancerRequest()
+	supply := d.balancer.RateSupply(now, request)
+	estimate := d.balancer.BaseEstimate(now, request)
 	refusal := Refusal{
 		Reason:   withheldReason(reason, supply),
 		PlacedBy: d.options.VM,
 		Basis: RefusalBasis{
 			Upstreams:      len(d.upstreams),
-			Free:           d.balancer.Free(now, r.balancerRequest()),
+			Free:           d.balancer.Free(now, request),
 			Waiting:        len(d.waiters),
 			SendsPerSecond: d.backlog.SendsPerSecond(now),
-			BaseLatency:    d.balancer.BaseLatency(),
+			BaseLatency:    estimate.Latency,
 			Waited:         now.Sub(arrived),
 			NextSend:       nextSend(supply, len(d.waiters)),
 		},
 	}
 	if !r.Extra {
-		d.watchRefusalLocked(now, refusal)
+		d.watchRefusalLocked(now, refusal, estimate)
 	}
 	return refusal
 }
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -113,8 +113,8 @@
 	Waiting int
 	// SendsPerSecond is the recent rate of sends.
 	SendsPerSecond float64
-	// BaseLatency is the median latency of an upstream without other calls at
-	// its usual speed.
+	// BaseLatency is the median latency of calls of this kind at an upstream without
+	// other calls at its usual speed.
 	BaseLatency time.Duration
 	// Waited is how long the call waited before it was refused.
 	Waited time.Duration
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -57,6 +57,7 @@
 	// isLoadKnown means that load and slowness came from a recent report and
 	// were not assumed.
 	isLoadKnown bool
+	kind        kind
 }
 
 // Result describes how a send ended.
@@ -210,7 +211,7 @@
 }
 
 func (e *entry) choice(request Request) Choice {
-	return Choice{Name: e.upstream.Name, Address: e.upstream.Address, Bulk: request.Bulk}
+	return Choice{Name: e.upstream.Name, Address: e.upstream.Address, Bulk: request.Bulk, kind: kindOf(request)}
 }
 
 // lowestCost returns the upstream of lowest cost, or nil. Without allowSuspects a
--- a/internal/loadbalancer/export_test.go
+++ b/internal/loadbalancer/export_test.go
@@ -10,7 +10,7 @@
 	return ok && !e.isOutOfUse() && e.phase != phaseSuspect
 }
 
-// Fastest returns the base latency by the fastest of the samples.
+// Fastest returns the base latency by the fastest of the samples of all kinds.
 func (b *Balancer) Fastest() time.Duration {
 	return b.latencyModel.fastest()
 }
--- a/internal/loadbalancer/latencymodel.go
+++ b/internal/loadbalancer/latencymodel.go
@@ -28,27 +28,58 @@
 	maxLatencyError = 0.1
 )
 
-// latencyModel learns how long an upstream takes to respond, by the number of
-// calls that it has when another one arrives. Latencies are multiples of the
-// base latency, which is that of an upstream without other calls at its usual
-// speed.
+// kind is the kind of a call by what may be done with it. Kinds differ in how much work
+// they are.
+type kind int
+
+// The kinds of calls.
+const (
+	lookup kind = iota
+	booking
+	bulk
+	kinds
+)
+
+// kindOf returns the kind of a call.
+func kindOf(request Request) kind {
+	switch {
+	case request.Bulk:
+		return bulk
+	case request.NoTrial:
+		return booking
+	default:
+		return lookup
+	}
+}
+
+// latencyModel learns how long an upstream takes to respond, by the kind of the call
+// and by the number of calls that the upstream has when it arrives. Latencies are
+// multiples of the base latency of the kind, which is that of an upstream without other
+// calls at its usual speed.
 type latencyModel struct {
-	// base is the base latency that decisions use, median the median of samples;
+	bases [kinds]baseLatency
+	// overall is the base latency of all calls, whatever their kind.
+	overall baseLatency
+	// byLoad is the latency by load, in units of the base latency. Its assumed
+	// values depend on slots.
+	byLoad [modeledLoads]float64
+	slots  float64
+}
+
+// baseLatency is the base latency of one kind of calls.
+type baseLatency struct {
+	// value is the base latency that decisions use, median the median of samples;
 	// both are 0 before minBaseSamples. The median ignores responses of upstreams
 	// that became slow during the call. The base latency begins at the fastest
 	// sample and approaches the median with the number of samples, because the
 	// first ones may all be slow.
-	base    time.Duration
+	value   time.Duration
 	median  time.Duration
 	samples []float64
-	// sampledAt is when the last sample was taken.
-	sampledAt time.Duration
-	// nextSample is the index at which the next sample is stored.
+	// nextSample is the index at which the next sample is stored, and sampledAt when the
+	// last one was.
 	nextSample int
-	// byLoad is the latency by load, in units of the base latency. Its assumed
-	// values depend on slots.
-	byLoad [modeledLoads]float64
-	slots  float64
+	sampledAt  time.Duration
 }
 
 // configure sets the assumed latencies for upstreams with the given number of
@@ -77,46 +108,56 @@
 	return m.byLoad[low] + part*(m.byLoad[low+1]-m.byLoad[low])
 }
 
-// observe records the latency of a response of an upstream whose load and
-// slowness were known when the call was sent.
-func (m *latencyModel) observe(load, slowness float64, latency time.Duration) {
+// observe records the latency of a response that came at a time to a call of a kind, from
+// an upstream whose load and slowness were known when the call was sent.
+func (m *latencyModel) observe(at time.Duration, k kind, load, slowness float64, latency time.Duration) {
 	if slowness <= 0 {
 		return
 	}
+	base := &m.bases[k]
 	normalized := float64(latency) / slowness
-	m.observeBase(normalized / m.latencyAt(load))
-	if m.median == 0 {
+	sample := normalized / m.latencyAt(load)
+	base.observe(at, sample)
+	m.overall.observe(at, sample)
+	if base.median == 0 {
 		return
 	}
 	index := min(int(load+0.5), modeledLoads-1)
 	if index == 0 {
 		return
 	}
-	excess := normalized/float64(m.median) - m.byLoad[index]
+	excess := normalized/float64(base.median) - m.byLoad[index]
 	m.byLoad[index] += loadWeight * min(max(excess, -maxLatencyError), maxLatencyError)
 	m.byLoad[index] = max(m.byLoad[index], m.byLoad[index-1])
 }
 
-// fastest returns the base latency by the fastest of the samples; 0 before the first.
+// base returns the base latency of a kind of calls; 0 while it is not known.
+func (m *latencyModel) base(k kind) time.Duration {
+	return m.bases[k].value
+}
+
+// fastest returns the base latency by the fastest of the samples of all kinds; 0 before
+// the first.
 func (m *latencyModel) fastest() time.Duration {
-	if len(m.samples) == 0 {
+	if len(m.overall.samples) == 0 {
 		return 0
 	}
-	return time.Duration(slices.Min(m.samples))
+	return time.Duration(slices.Min(m.overall.samples))
 }
 
-// observeBase adds a sample of the base latency and updates the estimates.
-func (m *latencyModel) observeBase(sample float64) {
-	if len(m.samples) < maxBaseSamples {
-		m.samples = append(m.samples, sample)
+// observe adds a sample that was taken at a time and updates the estimates.
+func (b *baseLatency) observe(at time.Duration, sample float64) {
+	b.sampledAt = at
+	if len(b.samples) < maxBaseSamples {
+		b.samples = append(b.samples, sample)
 	} else {
-		m.samples[m.nextSample] = sample
-		m.nextSample = (m.nextSample + 1) % maxBaseSamples
+		b.samples[b.nextSample] = sample
+		b.nextSample = (b.nextSample + 1) % maxBaseSamples
 	}
-	if len(m.samples) < minBaseSamples {
+	if len(b.samples) < minBaseSamples {
 		return
 	}
-	sorted := slices.Sorted(slices.Values(m.samples))
-	m.median = time.Duration(sorted[len(sorted)/2])
-	m.base = time.Duration(sorted[len(sorted)*len(sorted)/(2*maxBaseSamples)])
+	sorted := slices.Sorted(slices.Values(b.samples))
+	b.median = time.Duration(sorted[len(sorted)/2])
+	b.value = time.Duration(sorted[len(sorted)*len(sorted)/(2*maxBaseSamples)])
 }
--- a/internal/loadbalancer/place.go
+++ b/internal/loadbalancer/place.go
@@ -95,7 +95,7 @@
 		b.suspectUnheard(at)
 	}
 	p := b.collect(at, request, left)
-	isObjectiveLost := float64(left.Objective) < minResponseShare*float64(b.latencyModel.base)
+	isObjectiveLost := float64(left.Objective) < minResponseShare*float64(b.latencyModel.base(kindOf(request)))
 	mayBeSlow := isObjectiveLost && (left.Waiting == 0 || !p.isAnyFast)
 	chosen := p.timely
 	if chosen == nil && mayBeSlow {
@@ -149,7 +149,7 @@
 func (b *Balancer) consider(p *placement, e *entry, at time.Duration, request Request, left TimeLeft) {
 	cost := b.placementCost(e, at)
 	p.idle.add(b, e, at, left, cost+b.placementZoneCost(e, request))
-	expected := cost * float64(b.latencyModel.base)
+	expected := cost * float64(b.latencyModel.base(kindOf(request)))
 	if expected > deadlineShare*float64(left.Deadline) {
 		return
 	}
@@ -250,7 +250,7 @@
 		Load:     b.placementLoad(e, at),
 		Slowness: b.expectedSlowness(e, at),
 		Age:      at - e.reportedAt,
-		Expected: time.Duration(b.placementCost(e, at) * float64(b.latencyModel.median)),
+		Expected: time.Duration(b.placementCost(e, at) * float64(b.latencyModel.bases[choice.kind].median)),
 	}
 	if e.reportedAt == 0 {
 		choice.Basis.Age = -1
@@ -264,18 +264,17 @@
 // Place chose.
 func (b *Balancer) recordPlacedLatency(at time.Duration, choice Choice, latency time.Duration) {
 	if choice.isLoadKnown {
-		b.latencyModel.sampledAt = at
-		b.latencyModel.observe(choice.Basis.Load, choice.Basis.Slowness, latency)
+		b.latencyModel.observe(at, choice.kind, choice.Basis.Load, choice.Basis.Slowness, latency)
 	}
 }
 
 // BaseLatency returns the latency of an upstream without other calls at its usual
-// speed. It is 0 before the first responses.
+// speed, over all kinds of calls. It is 0 before the first responses.
 func (b *Balancer) BaseLatency() time.Duration {
-	return b.latencyModel.base
+	return b.latencyModel.overall.value
 }
 
-// BaseEstimate is the base latency and what it rests on.
+// BaseEstimate is the base latency of a kind of calls and what it rests on.
 type BaseEstimate struct {
 	Latency time.Duration
 	// Age is the time since the last sample. Samples is the number of samples.
@@ -283,8 +282,9 @@
 	Samples int
 }
 
-// BaseEstimate returns the base latency and what it rests on.
-func (b *Balancer) BaseEstimate(now time.Time) BaseEstimate {
-	m := &b.latencyModel
-	return BaseEstimate{Latency: m.base, Age: b.since(now) - m.sampledAt, Samples: len(m.samples)}
+// BaseEstimate returns the base latency for calls of the kind of a request: lookups, calls
+// that must not be sent twice, and bulk calls differ in how much work they are.
+func (b *Balancer) BaseEstimate(now time.Time, request Request) BaseEstimate {
+	base := &b.latencyModel.bases[kindOf(request)]
+	return BaseEstimate{Latency: base.value, Age: b.since(now) - base.sampledAt, Samples: len(base.samples)}
 }
