--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -260,6 +260,7 @@
 	bound := e.settings.ConfigBound
 	return mesh.RecordOptions{
 		Interval: scale(bound, configIntervalShare), Staleness: scale(bound, configStalenessShare), LongPoll: true,
+		ValueVersion: follow.ConfigVersion(e.adapter.ConfigKey, e.adapter.DecodeConfig),
 	}
 }
 
--- a/internal/follow/config.go
+++ b/internal/follow/config.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"bytes"
 	"context"
 	"time"
 
@@ -27,8 +28,9 @@
 	Clock *StoreClock
 
 	// position is the version of the last row that was processed, even if it could not be
-	// decoded, and the era in which it was read.
+	// decoded, and the era in which it was read; value is its value.
 	position platform.Position
+	value    []byte
 }
 
 // Run follows the configuration until ctx ends.
@@ -37,16 +39,18 @@
 }
 
 // applySnapshot applies the configuration in a snapshot if its row is newer than the
-// last one. In a new era of the store the row may hold an older configuration, which
-// Apply has to refuse. If the row can't be decoded, the active configuration stays.
+// last one, or as new with another value: other VMs may know a newer configuration than a
+// store that has come back from an older copy. The row may hold an older one, which Apply
+// has to refuse. If the row can't be decoded, the active configuration stays.
 func (f *ConfigFollower) applySnapshot(snapshot platform.Snapshot) {
 	for _, row := range snapshot.Rows {
 		position := platform.Position{Era: snapshot.Era, Version: row.Version}
-		if row.Key != f.Key || !f.position.IsBefore(position) {
+		isProcessed := position == f.position && bytes.Equal(row.Value, f.value)
+		if row.Key != f.Key || position.IsBefore(f.position) || isProcessed {
 			continue
 		}
 		isFirst := f.position == platform.Position{}
-		f.position = position
+		f.position, f.value = position, row.Value
 		config, err := f.Decode(row.Value)
 		if err != nil {
 			f.Counters.Add(telemetry.GroupConfig, "unreadable", 1)
@@ -71,3 +75,15 @@
 		f.Counters.Observe(telemetry.HistogramConfigAge, age)
 	}
 }
+
+// ConfigVersion returns a function that returns the version of the configuration in a row. It
+// returns false for rows with another key and for those that can't be decoded.
+func ConfigVersion(key string, decode func(value []byte) (site.Config, error)) func(row platform.Row) (uint64, bool) {
+	return func(row platform.Row) (uint64, bool) {
+		if row.Key != key {
+			return 0, false
+		}
+		config, err := decode(row.Value)
+		return config.Version, err == nil
+	}
+}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -40,6 +40,8 @@
 	// newest is the position of the newest snapshot of this VM or a peer. Unlike latest,
 	// it outlasts failed calls.
 	newest platform.Position
+	// newestValues holds the newest values of rows, with ValueVersion.
+	newestValues newestValues
 }
 
 // RecordOptions holds the intervals of a record set.
@@ -52,6 +54,10 @@
 	// Staleness is how old the last snapshot may become before a VM that is not the
 	// zone's reader reads the store itself.
 	Staleness time.Duration
+	// ValueVersion returns the version that the value of a row states, and false if it
+	// states none. The highest one is kept when the store comes back from an older copy.
+	// nil means that no value states a version.
+	ValueVersion func(row platform.Row) (uint64, bool)
 }
 
 // AddRecordSet registers the record set called name and returns it; it is read from
@@ -139,11 +145,12 @@
 		s.forgetLatest()
 		return platform.Snapshot{}, err
 	}
-	if !s.accept(snapshot, sourceStore) {
+	accepted, ok := s.accept(snapshot, sourceStore)
+	if !ok {
 		return s.newerThanStore(latest)
 	}
-	s.publishSnapshot(snapshot)
-	return snapshot, nil
+	s.publishSnapshot(accepted, topicRecords, topicSeedRecords)
+	return accepted, nil
 }
 
 // forgetLatest makes the next call to the store read all rows.
@@ -177,14 +184,19 @@
 	sourcePeer  source = "peer"
 )
 
-// accept makes a snapshot the latest one. It returns false and changes nothing if the
-// snapshot is older than the newest one.
-func (s *RecordSet) accept(snapshot platform.Snapshot, from source) bool {
+// accept makes a snapshot the latest one and returns it, with the values of which this VM
+// has a newer one replaced. It returns false and changes nothing if the snapshot is older than
+// the newest one.
+func (s *RecordSet) accept(snapshot platform.Snapshot, from source) (platform.Snapshot, bool) {
 	s.mu.Lock()
 	before := s.newest
 	isFirst := s.updatedAt.IsZero()
 	isOlder := snapshot.IsBefore(before)
+	isKept := false
 	if !isOlder {
+		read := snapshot.Rows
+		snapshot.Rows = s.newestValues.replace(read, s.options.ValueVersion)
+		isKept = isReplaced(read, snapshot.Rows)
 		s.latest = &snapshot
 		s.newest = snapshot.Position
 		s.updatedAt = time.Now()
@@ -195,23 +207,24 @@
 	s.mu.Unlock()
 	if isOlder {
 		s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_older", 1)
-		return false
+		return platform.Snapshot{}, false
 	}
 	if !isFirst && before.Era != snapshot.Era {
-		s.mesh.logReadAgain(s.name, before, snapshot, from)
+		s.mesh.logReadAgain(s.name, before, snapshot, from, isKept)
 	}
-	return true
+	return snapshot, true
 }
 
-// publishSnapshot publishes a snapshot to the zone and to starting VMs.
-func (s *RecordSet) publishSnapshot(snapshot platform.Snapshot) {
+// publishSnapshot publishes a snapshot on the given topics.
+func (s *RecordSet) publishSnapshot(snapshot platform.Snapshot, topics ...string) {
 	encoded, err := encodeSnapshot(snapshot)
 	if err != nil {
 		s.mesh.options.Log.Error("failed to encode snapshot", "set", s.name, telemetry.FieldError, err)
 		return
 	}
-	s.mesh.publish(topicRecords, s.name, encoded)
-	s.mesh.publish(topicSeedRecords, s.name, encoded)
+	for _, topic := range topics {
+		s.mesh.publish(topic, s.name, encoded)
+	}
 }
 
 // hasSnapshot reports whether a snapshot of the set has been read or received.
@@ -239,21 +252,35 @@
 }
 
 // mergePeerSnapshot accepts a peer's snapshot unless this VM has a newer one or the
-// snapshot may be from before the store came back from an older copy.
-func (s *RecordSet) mergePeerSnapshot(snapshot platform.Snapshot) {
+// snapshot may be from before the store came back from an older copy. It returns the snapshot
+// with the newest known values, and false if it was not accepted.
+func (s *RecordSet) mergePeerSnapshot(snapshot platform.Snapshot) (platform.Snapshot, bool) {
 	era, isUsable := s.mesh.options.Eras.ResolvePeer(snapshot.Era)
 	snapshot.Era = era
 	if !isUsable {
 		s.mesh.options.Counters.Add(telemetry.GroupPeers, "snapshot_without_era", 1)
-		return
+		return platform.Snapshot{}, false
 	}
-	if !s.accept(snapshot, sourcePeer) {
-		return
+	accepted, ok := s.accept(snapshot, sourcePeer)
+	if !ok {
+		return platform.Snapshot{}, false
 	}
 	select {
 	case s.arrived <- struct{}{}:
 	default:
 	}
+	return accepted, true
+}
+
+// correct publishes a snapshot with newer values than a peer sent: to starting VMs, and to
+// the zone if this VM corrects for it.
+func (s *RecordSet) correct(snapshot platform.Snapshot) {
+	s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_outdated", 1)
+	topics := []string{topicSeedRecords}
+	if s.mesh.isCorrector() {
+		topics = append(topics, topicRecords)
+	}
+	s.publishSnapshot(snapshot, topics...)
 }
 
 // newestPosition returns the position of the newest snapshot.
--- a/internal/mesh/snapshot.go
+++ b/internal/mesh/snapshot.go
@@ -67,8 +67,8 @@
 	return snapshot, nil
 }
 
-// handleRecords merges a snapshot from a peer and republishes it for starting VMs.
-// Record sets that this VM does not follow are ignored.
+// handleRecords merges a snapshot from a peer and republishes it for starting VMs, corrected
+// if this VM has newer values. Record sets that this VM does not follow are ignored.
 func (m *Mesh) handleRecords(message *api.Message) error {
 	var encoded api.RecordSnapshot
 	if err := proto.Unmarshal(message.GetPayload(), &encoded); err != nil {
@@ -82,7 +82,11 @@
 	if err != nil {
 		return err
 	}
-	set.mergePeerSnapshot(snapshot)
+	merged, ok := set.mergePeerSnapshot(snapshot)
+	if ok && isReplaced(snapshot.Rows, merged.Rows) {
+		set.correct(merged)
+		return nil
+	}
 	m.publishEncoded(topicSeedRecords, message.GetKey(), message.GetPayload())
 	return nil
 }
