--- a/internal/mesh/newest_test.go
+++ b/internal/mesh/newest_test.go
@@ -6,7 +6,9 @@
 	"testing"
 
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
+	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/platform"
 )
 
@@ -52,3 +54,42 @@
 	receive(g, set, holding(2, 2, "4"))
 	g.Expect(*set.latest).To(Equal(holding(2, 2, "5")))
 }
+
+// messageStream is the stream of a subscriber.
+type messageStream struct {
+	api.DRPCExchange_SubscribeStream
+	ctx      context.Context
+	messages chan *api.Message
+}
+
+// Context implements drpc.Stream.
+func (s *messageStream) Context() context.Context { return s.ctx }
+
+// Send implements api.DRPCExchange_SubscribeStream.
+func (s *messageStream) Send(m *api.Message) error {
+	s.messages <- m
+	return nil
+}
+
+// TestStartingVMsGetNoOlderSnapshotThanThisVMHas subscribes as a VM that starts while the
+// store is unavailable.
+func TestStartingVMsGetNoOlderSnapshotThanThisVMHas(t *testing.T) {
+	g := NewWithT(t)
+	set := newRecordSet(g, &fixedRecords{})
+	receive(g, set, at(2, 5))
+	receive(g, set, at(2, 4))
+	receive(g, set, at(1, 9))
+	ctx, cancel := context.WithCancel(context.Background())
+	stream := &messageStream{ctx: ctx, messages: make(chan *api.Message, 1)}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = set.mesh.Subscribe(&api.SubscribeRequest{Topics: []string{topicSeedRecords}}, stream)
+	}()
+	message := <-stream.messages
+	cancel()
+	<-done
+	var encoded api.RecordSnapshot
+	g.Expect(proto.Unmarshal(message.GetPayload(), &encoded)).To(Succeed())
+	g.Expect(decodeSnapshot(&encoded)).To(Equal(at(2, 5)))
+}
--- a/internal/mesh/snapshot.go
+++ b/internal/mesh/snapshot.go
@@ -67,8 +67,9 @@
 	return snapshot, nil
 }
 
-// handleRecords merges a snapshot from a peer and republishes it for starting VMs, corrected
-// if this VM has newer values. Record sets that this VM does not follow are ignored.
+// handleRecords merges a snapshot from a peer and, unless this VM has a newer one, republishes
+// it for starting VMs, corrected if this VM has newer values. Record sets that this VM does
+// not follow are ignored.
 func (m *Mesh) handleRecords(message *api.Message) error {
 	var encoded api.RecordSnapshot
 	if err := proto.Unmarshal(message.GetPayload(), &encoded); err != nil {
@@ -83,10 +84,12 @@
 		return err
 	}
 	merged, ok := set.mergePeerSnapshot(snapshot)
-	if ok && isReplaced(snapshot.Rows, merged.Rows) {
+	switch {
+	case !ok:
+	case isReplaced(snapshot.Rows, merged.Rows):
 		set.correct(merged)
-		return nil
+	default:
+		m.publishEncoded(topicSeedRecords, message.GetKey(), message.GetPayload())
 	}
-	m.publishEncoded(topicSeedRecords, message.GetKey(), message.GetPayload())
 	return nil
 }
