--- a/internal/gateway/uploads_test.go
+++ b/internal/gateway/uploads_test.go
@@ -82,6 +82,9 @@
 	return env.upstream(name, address, upstreamstandin.Switches{})
 }
 
+// keptPartsTime is the time after a delivery by which the parts have to be deleted.
+const keptPartsTime = 2 * time.Minute
+
 // TestUploadOutlivesItsUpstream: if the upstream crashes after any number of tenths
 // of the body, the upload is accepted and delivered unchanged by another VM.
 func TestUploadOutlivesItsUpstream(t *testing.T) {
@@ -106,6 +109,7 @@
 					hash, ok := u.UploadHash(s.ID)
 					g.Expect(ok).To(BeTrue())
 					g.Expect(hash).To(Equal(hexSHA256(data)))
+					time.Sleep(keptPartsTime)
 					g.Expect(env.platform.Objects()).To(BeZero())
 				})
 			})
--- a/internal/upload/deliverer.go
+++ b/internal/upload/deliverer.go
@@ -62,6 +62,8 @@
 	random *rand.Rand
 	// running contains the IDs of the uploads that this VM is delivering.
 	running map[string]bool
+	// delivered holds the uploads that this VM has delivered and whose parts are kept.
+	delivered keptParts
 }
 
 // NewDeliverer returns a Deliverer. It returns an error if the chart upload.ini
@@ -99,6 +101,7 @@
 	sweepAt := time.Now().Add(d.jitter(sweepInterval))
 	for ctx.Err() == nil {
 		d.scan(ctx, &deliveries)
+		d.deleteDeliveredParts(ctx)
 		if time.Now().After(sweepAt) {
 			d.sweep(ctx)
 			sweepAt = time.Now().Add(d.jitter(sweepInterval))
@@ -218,8 +221,8 @@
 	d.finish(ctx, stored, result)
 }
 
-// finish writes the result of a delivery. It deletes the upload's parts once
-// the state delivered has been written.
+// finish writes the result of a delivery. The upload's parts are deleted some time after the
+// state delivered has been written.
 func (d *Deliverer) finish(ctx context.Context, stored VersionedRecord, result Result) {
 	next, err := d.nextRecord(ctx, stored.Record, result)
 	if err != nil {
@@ -234,7 +237,7 @@
 	}
 	d.count("delivery_" + string(next.State))
 	if next.State == StateDelivered {
-		deleteParts(d.options.Objects, next.Body)
+		d.keepParts(next.ID, next.Body)
 	}
 }
 
