--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -269,6 +269,9 @@
 // accept answers 202 with the status and the location of a stored upload.
 func (u *uploadCall) accept(record upload.Record) {
 	u.gateway.options.Counters.Add(telemetry.GroupUploads, "accepted", 1)
+	if deliverer := u.gateway.deliverer.Load(); deliverer != nil {
+		deliverer.Accepted(record)
+	}
 	u.logCall(u.conclude(outcome.Accepted), "", "")
 	u.interim.end()
 	newStallWriter(u.w)
--- a/internal/upload/deliverer.go
+++ b/internal/upload/deliverer.go
@@ -64,6 +64,8 @@
 	running map[string]bool
 	// delivered holds the uploads that this VM has delivered and whose parts are kept.
 	delivered keptParts
+	// accepted holds the accepted uploads that are to be checked, oldest first.
+	accepted []acceptedUpload
 }
 
 // NewDeliverer returns a Deliverer. It returns an error if the chart upload.ini
@@ -100,6 +102,7 @@
 	defer deliveries.Wait()
 	sweepAt := time.Now().Add(d.jitter(sweepInterval))
 	for ctx.Err() == nil {
+		d.checkAccepted(ctx)
 		d.scan(ctx, &deliveries)
 		d.deleteDeliveredParts(ctx)
 		if time.Now().After(sweepAt) {
