--- a/internal/loadbalancer/latencymodel.go
+++ b/internal/loadbalancer/latencymodel.go
@@ -28,8 +28,7 @@
 	maxLatencyError = 0.1
 )
 
-// kind is the kind of a call by what may be done with it. Kinds differ in how much work
-// they are.
+// kind is the kind of a call. Calls of different kinds differ in how much work they are.
 type kind int
 
 // The kinds of calls.
@@ -37,6 +36,7 @@
 	lookup kind = iota
 	booking
 	bulk
+	// kinds is the number of kinds.
 	kinds
 )
 
