--- a/internal/platformstandin/objects.go
+++ b/internal/platformstandin/objects.go
@@ -4,16 +4,15 @@
 	"io"
 	"net/http"
 	"strconv"
-	"time"
+
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // applyObjectFaults applies the faults that affect every request to the object
 // store. It returns false if it has sent the response or the caller has disconnected.
 func (s *Server) applyObjectFaults(w http.ResponseWriter, r *http.Request) bool {
 	faults := s.currentFaults()
-	select {
-	case <-time.After(faults.ObjectDelay):
-	case <-r.Context().Done():
+	if !wait.For(r.Context(), faults.ObjectDelay) {
 		return false
 	}
 	if faults.ObjectsDown {
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -88,19 +88,23 @@
 		return nil, c.failure(service)
 	}
 	pending, refusals := 0, 0
-	next := time.NewTimer(0)
+	next := time.NewTimer(nextAttemptDelay)
 	defer next.Stop()
+	tryNext := func() {
+		if len(untried) == 0 {
+			return
+		}
+		vm := untried[0]
+		untried = untried[1:]
+		pending++
+		go func() { results <- c.try(ctx, vm, service, address) }()
+		next.Reset(nextAttemptDelay)
+	}
+	tryNext()
 	for {
 		select {
 		case <-next.C:
-			if len(untried) == 0 {
-				continue
-			}
-			vm := untried[0]
-			untried = untried[1:]
-			pending++
-			go func() { results <- c.try(ctx, vm, service, address) }()
-			next.Reset(nextAttemptDelay)
+			tryNext()
 			continue
 		case result := <-results:
 			pending--
@@ -110,7 +114,6 @@
 				return result.conn, nil
 			}
 			refusals += c.recordFailure(service, result)
-			next.Reset(0)
 		case <-ctx.Done():
 			go closeLater(results, pending)
 			return nil, errors.Wrap(ErrNoTunnel, ctx.Err().Error())
@@ -121,6 +124,8 @@
 			return nil, RefusedError{NotConnected}
 		case pending == 0 && len(untried) == 0:
 			return nil, c.failure(service)
+		default:
+			tryNext()
 		}
 	}
 }
--- a/internal/upstreamstandin/run.go
+++ b/internal/upstreamstandin/run.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // serviceTime returns the service time of the next call.
@@ -35,9 +36,7 @@
 		panic(http.ErrAbortHandler)
 	}
 	sum := hex.EncodeToString(hash.Sum(nil))
-	select {
-	case <-time.After(s.serviceTime(switches)):
-	case <-r.Context().Done():
+	if !wait.For(r.Context(), s.serviceTime(switches)) {
 		return
 	}
 	s.recordRun(r, sum)
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -8,8 +8,13 @@
 	"time"
 )
 
-// For blocks for d. It returns false if ctx ends first.
+// For blocks for d. It returns false if ctx ends first. It starts no timer without a duration:
+// the race detector crashes if goroutines of one testing/synctest bubble receive from
+// expired timers at the same time.
 func For(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
