gateway: tell in a call's line which request it was and whether its upstream ended

- upstream_end: after a connection broke, the VM waits 5 ms for resets on its other connections to the upstream; with none left it opens one.
Refused means that the upstream has ended.
Counters ends.ended, ends.lives, ends.unknown.
A VM that has lost its links asks through the tunnels.

No decision uses either yet. A broken send costs at most one more connection, to an upstream to which this VM has none.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -131,7 +131,9 @@
 	bodySent := body.isInMemory() || body.isComplete()
 	result := c.readResponse(sent, response)
 	result.bodySent = bodySent
+	end := result.transfer.UpstreamEnd
 	result.transfer = c.describeResponse(trace, response)
+	result.transfer.UpstreamEnd = end
 	return result
 }
 
@@ -191,6 +193,9 @@
 	ctx context.Context, sent send, trace *sendTrace, body requestBody, err error,
 ) attemptResult {
 	result := attemptResult{upstream: sent.choice.Name, transfer: c.describeError(trace, err)}
+	if isConnBroken(ctx, trace, err) {
+		result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport)
+	}
 	result.outcome, result.reason = failureOutcome(trace, err)
 	isSilenceTimeout := errors.Is(context.Cause(ctx), errConnSilent)
 	isLate := errors.Is(ctx.Err(), context.DeadlineExceeded)
@@ -250,6 +255,9 @@
 		_ = response.Body.Close()
 		sendResult.Failed = true
 		result.reason = outcome.UpstreamTruncated
+		if c.ctx.Err() == nil {
+			result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport)
+		}
 	} else if len(body) == maxBufferedResponseBytes {
 		result.rest = response.Body
 	} else {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -12,6 +13,7 @@
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/quarantine"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -35,6 +37,8 @@
 	bodyReader *stallReader
 	// body is the whole request body of a call that is buffered in memory.
 	body []byte
+	// digest identifies the request; zero until the body has been read.
+	digest quarantine.Digest
 	// uploadID identifies an upload across its sends; empty for other traffic.
 	uploadID string
 	// tried names the upstreams that the call was sent to.
@@ -115,6 +119,9 @@
 	if refusal := c.sendLog.lastRefusal(); refusal != nil {
 		args = append(args, "refusal", refusal)
 	}
+	if !c.digest.IsZero() && (reason != "" || c.sendLog.hasFailure()) {
+		args = append(args, telemetry.FieldDigest, c.digest.String())
+	}
 	if notResent := c.sendLog.notResentReason(); notResent != "" {
 		args = append(args, "not_sent_again", notResent)
 	}
@@ -213,5 +220,22 @@
 		return false
 	}
 	c.body = body
+	c.identify()
 	return true
 }
+
+// identify computes the digest of the call, whose body has been read.
+func (c *call) identify() {
+	hasher := quarantine.NewHasher(c.digestHead())
+	_, _ = hasher.Write(c.body)
+	c.digest = hasher.Digest()
+}
+
+// digestHead returns what identifies the call besides its body.
+func (c *call) digestHead() quarantine.Head {
+	caller := c.r.RemoteAddr
+	if host, _, err := net.SplitHostPort(caller); err == nil {
+		caller = host
+	}
+	return quarantine.Head{Method: c.r.Method, Host: hostName(c.r.Host), Path: c.pathWithQuery(), Caller: caller}
+}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,6 +45,11 @@
 type trackedConn struct {
 	net.Conn
 
+	// open counts the open connections to the upstream, this one among them.
+	open *atomic.Int64
+	// closeOnce takes this connection out of the count.
+	closeOnce sync.Once
+
 	mu sync.Mutex
 	// current is the transfer of the latest send; nil before the first one.
 	current *transfer
@@ -125,13 +131,21 @@
 	return n, err
 }
 
-// trackDial wraps a dial function so that its connections are tracked.
-func trackDial(dial DialFunc) DialFunc {
+// Close closes the connection.
+func (c *trackedConn) Close() error {
+	c.closeOnce.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
+
+// trackDial wraps a dial function so that its connections are tracked; open counts those that
+// are open.
+func trackDial(dial DialFunc, open *atomic.Int64) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn}, nil
+		open.Add(1)
+		return &trackedConn{Conn: conn, open: open}, nil
 	}
 }
--- /dev/null
+++ b/internal/gateway/endcheck.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/tunnel"
+)
+
+// upstreamEnd is what is known, after a send has broken, about whether its upstream has ended.
+// Its value is part of the log line of a call; empty means that it was not checked.
+type upstreamEnd string
+
+const (
+	// upstreamEnded means that all connections to the upstream have broken and it takes no
+	// new one.
+	upstreamEnded upstreamEnd = "ended"
+	// upstreamLives means that another connection is open or a new one was accepted.
+	upstreamLives upstreamEnd = "lives"
+	// upstreamEndUnknown means that a new connection was neither accepted nor refused.
+	upstreamEndUnknown upstreamEnd = "unknown"
+)
+
+// groupEnds is the group of the counters of the results of checks for ended upstreams.
+const groupEnds = "ends"
+
+// Times of the check for an ended upstream.
+const (
+	// endCheckDelay is the time in which the end of an upstream becomes visible on its
+	// other connections.
+	endCheckDelay = 5 * time.Millisecond
+	// endCheckTimeout limits the time to open a connection.
+	endCheckTimeout = 200 * time.Millisecond
+)
+
+// checkEnd finds out whether an upstream has ended, after the connection of a send to it has
+// broken. It takes up to endCheckTimeout.
+func (s *service) checkEnd(t *transport) upstreamEnd {
+	time.Sleep(endCheckDelay)
+	end := upstreamLives
+	if t.openConns.Load() == 0 {
+		end = t.tryConnect()
+	}
+	s.counters.Add(groupEnds, string(end), 1)
+	return end
+}
+
+// tryConnect opens a connection to the upstream and closes it. A VM that has lost its links
+// does so through other VMs.
+func (t *transport) tryConnect() upstreamEnd {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	conn, err := t.dial(ctx, "tcp", t.address)
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return upstreamLives
+	case isRefused(err):
+		return upstreamEnded
+	default:
+		return upstreamEndUnknown
+	}
+}
+
+// isRefused reports whether nothing accepts connections at the address that was dialed. An
+// upstream counts as refused, too, if two other VMs could not connect to it.
+func isRefused(err error) bool {
+	var refused tunnel.RefusedError
+	if errors.As(err, &refused) {
+		return refused.Refusal == tunnel.NotConnected
+	}
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+}
+
+// isConnBroken reports whether a send that may have reached its upstream ended because its
+// connection broke: not by its context, which includes the silence timeout, and not by a
+// response that was rejected.
+func isConnBroken(ctx context.Context, trace *sendTrace, err error) bool {
+	var rejected *callheader.RejectedError
+	return ctx.Err() == nil && trace.mayHaveSent() && !errors.As(err, &rejected)
+}
--- a/internal/gateway/sendlog.go
+++ b/internal/gateway/sendlog.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -133,6 +134,13 @@
 	}
 }
 
+// hasFailure reports whether a send has failed.
+func (l *sendLog) hasFailure() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.sends, func(r sendRecord) bool { return r.Reason != "" })
+}
+
 // records returns a copy of the sends so far.
 func (l *sendLog) records() []sendRecord {
 	l.mu.Lock()
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -268,6 +268,14 @@
 // abortsConnection closes the connection without a response.
 func abortsConnection(*siteTestEnv, http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
+// endsUpstream ends all upstreams, which takes their connections with them.
+func endsUpstream(env *siteTestEnv, _ http.ResponseWriter, _ *http.Request) {
+	for _, server := range env.servers[1:] {
+		_ = server.Close()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // truncates sends an incomplete response.
 func truncates(_ *siteTestEnv, w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Length", "10")
--- a/internal/gateway/transferlog.go
+++ b/internal/gateway/transferlog.go
@@ -40,6 +40,8 @@
 	Status     int                  `json:"status,omitempty"`
 	ResponseID responseID           `json:"response_id,omitempty"`
 	Rejected   callheader.Rejection `json:"rejected,omitempty"`
+	// UpstreamEnd tells, for a connection that broke, whether the upstream has ended.
+	UpstreamEnd upstreamEnd `json:"upstream_end,omitempty"`
 }
 
 // describeError returns the record of a send whose round trip failed.
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 )
 
@@ -39,6 +40,9 @@
 	address        string
 	maxConnections int
 	base           *http.Transport
+	// dial opens the connections, and openConns counts those that are open.
+	dial      DialFunc
+	openConns atomic.Int64
 	// roundTripper sends calls; it is base or a wrapper around it.
 	roundTripper http.RoundTripper
 }
@@ -50,16 +54,17 @@
 	t := &transport{
 		address:        address,
 		maxConnections: maxConnections,
-		base: &http.Transport{
-			DialContext:            trackDial(dial),
-			DisableCompression:     true,
-			MaxIdleConnsPerHost:    maxConnections,
-			MaxConnsPerHost:        maxConnections,
-			IdleConnTimeout:        idle,
-			ExpectContinueTimeout:  continueTimeout,
-			MaxResponseHeaderBytes: maxResponseHeaderBytes,
-			Proxy:                  nil,
-		},
+		dial:           dial,
+	}
+	t.base = &http.Transport{
+		DialContext:            trackDial(dial, &t.openConns),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    maxConnections,
+		MaxConnsPerHost:        maxConnections,
+		IdleConnTimeout:        idle,
+		ExpectContinueTimeout:  continueTimeout,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
+		Proxy:                  nil,
 	}
 	t.roundTripper = t.base
 	if wrap != nil {
--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -8,12 +8,13 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 
 	"github.com/go-faster/errors"
 )
 
-// ErrRefused means that no listener is open at the address.
-var ErrRefused = errors.New("pipenet: connection refused")
+// ErrRefused means that no listener is open at the address. It wraps syscall.ECONNREFUSED.
+var ErrRefused = errors.Wrap(syscall.ECONNREFUSED, "pipenet")
 
 // Network connects callers with the listeners of addresses. It is safe for
 // concurrent use.
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -21,6 +21,8 @@
 	FieldRevision  = "revision"
 	FieldVM        = "vm"
 	FieldError     = "error"
+	// FieldDigest identifies a request by what it asks for.
+	FieldDigest = "digest"
 )
 
 // NewLogger returns a logger called process that writes lines of at least the given
