Hold requests under which three upstreams have ended

What callers saw: a lookup that ended each upstream that ran it came again and again; 27 upstreams of a service of 15 ended within 11 s, and in single seconds up to 13 of 21 lookups were refused.

Cause: harm was remembered per attempt. retry.Decide looks at one call, the budgets at sums of a service; nothing remembers what a request holds, so each repeat, at any VM, started from nothing and took two upstreams.

What changed - internal/quarantine: a table by digest. An end casts suspicion on all that ran there; suspects are not hedged and go one after the other; three ends one after another without a complete response hold the request, up to two more are needed while upstreams end without it. Ends at the same time count once; ends that a held request explains count against no other. After the third end three sends are left in all, trials of a held request among them. - The coordinator decides, since it sees every placement. Both sides of a placement tell each other what has changed since the last message, beside the rates, so that a new coordinator learns it with the first call. - Suspects with two ends, and all of a VM without a coordinator, are rows in the store; all VMs follow them by a long poll of 10 s, one reader a zone. A VM that starts is ready when it has read them (or 2 s after it could be). A row that the store lost is written again. Trials are reserved by inserting a row, so that one VM makes each. - Refusals at once, 503 with the reasons quarantined and suspect_busy, and Retry-After until the next send that is left. Counters quarantine.*, a log line a step, GET and DELETE /quarantine on the operators' address.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -10,6 +10,7 @@
 
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/exchange"
+	"github.com/figfront/figfront/internal/quarantine"
 )
 
 // Limits of a Client.
@@ -40,6 +41,8 @@
 	nextID        uint64
 	pending       map[uint64]chan *api.PlaceReply
 	missedReplies int
+	// toldSuspects holds, by service, the version of the suspects that the other VM knows.
+	toldSuspects map[string]uint64
 }
 
 // Dial opens a stream to a VM. Its errors wrap ErrUnavailable.
@@ -57,7 +60,7 @@
 	}
 	c := &Client{
 		vm: vm.Name, conn: conn, stream: stream, cancel: cancel, done: make(chan struct{}),
-		pending: make(map[uint64]chan *api.PlaceReply),
+		pending: make(map[uint64]chan *api.PlaceReply), toldSuspects: make(map[string]uint64),
 	}
 	go c.receive()
 	return c, nil
@@ -93,15 +96,16 @@
 	}
 }
 
-// Place asks the other VM to place a call of a service. rates exchanges with it what both
-// know about rate limits. It returns a Refusal
+// Place asks the other VM to place a call of a service. Both VMs tell each other what their
+// books hold. It returns a Refusal
 // when that VM refuses the call, ErrNoLinks when it has lost its links, an error that wraps
 // ErrUnavailable when there is no decision, and the error of ctx when ctx ends first.
-func (c *Client) Place(ctx context.Context, service string, rates RateBook, r Request) (Grant, error) {
+func (c *Client) Place(ctx context.Context, service string, book Book, r Request) (Grant, error) {
 	id, replies := c.register()
 	defer c.unregister(id)
 	call := encodeCall(id, service, r, time.Now())
-	call.Rates = encodeRates(rates.RateNotices(nil))
+	call.Rates = encodeRates(book.RateNotices(nil))
+	call.Suspects = encodeSuspects(c.untoldSuspects(service, book))
 	if err := c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_Call{Call: call}}); err != nil {
 		return Grant{}, err
 	}
@@ -110,7 +114,8 @@
 		c.sendEnd(id, End{IsCancelled: true})
 		return Grant{}, err
 	}
-	rates.LearnRates(decodeRates(reply.GetRates()))
+	book.LearnRates(decodeRates(reply.GetRates()))
+	book.LearnSuspects(decodeSuspects(reply.GetSuspects()))
 	if reply.GetUpstream() == "" {
 		switch reply.GetReason() {
 		case replyUnknownService:
@@ -129,6 +134,15 @@
 	}, nil
 }
 
+// untoldSuspects returns what the other VM was not told yet about the suspects of a service.
+func (c *Client) untoldSuspects(service string, book Book) []quarantine.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	records, version := book.SuspectNotices(c.toldSuspects[service])
+	c.toldSuspects[service] = version
+	return records
+}
+
 // maxReplies is the largest number of replies to one call: a notice that it
 // waits, and the decision.
 const maxReplies = 2
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/measure"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/quarantine"
 	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -39,6 +39,9 @@
 	// places no calls of other VMs. nil means that it never has.
 	HasLostLinks func() bool
 	Counters     *telemetry.Counters
+	// OnSuspectChange is called when what is known about suspects has changed. It must not
+	// block or call the Dispatcher; nil means that nobody is told.
+	OnSuspectChange func()
 	// Log may be nil.
 	Log    hclog.Logger
 	Random *rand.Rand
@@ -95,6 +98,10 @@
 	// appliedRateShare.
 	rateShare        rateShare
 	appliedRateShare float64
+	// suspects remembers the requests under which upstreams have ended; processes holds the
+	// names of the upstreams' processes by the names of the upstreams.
+	suspects  *quarantine.Table
+	processes map[string]string
 }
 
 // NewDispatcher returns a Dispatcher without upstreams.
@@ -105,8 +112,13 @@
 	if options.Log == nil {
 		options.Log = hclog.NewNullLogger()
 	}
+	if options.OnSuspectChange == nil {
+		options.OnSuspectChange = func() {}
+	}
+	suspects := suspectLog{service: options.Service, log: options.Log, counters: options.Counters, onChange: options.OnSuspectChange}
 	return &Dispatcher{
-		options: options,
+		options:  options,
+		suspects: quarantine.NewTable(suspects.observe),
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, WarmUp: recoveryWarmUp, MinWarmUpShare: minRecoveryShare,
 		}, options.Random),
@@ -125,6 +137,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.upstreams = upstreams
+	d.setProcessesLocked(now, upstreams)
 	d.balancer.SetUpstreams(now, upstreams)
 	d.probeBudget.SetUpstreams(now, len(upstreams))
 	d.rates.retain(upstreams)
@@ -144,7 +157,8 @@
 // respond within the objective, the call waits for one. When it may not wait any
 // longer, or the backlog is full, Place accepts an upstream that is expected to
 // respond after the objective but before the deadline, and otherwise refuses the
-// call. A call that all upstreams' rate limits withhold for longer is refused at once. A call is refused at once when its objective is lost and no upstream is
+// call. A call that all upstreams' rate limits withhold for longer is refused at once, and so
+// is a held request. A call is refused at once when its objective is lost and no upstream is
 // expected to respond before its deadline. An extra send never waits. The error
 // is a Refusal.
 func (d *Dispatcher) Place(ctx context.Context, r Request) (Grant, error) {
@@ -152,15 +166,18 @@
 	if !d.hasUpstreams() {
 		return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
 	}
+	if reason := d.admitSuspect(r); reason != "" {
+		return Grant{}, d.refusal(r, reason, arrived)
+	}
 	maxWait := time.Duration(maxWaitShare * float64(r.Objective.Sub(arrived)))
 	wait := &waiter{dispatcher: d, priority: r.Priority}
 	defer wait.leave()
 	for {
 		d.probeUpstreams(r, wait)
-		grant, verdict, err := d.place(r, wait)
+		grant, verdict, reason := d.place(r, wait)
 		switch {
-		case err != nil:
-			return Grant{}, d.refusal(r, outcome.RetryBudget, arrived)
+		case reason != "":
+			return Grant{}, d.refusal(r, reason, arrived)
 		case verdict == loadbalancer.Send:
 			grant.Waited = time.Since(arrived)
 			return grant, nil
@@ -169,7 +186,8 @@
 		case verdict == loadbalancer.Refuse || r.Extra:
 			return Grant{}, d.refusal(r, outcome.NoUpstream, arrived)
 		case !wait.enqueue(maxWait-time.Since(arrived), d.rateSupply(r)):
-			wait.ignoreObjective = true
+			wait.ignoreObjective = !wait.isForCopies
+			wait.ignoreCopies = true
 			wait.leave()
 			continue
 		}
@@ -180,14 +198,22 @@
 }
 
 // place starts a send if an upstream is expected to respond in time, or in time for the
-// deadline once the call ignores its objective.
-func (d *Dispatcher) place(r Request, wait *waiter) (Grant, loadbalancer.Verdict, error) {
+// deadline once the call ignores its objective. A reason means that the call is refused.
+func (d *Dispatcher) place(r Request, wait *waiter) (Grant, loadbalancer.Verdict, outcome.Reason) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.updateRateShareLocked(now)
 	if r.Hedge && len(d.waiters) > 0 {
-		return Grant{}, loadbalancer.Refuse, nil
+		return Grant{}, loadbalancer.Refuse, ""
+	}
+	suspicion := d.suspects.Admit(now, r.Digest, r.sendKind(), !wait.ignoreCopies)
+	if reason := suspectReason(suspicion); reason != "" {
+		return Grant{}, loadbalancer.Refuse, reason
+	}
+	wait.isForCopies = suspicion == quarantine.Wait
+	if wait.isForCopies {
+		return Grant{}, loadbalancer.Wait, ""
 	}
 	choice, verdict := d.balancer.Place(now, r.balancerRequest(), d.timeLeftLocked(r, now, wait))
 	isLeftIdle := d.balancer.IdleTime(now, choice) >= leftIdleTime
@@ -195,10 +221,10 @@
 		verdict = loadbalancer.Wait
 	}
 	if verdict != loadbalancer.Send {
-		return Grant{}, verdict, nil
+		return Grant{}, verdict, ""
 	}
 	if !d.recordSendLocked(now, r) {
-		return Grant{}, verdict, errBudgetSpent
+		return Grant{}, verdict, outcome.RetryBudget
 	}
 	d.backlog.Sent(now)
 	d.closed.sent()
@@ -207,10 +233,11 @@
 		d.options.Counters.Add(telemetry.GroupDispatch, counterSentLimited, 1)
 	}
 	d.inFlight++
+	sent := d.suspects.Sent(now, r.Digest, d.processes[choice.Name])
 	return Grant{
 		Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM,
-		end: func(end End) { d.recordEnd(choice, end) },
-	}, verdict, nil
+		end: func(end End) { d.recordEnd(choice, sent, end) },
+	}, verdict, ""
 }
 
 // recordSendLocked records a send in the retry budgets. It returns false when an
@@ -230,15 +257,13 @@
 	}
 }
 
-// errBudgetSpent means that the retry budget does not cover an extra send.
-var errBudgetSpent = errors.New("dispatch: retry budget spent")
-
 // recordEnd records how a send ended and wakes a waiting call.
-func (d *Dispatcher) recordEnd(choice loadbalancer.Choice, end End) {
+func (d *Dispatcher) recordEnd(choice loadbalancer.Choice, sent *quarantine.Send, end End) {
 	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.inFlight--
+	d.suspects.Done(now, sent, end.Run)
 	switch {
 	case end.IsUnattributed:
 		d.balancer.Abandoned(now, choice, end.Latency)
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/quarantine"
 )
 
 // Request describes one send of a call that needs an upstream.
@@ -37,6 +38,8 @@
 	// Extra marks a hedge or a retry. It is paid from the retry budget and
 	// never waits.
 	Extra bool
+	// Digest identifies the request; the zero Digest means that it is not identified.
+	Digest quarantine.Digest
 	// Hedge marks an extra send that starts while the first one is still in
 	// flight. It is not placed while other calls wait.
 	Hedge bool
@@ -69,6 +72,8 @@
 	// IsUnattributed means, for a cancelled send, that its end says nothing about the
 	// upstream: this VM may have lost its links.
 	IsUnattributed bool
+	// Run is what the send tells about the request and its upstream.
+	Run quarantine.Result
 	loadbalancer.Result
 }
 
@@ -87,10 +92,16 @@
 	LearnRates(notices []loadbalancer.RateNotice)
 }
 
+// Book holds what a VM knows and other VMs that place calls of the service have to know.
+type Book interface {
+	RateBook
+	SuspectBook
+}
+
 // LocalPlacer places the calls of one service on this VM.
 type LocalPlacer interface {
 	Placer
-	RateBook
+	Book
 	// HasLostLinks reports whether this VM has lost its links to the upstreams.
 	HasLostLinks() bool
 }
@@ -119,7 +130,8 @@
 	// Waited is how long the call waited before it was refused.
 	Waited time.Duration
 	// NextSend is the time until the rate limits of the upstreams permit another call,
-	// behind those that wait; 0 if not all upstreams have a limit.
+	// behind those that wait, or until the request may be sent again if upstreams have ended
+	// under it; 0 if neither withholds the call.
 	NextSend time.Duration
 }
 
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -46,7 +46,7 @@
 	defer cancel()
 	served := &serverStream{
 		server: s, stream: stream, ctx: ctx, cancel: cancel,
-		calls: make(map[uint64]*servedCall),
+		calls: make(map[uint64]*servedCall), toldSuspects: make(map[string]uint64),
 	}
 	if !s.add(served) {
 		return errClosed
@@ -91,6 +91,8 @@
 
 	mu    sync.Mutex
 	calls map[uint64]*servedCall
+	// toldSuspects holds, by service, the version of the suspects that the other VM knows.
+	toldSuspects map[string]uint64
 }
 
 // servedCall is a call of another VM from its arrival to its end. Its fields
@@ -136,6 +138,7 @@
 	s.mu.Unlock()
 	dispatcher.RecordRemoteCall(served.arrived, call.GetVm())
 	dispatcher.LearnRates(decodeRates(call.GetRates()))
+	dispatcher.LearnSuspects(decodeSuspects(call.GetSuspects()))
 	go s.placeCall(ctx, dispatcher, call, served)
 }
 
@@ -156,17 +159,25 @@
 	ack.Stop()
 	if err != nil {
 		s.removeCall(call.GetId())
-		reply := encodeRefusal(call.GetId(), err)
-		reply.Rates = encodeRates(dispatcher.RateNotices(decodeRates(call.GetRates())))
-		s.reply(reply)
+		s.replyWithBook(encodeRefusal(call.GetId(), err), dispatcher, call)
 		return
 	}
 	if !s.recordGrant(served, grant) {
 		return
 	}
-	s.reply(&api.PlaceReply{
-		Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant), Rates: encodeRates(dispatcher.RateNotices(decodeRates(call.GetRates()))),
-	})
+	s.replyWithBook(&api.PlaceReply{Id: call.GetId(), Upstream: grant.Upstream, Basis: encodeBasis(grant)}, dispatcher, call)
+}
+
+// replyWithBook sends the decision on a call with what this VM knows and the other one has to
+// know.
+func (s *serverStream) replyWithBook(reply *api.PlaceReply, book Book, call *api.PlaceCall) {
+	reply.Rates = encodeRates(book.RateNotices(decodeRates(call.GetRates())))
+	s.mu.Lock()
+	records, version := book.SuspectNotices(s.toldSuspects[call.GetService()])
+	s.toldSuspects[call.GetService()] = version
+	s.mu.Unlock()
+	reply.Suspects = encodeSuspects(records)
+	s.reply(reply)
 }
 
 // recordGrant keeps the grant until the call ends. If the call has already
--- a/internal/dispatch/waiter.go
+++ b/internal/dispatch/waiter.go
@@ -22,6 +22,9 @@
 	// ignoreObjective means that the call may not wait any longer, so that only
 	// its deadline counts.
 	ignoreObjective bool
+	// isForCopies means that the call waits for the result of a copy of its request;
+	// ignoreCopies that it may not wait for that any longer.
+	isForCopies, ignoreCopies bool
 }
 
 // enqueue adds the call to the backlog unless it already waits; maxWait is how
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -10,6 +10,7 @@
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/quarantine"
 )
 
 // encodeCall returns the message that asks the coordinator to place a call.
@@ -19,9 +20,43 @@
 		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
 		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra, Hedge: r.Hedge,
 		Bytes: int64(r.Bytes), Priority: uint32(r.Priority), Vm: r.VM,
+		Digest: encodeDigest(r.Digest),
 	}
 }
 
+// encodeDigest returns the bytes of a digest; none if the request is not identified.
+func encodeDigest(d quarantine.Digest) []byte {
+	if d.IsZero() {
+		return nil
+	}
+	return d[:]
+}
+
+func encodeSuspects(records []quarantine.Record) []*api.SuspectRecord {
+	encoded := make([]*api.SuspectRecord, 0, len(records))
+	for _, r := range records {
+		encoded = append(encoded, &api.SuspectRecord{
+			Digest: encodeDigest(r.Digest), Clears: r.Clears, Ended: r.Ended, Held: r.IsHeld, LateSends: uint32(r.LateSends),
+		})
+	}
+	return encoded
+}
+
+// decodeSuspects returns the records of another VM. It leaves out those that can't be used.
+func decodeSuspects(encoded []*api.SuspectRecord) []quarantine.Record {
+	var records []quarantine.Record
+	for _, e := range encoded {
+		r := quarantine.Record{
+			Digest: quarantine.ParseDigest(e.GetDigest()), Clears: e.GetClears(), Ended: e.GetEnded(),
+			IsHeld: e.GetHeld(), LateSends: int(e.GetLateSends()),
+		}
+		if r.IsValid() {
+			records = append(records, r)
+		}
+	}
+	return records
+}
+
 func encodeRates(notices []loadbalancer.RateNotice) []*api.RateNotice {
 	encoded := make([]*api.RateNotice, 0, len(notices))
 	for _, n := range notices {
@@ -54,12 +89,32 @@
 	return rate, rate.PerSecond >= 0 && !math.IsInf(rate.PerSecond, 0)
 }
 
+// runResults are the results of sends as they are sent to other VMs.
+var runResults = map[quarantine.Result]api.RunResult{
+	quarantine.ResultNone:      api.RunResult_RUN_NONE,
+	quarantine.ResultCompleted: api.RunResult_RUN_COMPLETED,
+	quarantine.ResultAnswered:  api.RunResult_RUN_ANSWERED,
+	quarantine.ResultBroken:    api.RunResult_RUN_BROKEN,
+	quarantine.ResultEnded:     api.RunResult_RUN_ENDED,
+}
+
+// decodeRunResult returns what a send of another VM tells; a result that this build doesn't
+// know tells nothing.
+func decodeRunResult(encoded api.RunResult) quarantine.Result {
+	for result, known := range runResults {
+		if known == encoded {
+			return result
+		}
+	}
+	return quarantine.ResultNone
+}
+
 // encodeEnd returns the message that reports the end of a send.
 func encodeEnd(id uint64, end End) *api.PlaceEnd {
 	encoded := &api.PlaceEnd{
 		Id: id, LatencyUs: end.Latency.Microseconds(), Cancelled: end.IsCancelled,
 		Bytes: int64(end.Bytes), Failed: end.Failed, Shed: end.Shed, Draining: end.Draining,
-		Unattributed: end.IsUnattributed,
+		Unattributed: end.IsUnattributed, Run: runResults[end.Run],
 	}
 	if end.StatesRate {
 		encoded.Rate = &api.RateNotice{Named: end.Rate.IsNamed, PerSecond: end.Rate.PerSecond}
@@ -87,6 +142,7 @@
 		Extra:     call.GetExtra(),
 		Hedge:     call.GetHedge(),
 		Priority:  int(call.GetPriority()),
+		Digest:    quarantine.ParseDigest(call.GetDigest()),
 	}
 }
 
@@ -97,6 +153,7 @@
 	return End{
 		IsCancelled:    end.GetCancelled(),
 		IsUnattributed: end.GetCancelled() && end.GetUnattributed(),
+		Run:            decodeRunResult(end.GetRun()),
 		Result: loadbalancer.Result{
 			Latency:  time.Duration(end.GetLatencyUs()) * time.Microsecond,
 			Bytes:    int(end.GetBytes()),
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
 	"github.com/figfront/figfront/internal/retry"
+	"github.com/figfront/figfront/internal/suspectstore"
 	"github.com/figfront/figfront/internal/tunnel"
 )
 
@@ -37,6 +38,12 @@
 	VMs      platform.Records
 	Announce func(ctx context.Context, vm platform.VM) error
 	DecodeVM func(value []byte) (platform.VM, error)
+	// Suspects holds the rows of requests under which upstreams have ended, which VMs write
+	// with WriteSuspects. InsertSuspect writes a row that must not exist yet; otherwise it
+	// returns platform.ErrConflict.
+	Suspects      platform.Records
+	WriteSuspects func(ctx context.Context, writes []platform.Row, deletions []string) error
+	InsertSuspect func(ctx context.Context, row platform.Row) error
 	// SetStoreAddress switches to the store at another address.
 	SetStoreAddress func(address string)
 	// CallerHandler translates callers' requests and the responses to them.
@@ -97,6 +104,7 @@
 	dispatch  *dispatch.Server
 	router    *dispatch.Router
 	readiness readinessGate
+	suspects  *suspectstore.Store
 	// storeClock is the store's clock, which all followers share.
 	storeClock follow.StoreClock
 	// storeAddress is the address of the store in use; only reload accesses it after
@@ -113,8 +121,10 @@
 	e.dispatch = dispatch.NewServer(func(service string) (*dispatch.Dispatcher, bool) {
 		return e.gateway.Dispatcher(service)
 	})
+	e.suspects = e.newSuspectStore()
 	e.gateway = gateway.New(gateway.Options{
-		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
+		OnSuspectChange: e.suspects.Wake,
+		VM:              settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Dial: upstreamDialer(settings.Source),
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport, RequireRequestID: true,
 		ProbesPerUpstream: settings.ProbesPerUpstream, Router: e.router,
@@ -159,13 +169,16 @@
 	// every call has finished.
 	workCtx, cancelWork := context.WithCancel(context.Background())
 	group, workCtx := errgroup.WithContext(workCtx)
-	followers := []follower{e.newConfigFollower(), e.newUpstreamFollower(), e.newVMFollower()}
+	followers := []follower{e.newConfigFollower(), e.newUpstreamFollower(), e.newVMFollower(), e.newSuspectFollower()}
 	for _, f := range followers {
 		group.Go(func() error { return f.Run(workCtx) })
 	}
 	group.Go(func() error { return e.mesh.Run(workCtx, peerListener) })
 	group.Go(func() error { return e.router.KeepConnected(workCtx, e.gateway.SiteServices) })
-	group.Go(func() error { return process.ServeOperators(workCtx, e.settings.Operators, e.parts.Lifecycle) })
+	group.Go(func() error { return e.suspects.Run(workCtx) })
+	group.Go(func() error {
+		return process.ServeOperators(workCtx, e.settings.Operators, e.parts.Lifecycle, e.suspectRoutes)
+	})
 	group.Go(func() error { return e.serveReady(workCtx) })
 	group.Go(func() error { return settingsReloader.run(workCtx) })
 	group.Go(func() error { return process.Serve(server, listener) })
@@ -198,6 +211,7 @@
 		Source: e.mesh.AddRecordSet("config", e.adapter.Configs, e.configRecordOptions()), Key: e.adapter.ConfigKey, Decode: e.adapter.DecodeConfig,
 		Apply: func(c site.Config) bool {
 			isApplied := e.gateway.ApplySite(c)
+			e.suspects.Refresh()
 			e.readiness.satisfy(&e.readiness.hasConfig)
 			return isApplied
 		},
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/quarantine"
 )
 
 // maxBufferedResponseBytes is the largest response that is buffered as a whole
@@ -216,6 +217,7 @@
 	isAborted := isCancelled && !isLate
 	isTruncated := body.isTruncated != nil && body.isTruncated()
 	switch {
+	case result.transfer.UpstreamEnd == upstreamEnded:
 	case isSilent || c.route.service.isPathAtFault(trace, err):
 		c.route.service.abandonSend(sent)
 		return result
@@ -223,7 +225,7 @@
 		c.route.service.cancelSend(sent)
 		return result
 	}
-	c.route.service.endSend(sent, loadbalancer.Result{Failed: true})
+	c.route.service.endSend(sent, loadbalancer.Result{Failed: true}, result.transfer.UpstreamEnd.runResult())
 	return result
 }
 
@@ -245,9 +247,10 @@
 	if result.outcome == outcome.NotRun {
 		_ = response.Body.Close()
 		sendResult.Shed = true
-		c.route.service.endSend(sent, sendResult)
+		c.route.service.endSend(sent, sendResult, shedRunResult(response))
 		return result
 	}
+	run := quarantine.ResultCompleted
 	body, err := readResponseBody(response)
 	result.body = body
 	sendResult.Bytes = len(body)
@@ -258,15 +261,26 @@
 		if c.ctx.Err() == nil {
 			result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport)
 		}
+		run = result.transfer.UpstreamEnd.runResult()
 	} else if len(body) == maxBufferedResponseBytes {
 		result.rest = response.Body
+		run = quarantine.ResultNone
 	} else {
 		_ = response.Body.Close()
 	}
-	c.route.service.endSend(sent, sendResult)
+	c.route.service.endSend(sent, sendResult, run)
 	return result
 }
 
+// shedRunResult returns what a refusal tells about the upstream. Status 421 comes from another
+// one, which now has its address.
+func shedRunResult(response *http.Response) quarantine.Result {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return quarantine.ResultNone
+	}
+	return quarantine.ResultAnswered
+}
+
 // observeRate records the rate limit that a response names. Status 421 comes from another
 // server, which now has the address of the one that the call was for.
 func (c *call) observeRate(sent send, response *http.Response, result *loadbalancer.Result) {
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/quarantine"
 	"github.com/figfront/figfront/internal/tunnel"
 )
 
@@ -25,6 +26,18 @@
 	upstreamEndUnknown upstreamEnd = "unknown"
 )
 
+// runResult returns what the send tells about its request.
+func (e upstreamEnd) runResult() quarantine.Result {
+	switch e {
+	case upstreamEnded:
+		return quarantine.ResultEnded
+	case "":
+		return quarantine.ResultNone
+	default:
+		return quarantine.ResultBroken
+	}
+}
+
 // groupEnds is the group of the counters of the results of checks for ended upstreams.
 const groupEnds = "ends"
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -52,6 +52,9 @@
 	// RetryLimits limits the extra sends (hedges and retries) to a service of the
 	// site.
 	RetryLimits retry.Limits
+	// OnSuspectChange is called when what is known about requests under which upstreams of the
+	// site have ended has changed. It must not block; nil means that nobody is told.
+	OnSuspectChange func()
 	// Router requests the placement of a site's calls from the coordinator of
 	// their service.
 	Router *dispatch.Router
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -7,6 +7,7 @@
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/quarantine"
 )
 
 // send is one send of a call that is in progress.
@@ -102,9 +103,9 @@
 	sendErrBudget
 )
 
-// endSend records the result of a send. An abandoned send is recorded as
-// cancelled.
-func (s *service) endSend(sent send, result loadbalancer.Result) {
+// endSend records the result of a send and what it tells about the request. An abandoned send
+// is recorded as cancelled.
+func (s *service) endSend(sent send, result loadbalancer.Result, run quarantine.Result) {
 	if sent.isAbandoned != nil && sent.isAbandoned.Load() {
 		s.cancelSend(sent)
 		return
@@ -112,7 +113,7 @@
 	now := time.Now()
 	result.Latency = now.Sub(sent.started)
 	if sent.grant != nil {
-		sent.grant.End(dispatch.End{Result: result})
+		sent.grant.End(dispatch.End{Result: result, Run: run})
 		return
 	}
 	s.mu.Lock()
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -87,8 +87,8 @@
 		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
 		ProbesPerUpstream: g.options.ProbesPerUpstream, RetryLimits: g.options.RetryLimits, Counters: g.options.Counters,
-		HasLostLinks: s.links.isLost,
-		Random:       rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
+		HasLostLinks: s.links.isLost, OnSuspectChange: g.options.OnSuspectChange,
+		Random: rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
 	})
 	s.dispatcher.SetLiveVMs(g.site.vms)
 	s.linkChecker.setLiveVMs(g.site.vms)
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -19,6 +19,7 @@
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/site"
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/quarantine"
 )
 
 // TestLogShowsWhyACallWasRefused finds the log line of a refused call by its ID
@@ -142,6 +143,15 @@
 			g.Expect(line.Refusal.NextSendMs).To(BeNumerically(">", siteObjective.Milliseconds()))
 			g.Expect(line.Duration).To(BeNumerically("<", 1000), "microseconds")
 		}},
+		outcome.Quarantined: {setUp: holdBooking, check: func(g *WithT, line callLine) {
+			expectNoSend(g, line)
+			g.Expect(line.Refusal.NextSendMs).To(BeNumerically("~", (10 * time.Minute).Milliseconds(), 1000))
+			g.Expect(line.Duration).To(BeNumerically("<", 1000), "microseconds")
+		}},
+		outcome.SuspectBusy: {upstream: hangs, send: sendBesideItsCopy, check: func(g *WithT, line callLine) {
+			expectNoSend(g, line)
+			g.Expect(line.Refusal.Free).To(Equal(2))
+		}},
 		outcome.UpstreamFailed: {upstream: abortsConnection, check: func(g *WithT, line callLine) {
 			expectOneSend(g, line, outcome.UpstreamFailed)
 			g.Expect(line.NotResent).To(Equal("may_have_run"))
@@ -246,6 +256,30 @@
 	g.Expect(line.Deadline).To(Equal(siteTimeout.Milliseconds()))
 }
 
+// suspectBooking tells the dispatcher of service a that upstreams have ended under the booking
+// that callAs makes at /book/1 with the body x.
+func suspectBooking(env *siteTestEnv, ended ...string) {
+	head := quarantine.Head{Method: http.MethodPost, Host: siteHost, Path: "/book/1", Caller: "pipe"}
+	hasher := quarantine.NewHasher(head)
+	_, _ = io.WriteString(hasher, "x")
+	d, _ := env.gateway.Dispatcher("a")
+	d.LearnSuspects([]quarantine.Record{{Digest: hasher.Digest(), Ended: ended}})
+}
+
+// holdBooking configures the site and makes it hold the booking.
+func holdBooking(_ *WithT, env *siteTestEnv) {
+	env.applySite()
+	suspectBooking(env, "x0", "x1", "x2")
+}
+
+// sendBesideItsCopy sends the booking while a copy of it is in flight.
+func sendBesideItsCopy(_ *WithT, env *siteTestEnv, id string) {
+	suspectBooking(env, "x0", "x1")
+	go env.callAs("copy", http.MethodPost, "/book/1", "x")
+	time.Sleep(time.Millisecond)
+	env.callAs(id, http.MethodPost, "/book/1", "x")
+}
+
 // workPath is the path of the calls that occupy the upstreams.
 const workPath = "/book/work"
 
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -49,6 +49,8 @@
 	CallerGone        Reason = "caller_gone"
 	HeaderInvalid     Reason = "header_invalid"
 	HeaderTooLarge    Reason = "header_too_large"
+	Quarantined       Reason = "quarantined"
+	SuspectBusy       Reason = "suspect_busy"
 )
 
 // Reasons lists every Reason.
@@ -56,5 +58,5 @@
 	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
 	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
 	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
-	RateLimited,
+	RateLimited, Quarantined, SuspectBusy,
 }
--- a/internal/process/server.go
+++ b/internal/process/server.go
@@ -45,9 +45,9 @@
 	return netutil.LimitListener(listener, maxConnections), nil
 }
 
-// OperatorHandler returns a handler that serves /healthz, /readyz and, as JSON, the
-// counters at /debug/vars.
-func OperatorHandler(lifecycle *Lifecycle) http.Handler {
+// OperatorHandler returns a handler that serves /healthz, /readyz, as JSON the counters at
+// /debug/vars, and the given routes.
+func OperatorHandler(lifecycle *Lifecycle, routes ...func(chi.Router)) http.Handler {
 	r := chi.NewRouter()
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) {
 		w.WriteHeader(http.StatusOK)
@@ -60,6 +60,9 @@
 		w.WriteHeader(http.StatusOK)
 	})
 	r.Handle("/debug/vars", telemetry.Handler())
+	for _, add := range routes {
+		add(r)
+	}
 	return r
 }
 
@@ -86,12 +89,12 @@
 }
 
 // ServeOperators serves OperatorHandler at address until ctx is done.
-func ServeOperators(ctx context.Context, address string, lifecycle *Lifecycle) error {
+func ServeOperators(ctx context.Context, address string, lifecycle *Lifecycle, routes ...func(chi.Router)) error {
 	listener, err := Listen(address, maxOperatorConnections)
 	if err != nil {
 		return err
 	}
-	server := NewServer(OperatorHandler(lifecycle), static.Limits{
+	server := NewServer(OperatorHandler(lifecycle, routes...), static.Limits{
 		HeaderTimeout:  operatorTimeout,
 		IdleTimeout:    operatorTimeout,
 		MaxHeaderBytes: maxOperatorHeaderBytes,
--- a/internal/quarantine/doc.go
+++ b/internal/quarantine/doc.go
@@ -7,7 +7,7 @@
 // too. A suspect is therefore sent on, but not hedged, and its copies one after the other;
 // one complete response clears it. After MaxEnded upstreams have ended under it, one after
 // another and without a complete response in between, it is held: no upstream gets it any
-// more, but for MaxTrials trials that are far apart.
+// more, but for a few trials that are far apart: MaxLateSends sends in all.
 //
 // Ends at the same time count as one. Otherwise the loss of a rack would hold a popular
 // request whose copies ran on several of its upstreams.
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -42,6 +42,8 @@
 	GroupLinks    = "links"
 	GroupTunnels  = "tunnels"
 	GroupLog      = "log"
+	// GroupQuarantine counts what happened to requests under which upstreams have ended.
+	GroupQuarantine = "quarantine"
 	// GroupLatencies holds histograms.
 	GroupLatencies = "latencies"
 )
