gateway: ask an upstream itself whether it has ended, not other VMs first

A refused direct connection is enough now, since an answer of the upstream takes the end back; only a VM that uses tunnels asks through them. Test: three servers down beside the deadly request, six ways to coordinate; before, 6 sends too late (3 allowed) and 11 servers ended in one of them, now 0 and at most 4.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -130,7 +130,7 @@
 		return c.handleSendFailure(ctx, sent, trace, body, err)
 	}
 	bodySent := body.isInMemory() || body.isComplete()
-	result := c.readResponse(sent, response)
+	result := c.readResponse(sent, trace, response)
 	result.bodySent = bodySent
 	end := result.transfer.UpstreamEnd
 	result.transfer = c.describeResponse(trace, response)
@@ -195,7 +195,7 @@
 ) attemptResult {
 	result := attemptResult{upstream: sent.choice.Name, transfer: c.describeError(trace, err)}
 	if isConnBroken(ctx, trace, err) {
-		result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport)
+		result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport, trace.via())
 	}
 	result.outcome, result.reason = failureOutcome(trace, err)
 	isSilenceTimeout := errors.Is(context.Cause(ctx), errConnSilent)
@@ -230,7 +230,7 @@
 }
 
 // readResponse reads an upstream's response and records how the send ended.
-func (c *call) readResponse(sent send, response *http.Response) attemptResult {
+func (c *call) readResponse(sent send, trace *sendTrace, response *http.Response) attemptResult {
 	result := attemptResult{
 		upstream: sent.choice.Name,
 		status:   response.StatusCode,
@@ -259,7 +259,7 @@
 		sendResult.Failed = true
 		result.reason = outcome.UpstreamTruncated
 		if c.ctx.Err() == nil {
-			result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport)
+			result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport, trace.via())
 		}
 		run = result.transfer.UpstreamEnd.runResult()
 	} else if len(body) == maxBufferedResponseBytes {
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"syscall"
 	"time"
 
@@ -51,23 +52,33 @@
 )
 
 // checkEnd finds out whether an upstream has ended, after the connection of a send to it has
-// broken. It takes up to endCheckTimeout.
-func (s *service) checkEnd(t *transport) upstreamEnd {
+// broken, which led through the VM via or directly if that is empty. It takes up to
+// endCheckTimeout.
+func (s *service) checkEnd(t *transport, via string) upstreamEnd {
 	time.Sleep(endCheckDelay)
 	end := upstreamLives
 	if t.openConns.Load() == 0 {
-		end = t.tryConnect()
+		end = s.tryConnect(t.address, via != "")
 	}
 	s.counters.Add(groupEnds, string(end), 1)
 	return end
 }
 
-// tryConnect opens a connection to the upstream and closes it. A VM that has lost its links
-// does so through other VMs.
-func (t *transport) tryConnect() upstreamEnd {
+// tryConnect opens a direct connection to an upstream and closes it. If a VM that uses tunnels
+// is refused it may have lost its link; it then asks through other VMs.
+func (s *service) tryConnect(address string, usesTunnels bool) upstreamEnd {
 	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
 	defer cancel()
-	conn, err := t.dial(ctx, "tcp", t.address)
+	end := connectResult(s.dial(ctx, "tcp", address))
+	if end != upstreamLives && usesTunnels {
+		return connectResult(s.dialer.dialTunnel(ctx, "tcp", address))
+	}
+	return end
+}
+
+// connectResult returns what an attempt to open a connection to an upstream tells, and closes
+// the connection.
+func connectResult(conn net.Conn, err error) upstreamEnd {
 	switch {
 	case err == nil:
 		_ = conn.Close()
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -40,8 +40,7 @@
 	address        string
 	maxConnections int
 	base           *http.Transport
-	// dial opens the connections, and openConns counts those that are open.
-	dial      DialFunc
+	// openConns counts the open connections.
 	openConns atomic.Int64
 	// roundTripper sends calls; it is base or a wrapper around it.
 	roundTripper http.RoundTripper
@@ -54,7 +53,6 @@
 	t := &transport{
 		address:        address,
 		maxConnections: maxConnections,
-		dial:           dial,
 	}
 	t.base = &http.Transport{
 		DialContext:            trackDial(dial, &t.openConns),
