quarantine: recognize a request that comes from changing addresses

A request has two digests now, with the caller's address and without. The second holds only after ends for two callers, so that a request that is deadly for one caller alone does not take it away from the others.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -207,7 +207,7 @@
 	if r.Hedge && len(d.waiters) > 0 {
 		return Grant{}, loadbalancer.Refuse, ""
 	}
-	suspicion := d.suspects.Admit(now, r.Digest, r.sendKind(), !wait.ignoreCopies)
+	suspicion := d.suspects.Admit(now, r.ID, r.sendKind(), !wait.ignoreCopies)
 	if reason := suspectReason(suspicion); reason != "" {
 		return Grant{}, loadbalancer.Refuse, reason
 	}
@@ -233,7 +233,7 @@
 		d.options.Counters.Add(telemetry.GroupDispatch, counterSentLimited, 1)
 	}
 	d.inFlight++
-	sent := d.suspects.Sent(now, r.Digest, d.processes[choice.Name])
+	sent := d.suspects.Sent(now, r.ID, d.processes[choice.Name])
 	return Grant{
 		Upstream: choice.Name, Basis: choice.Basis, PlacedBy: d.options.VM,
 		end: func(end End) { d.recordEnd(choice, sent, end) },
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -25,7 +25,7 @@
 			SendsPerSecond: d.backlog.SendsPerSecond(now),
 			BaseLatency:    estimate.Latency,
 			Waited:         now.Sub(arrived),
-			NextSend:       max(nextSend(supply, len(d.waiters)), d.suspects.RetryAfter(now, r.Digest)),
+			NextSend:       max(nextSend(supply, len(d.waiters)), d.suspects.RetryAfter(now, r.ID)),
 		},
 	}
 	if !r.Extra {
--- a/internal/dispatch/request.go
+++ b/internal/dispatch/request.go
@@ -38,8 +38,8 @@
 	// Extra marks a hedge or a retry. It is paid from the retry budget and
 	// never waits.
 	Extra bool
-	// Digest identifies the request; the zero Digest means that it is not identified.
-	Digest quarantine.Digest
+	// ID identifies the request; the zero Identity means that it is not identified.
+	ID quarantine.Identity
 	// Hedge marks an extra send that starts while the first one is still in
 	// flight. It is not placed while other calls wait.
 	Hedge bool
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -118,7 +118,7 @@
 func (d *Dispatcher) admitSuspect(r Request) outcome.Reason {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return suspectReason(d.suspects.Admit(time.Now(), r.Digest, r.sendKind(), true))
+	return suspectReason(d.suspects.Admit(time.Now(), r.ID, r.sendKind(), true))
 }
 
 // SuspectNotices returns what has changed since a version; see SuspectBook.
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -20,7 +20,7 @@
 		Id: id, Service: service, Zone: r.Zone, Bulk: r.Bulk, NoTrial: r.NoTrial, Tried: r.Tried,
 		ObjectiveUs: r.Objective.Sub(now).Microseconds(), DeadlineUs: r.Deadline.Sub(now).Microseconds(), Extra: r.Extra, Hedge: r.Hedge,
 		Bytes: int64(r.Bytes), Priority: uint32(r.Priority), Vm: r.VM,
-		Digest: encodeDigest(r.Digest),
+		Digest: encodeDigest(r.ID.Exact), DigestAnyCaller: encodeDigest(r.ID.AnyCaller),
 	}
 }
 
@@ -36,7 +36,7 @@
 	encoded := make([]*api.SuspectRecord, 0, len(records))
 	for _, r := range records {
 		encoded = append(encoded, &api.SuspectRecord{
-			Digest: encodeDigest(r.Digest), Clears: r.Clears, Ended: r.Ended, Held: r.IsHeld, LateSends: uint32(r.LateSends),
+			Digest: encodeDigest(r.Digest), Clears: r.Clears, Ended: r.Ended, Callers: r.Callers, Held: r.IsHeld, LateSends: uint32(r.LateSends),
 		})
 	}
 	return encoded
@@ -48,7 +48,7 @@
 	for _, e := range encoded {
 		r := quarantine.Record{
 			Digest: quarantine.ParseDigest(e.GetDigest()), Clears: e.GetClears(), Ended: e.GetEnded(),
-			IsHeld: e.GetHeld(), LateSends: int(e.GetLateSends()),
+			Callers: e.GetCallers(), IsHeld: e.GetHeld(), LateSends: int(e.GetLateSends()),
 		}
 		if r.IsValid() {
 			records = append(records, r)
@@ -142,7 +142,10 @@
 		Extra:     call.GetExtra(),
 		Hedge:     call.GetHedge(),
 		Priority:  int(call.GetPriority()),
-		Digest:    quarantine.ParseDigest(call.GetDigest()),
+		ID: quarantine.Identity{
+			Exact:     quarantine.ParseDigest(call.GetDigest()),
+			AnyCaller: quarantine.ParseDigest(call.GetDigestAnyCaller()),
+		},
 	}
 }
 
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -37,8 +37,8 @@
 	bodyReader *stallReader
 	// body is the whole request body of a call that is buffered in memory.
 	body []byte
-	// digest identifies the request; zero until the body has been read.
-	digest quarantine.Digest
+	// identity identifies the request; zero until the body has been read.
+	identity quarantine.Identity
 	// uploadID identifies an upload across its sends; empty for other traffic.
 	uploadID string
 	// tried names the upstreams that the call was sent to.
@@ -119,8 +119,8 @@
 	if refusal := c.sendLog.lastRefusal(); refusal != nil {
 		args = append(args, "refusal", refusal)
 	}
-	if !c.digest.IsZero() && (reason != "" || c.sendLog.hasFailure()) {
-		args = append(args, telemetry.FieldDigest, c.digest.String())
+	if !c.identity.Exact.IsZero() && (reason != "" || c.sendLog.hasFailure()) {
+		args = append(args, telemetry.FieldDigest, c.identity.Exact.String(), "digest_any_caller", c.identity.AnyCaller.String())
 	}
 	if notResent := c.sendLog.notResentReason(); notResent != "" {
 		args = append(args, "not_sent_again", notResent)
@@ -224,11 +224,11 @@
 	return true
 }
 
-// identify computes the digest of the call, whose body has been read.
+// identify computes the identity of the call, whose body has been read.
 func (c *call) identify() {
 	hasher := quarantine.NewHasher(c.digestHead())
 	_, _ = hasher.Write(c.body)
-	c.digest = hasher.Digest()
+	c.identity = hasher.Identity()
 }
 
 // digestHead returns what identifies the call besides its body.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -60,7 +60,7 @@
 		Deadline:  c.deadline,
 		Extra:     kind != firstSend,
 		Hedge:     kind == hedgeSend,
-		Digest:    c.digest,
+		ID:        c.identity,
 	}
 }
 
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -11,10 +11,26 @@
 // DigestBytes is the length of a Digest.
 const DigestBytes = 16
 
-// Digest identifies a request by what it asks for. All VMs compute the same one. The zero
-// Digest means that the request is not identified; it is never held.
+// Digest is a hash of what a request asks for. All VMs compute the same one. The zero Digest
+// means that the request is not identified; it is never held.
 type Digest [DigestBytes]byte
 
+// Identity identifies a request twice: with its caller, since a request may be deadly for what
+// the upstreams keep of its caller, and without, since it may come from changing addresses.
+type Identity struct {
+	Exact     Digest
+	AnyCaller Digest
+}
+
+// callerID tells callers apart in the record of a request of any caller.
+func (id Identity) callerID() uint32 {
+	return id.Exact.callerID()
+}
+
+func (d Digest) callerID() uint32 {
+	return binary.BigEndian.Uint32(d[:])
+}
+
 // String returns the digest in hexadecimal.
 func (d Digest) String() string {
 	return hex.EncodeToString(d[:])
@@ -56,15 +72,17 @@
 	Caller string
 }
 
-// Hasher computes the Digest of a request whose body is written to it.
+// Hasher computes the Identity of a request whose body is written to it.
 type Hasher struct {
-	hash hash.Hash
+	// hash is that of the request without its caller.
+	hash   hash.Hash
+	caller string
 }
 
 // NewHasher returns a Hasher for a request with an empty body.
 func NewHasher(head Head) *Hasher {
-	h := &Hasher{hash: sha256.New()}
-	for _, field := range []string{head.Method, head.Host, head.Path, head.Caller} {
+	h := &Hasher{hash: sha256.New(), caller: head.Caller}
+	for _, field := range []string{head.Method, head.Host, head.Path} {
 		var length [8]byte
 		binary.BigEndian.PutUint64(length[:], uint64(len(field)))
 		_, _ = h.hash.Write(length[:])
@@ -78,7 +96,9 @@
 	return h.hash.Write(p)
 }
 
-// Digest returns the Digest of the request with the body so far.
-func (h *Hasher) Digest() Digest {
-	return ParseDigest(h.hash.Sum(nil)[:DigestBytes])
+// Identity returns the Identity of the request with the body so far.
+func (h *Hasher) Identity() Identity {
+	sum := h.hash.Sum(nil)
+	exact := sha256.Sum256(append(sum, h.caller...))
+	return Identity{Exact: ParseDigest(exact[:DigestBytes]), AnyCaller: ParseDigest(sum[:DigestBytes])}
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -12,7 +12,8 @@
 	// MaxEnded is the number of upstreams that may end under a request, one after another,
 	// until it is held.
 	MaxEnded = 3
-	// maxDoubt is how many more may end while others end without it.
+	// maxDoubt is how many more may end while others end without it, or if it got a complete
+	// response lately.
 	maxDoubt = 2
 	// MaxLateSends is the number of sends after MaxEnded upstreams have ended, trials among
 	// them, until the request is held for good.
@@ -32,12 +33,29 @@
 	// Ended names the upstream processes that have ended under the request since it was
 	// last cleared, in the order in which this VM learned of them.
 	Ended []string
+	// Callers tells the callers apart under whose requests they ended, in the record of a
+	// request of any caller; it is empty in one of a single caller.
+	Callers []uint32
 	// IsHeld means that the request must not be sent but for trials.
 	IsHeld bool
 	// LateSends counts the sends since MaxEnded upstreams have ended, trials among them.
 	LateSends int
 }
 
+// isOfAnyCaller reports whether the record covers the request whoever sends it.
+func (r Record) isOfAnyCaller() bool {
+	return len(r.Callers) > 0
+}
+
+// minCallers is the number of callers from which on a request of any caller is withheld. With
+// one alone the record of that caller suffices.
+const minCallers = 2
+
+// mayWithhold reports whether the record may withhold calls.
+func (r Record) mayWithhold() bool {
+	return !r.isOfAnyCaller() || len(r.Callers) >= minCallers
+}
+
 // isSuspect reports whether an upstream has ended under the request.
 func (r Record) isSuspect() bool {
 	return len(r.Ended) > 0
@@ -51,6 +69,7 @@
 	if other.Clears > r.Clears {
 		*r = other
 		r.Ended = slices.Clone(other.Ended)
+		r.Callers = slices.Clone(other.Callers)
 		return true
 	}
 	isChanged := other.LateSends > r.LateSends || other.IsHeld && !r.IsHeld
@@ -59,9 +78,21 @@
 	for _, process := range other.Ended {
 		isChanged = r.addEnded(process) || isChanged
 	}
+	for _, caller := range other.Callers {
+		isChanged = r.addCaller(caller) || isChanged
+	}
 	return isChanged
 }
 
+// addCaller adds a caller. It returns false if it is known or the list is full.
+func (r *Record) addCaller(caller uint32) bool {
+	if slices.Contains(r.Callers, caller) || len(r.Callers) >= maxEndedKept {
+		return false
+	}
+	r.Callers = append(r.Callers, caller)
+	return true
+}
+
 // addEnded adds a process that has ended. It returns false if it is known or the list is full.
 func (r *Record) addEnded(process string) bool {
 	if slices.Contains(r.Ended, process) || len(r.Ended) >= maxEndedKept {
@@ -75,6 +106,9 @@
 func (r *Record) clear(keep func(process string) bool) {
 	r.Clears++
 	r.Ended = slices.DeleteFunc(slices.Clone(r.Ended), func(process string) bool { return keep == nil || !keep(process) })
+	if len(r.Ended) == 0 {
+		r.Callers = nil
+	}
 	if len(r.Ended) < MaxEnded {
 		r.IsHeld = false
 		r.LateSends = 0
@@ -88,13 +122,14 @@
 type storedRecord struct {
 	Clears    uint32   `json:"clears"`
 	Ended     []string `json:"ended"`
+	Callers   []uint32 `json:"callers,omitempty"`
 	Held      bool     `json:"held"`
 	LateSends int      `json:"late_sends"`
 }
 
 // Encode returns the record without its digest as the value of a row.
 func (r Record) Encode() ([]byte, error) {
-	value, err := json.Marshal(storedRecord{Clears: r.Clears, Ended: r.Ended, Held: r.IsHeld, LateSends: r.LateSends})
+	value, err := json.Marshal(storedRecord{Clears: r.Clears, Ended: r.Ended, Callers: r.Callers, Held: r.IsHeld, LateSends: r.LateSends})
 	if err != nil {
 		return nil, errors.Wrap(err, "encode record")
 	}
@@ -108,7 +143,7 @@
 	if err := json.Unmarshal(value, &stored); err != nil {
 		return Record{}, errors.Wrap(ErrMalformed, err.Error())
 	}
-	r := Record{Digest: digest, Clears: stored.Clears, Ended: stored.Ended, IsHeld: stored.Held, LateSends: stored.LateSends}
+	r := Record{Digest: digest, Clears: stored.Clears, Ended: stored.Ended, Callers: stored.Callers, IsHeld: stored.Held, LateSends: stored.LateSends}
 	if !r.IsValid() {
 		return Record{}, errors.Wrapf(ErrMalformed, "%d ends, %d late sends", len(r.Ended), r.LateSends)
 	}
@@ -118,5 +153,5 @@
 // IsValid reports whether a record that was received can be used.
 func (r Record) IsValid() bool {
 	isTooLong := slices.ContainsFunc(r.Ended, func(process string) bool { return len(process) > maxProcessBytes })
-	return !r.Digest.IsZero() && len(r.Ended) <= maxEndedKept && !isTooLong && r.LateSends >= 0
+	return !r.Digest.IsZero() && len(r.Ended) <= maxEndedKept && len(r.Callers) <= maxEndedKept && !isTooLong && r.LateSends >= 0
 }
--- a/internal/quarantine/send.go
+++ b/internal/quarantine/send.go
@@ -52,21 +52,28 @@
 
 // Send is a send in flight. A nil Send, of a request that is not identified, is ignored.
 type Send struct {
-	digest  Digest
+	id      Identity
 	process string
 	at      time.Time
 }
 
 // Admit decides on a send. mayWait is false for a call that has waited as long as it may.
 // One end alone withholds no first send for longer: it is little evidence.
-func (t *Table) Admit(now time.Time, digest Digest, kind SendKind, mayWait bool) Verdict {
+func (t *Table) Admit(now time.Time, id Identity, kind SendKind, mayWait bool) Verdict {
+	for _, digest := range []Digest{id.AnyCaller, id.Exact} {
+		if e, ok := t.entries[digest]; ok && e.record.IsHeld {
+			return t.admitTrial(now, e, kind)
+		}
+	}
+	return max(t.admitSuspect(now, id.AnyCaller, kind, mayWait), t.admitSuspect(now, id.Exact, kind, mayWait))
+}
+
+// admitSuspect decides on a send by one record of its request, which is not held.
+func (t *Table) admitSuspect(now time.Time, digest Digest, kind SendKind, mayWait bool) Verdict {
 	e, ok := t.entries[digest]
-	if !ok || !e.record.isSuspect() {
+	if !ok || !e.record.isSuspect() || !e.record.mayWithhold() {
 		return Allow
 	}
-	if e.record.IsHeld {
-		return t.admitTrial(now, e, kind)
-	}
 	isStrong := len(e.record.Ended) > 1 || e.isLate()
 	switch {
 	case e.untilLateSend(now) > 0:
@@ -87,15 +94,17 @@
 }
 
 // Sent records that a request is sent to an upstream process.
-func (t *Table) Sent(now time.Time, digest Digest, process string) *Send {
-	if digest.IsZero() {
+func (t *Table) Sent(now time.Time, id Identity, process string) *Send {
+	if id.Exact.IsZero() {
 		return nil
 	}
-	t.inFlight[digest]++
-	if e, ok := t.entries[digest]; ok {
-		t.countLateSend(now, e)
+	for _, digest := range []Digest{id.Exact, id.AnyCaller} {
+		t.inFlight[digest]++
+		if e, ok := t.entries[digest]; ok {
+			t.countLateSend(now, e)
+		}
 	}
-	return &Send{digest: digest, process: process, at: now}
+	return &Send{id: id, process: process, at: now}
 }
 
 // lateSendDelays are the times, by the number of late sends, that pass after one of a suspect
@@ -130,21 +139,26 @@
 	if s == nil {
 		return
 	}
-	t.inFlight[s.digest]--
-	if t.inFlight[s.digest] <= 0 {
-		delete(t.inFlight, s.digest)
+	for _, digest := range []Digest{s.id.Exact, s.id.AnyCaller} {
+		t.inFlight[digest]--
+		if t.inFlight[digest] <= 0 {
+			delete(t.inFlight, digest)
+		}
 	}
 	switch result {
 	case ResultCompleted:
 		t.markAlive(now, s.process, s.at)
-		t.Clear(now, s.digest)
+		for _, digest := range []Digest{s.id.Exact, s.id.AnyCaller} {
+			t.completed.add(digest)
+			t.Clear(now, digest)
+		}
 	case ResultAnswered:
 		t.markAlive(now, s.process, s.at)
 	case ResultBroken:
 		t.addUnresolved(now, s)
 	case ResultEnded:
 		t.addUnresolved(now, s)
-		t.addEnd(now, s.digest, s.process, s.at)
+		t.addEnds(now, s.id, s.process, s.at)
 	}
 }
 
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -36,6 +36,8 @@
 	inFlight map[Digest]int
 	// endedAt holds when the upstream processes ended that count as ended.
 	endedAt map[string]time.Time
+	// completed holds the requests that got a complete response lately.
+	completed recentSet
 	// unresolved holds the sends that broke lately, oldest first.
 	unresolved []unresolvedSend
 	// version counts the changes; dirty holds the requests whose stored row is outdated.
@@ -64,7 +66,7 @@
 
 // unresolvedSend is a send that broke while its upstream was not known to have ended.
 type unresolvedSend struct {
-	digest   Digest
+	id       Identity
 	process  string
 	sentAt   time.Time
 	brokenAt time.Time
@@ -89,9 +91,15 @@
 	e.changedAt = now
 }
 
-// addEnd adds an end to a request's record, unless it counts for nothing: a send that began
-// before the last end was known ended its upstream at the same time.
-func (t *Table) addEnd(now time.Time, digest Digest, process string, sentAt time.Time) {
+// addEnds adds an end to both records of a request.
+func (t *Table) addEnds(now time.Time, id Identity, process string, sentAt time.Time) {
+	t.addEnd(now, id.Exact, nil, process, sentAt)
+	t.addEnd(now, id.AnyCaller, []uint32{id.callerID()}, process, sentAt)
+}
+
+// addEnd adds an end to a record, unless it counts for nothing: a send that began before the
+// last end was known ended its upstream at the same time.
+func (t *Table) addEnd(now time.Time, digest Digest, callers []uint32, process string, sentAt time.Time) {
 	e, ok := t.entries[digest]
 	if !ok {
 		t.makeRoom(now)
@@ -111,6 +119,9 @@
 	if len(e.record.Ended) == 1 {
 		e.firstEndAt = now
 	}
+	for _, caller := range callers {
+		e.record.addCaller(caller)
+	}
 	e.lastEndAt = now
 	t.changed(now, e)
 	t.dirty[digest] = struct{}{}
@@ -120,9 +131,10 @@
 
 // holdIfDue holds a request under which enough upstreams have ended.
 func (t *Table) holdIfDue(now time.Time, e *entry) {
-	doubt := min(t.endsWithout(e), maxDoubt)
+	doubt := t.doubt(e)
 	isEnough := len(e.record.Ended) >= MaxEnded+doubt || e.record.LateSends >= MaxLateSends
-	if !e.record.IsHeld && !isEnough {
+	isDue := isEnough && e.record.mayWithhold()
+	if !e.record.IsHeld && !isDue {
 		return
 	}
 	e.record.IsHeld = true
@@ -139,7 +151,16 @@
 // isLate reports whether MaxEnded upstreams have ended under the request, those that ended at
 // the same time among them.
 func (e *entry) isLate() bool {
-	return max(len(e.record.Ended), len(e.allEnded)) >= MaxEnded
+	return e.record.mayWithhold() && max(len(e.record.Ended), len(e.allEnded)) >= MaxEnded
+}
+
+// doubt returns how many more upstreams than MaxEnded have to end under a request: it got a
+// complete response lately, or upstreams end without it, too.
+func (t *Table) doubt(e *entry) int {
+	if t.completed.has(e.record.Digest) {
+		return maxDoubt
+	}
+	return min(t.endsWithout(e), maxDoubt)
 }
 
 // endsWithout returns how many upstreams have ended without a request since the first one
@@ -157,17 +178,24 @@
 // isExplained reports whether another request, which is held, has ended a process.
 func (t *Table) isExplained(e *entry, process string) bool {
 	for _, other := range t.entries {
-		if other != e && other.record.IsHeld && slices.Contains(other.allEnded, process) {
+		if !isSameRequest(other, e) && other.record.IsHeld && slices.Contains(other.allEnded, process) {
 			return true
 		}
 	}
 	return false
 }
 
+// isSameRequest reports whether two entries are about the same request, with one caller and
+// with any.
+func isSameRequest(a, b *entry) bool {
+	return a == b || slices.Contains(a.record.Callers, b.record.Digest.callerID()) ||
+		slices.Contains(b.record.Callers, a.record.Digest.callerID())
+}
+
 // acquitOthers removes an end that a held request explains from all others.
 func (t *Table) acquitOthers(now time.Time, held *entry, process string) {
 	for _, e := range t.entries {
-		if e != held && !e.record.IsHeld && slices.Contains(e.record.Ended, process) {
+		if !isSameRequest(e, held) && !e.record.IsHeld && slices.Contains(e.record.Ended, process) {
 			t.clearEntry(now, e, func(other string) bool { return other != process })
 		}
 	}
@@ -222,7 +250,7 @@
 func (t *Table) Restarted(now time.Time, process string) {
 	for _, u := range t.unresolved {
 		if u.process == process && now.Sub(u.brokenAt) < unresolvedLife {
-			t.addEnd(now, u.digest, process, u.sentAt)
+			t.addEnds(now, u.id, process, u.sentAt)
 		}
 	}
 }
@@ -233,7 +261,7 @@
 	if len(t.unresolved) >= maxUnresolved {
 		t.unresolved = t.unresolved[1:]
 	}
-	t.unresolved = append(t.unresolved, unresolvedSend{digest: s.digest, process: s.process, sentAt: s.at, brokenAt: now})
+	t.unresolved = append(t.unresolved, unresolvedSend{id: s.id, process: s.process, sentAt: s.at, brokenAt: now})
 }
 
 // Prune forgets what is too old.
@@ -322,6 +350,7 @@
 	for _, e := range entries {
 		record := e.record
 		record.Ended = slices.Clone(record.Ended)
+		record.Callers = slices.Clone(record.Callers)
 		records = append(records, record)
 	}
 	return records
