quarantine: see the end of an upstream from VMs without links, too

A VM that has lost its links asks other VMs whether an upstream has ended. If all but one of them have lost theirs as well, the one that could reach it refused, which took two VMs to count, so that nothing was known; and a direct attempt that hangs left the tunnels no time. One VM is enough now if all others have no links, and such a VM asks through tunnels first.

--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 	"time"
 
@@ -52,7 +51,7 @@
 )
 
 // checkEnd finds out whether an upstream has ended, after the connection of a send to it has
-// broken, which led through the VM via or directly if that is empty. It takes up to
+// broken, which led through the VM via or directly if that is empty. It takes up to twice
 // endCheckTimeout.
 func (s *service) checkEnd(t *transport, via string) upstreamEnd {
 	time.Sleep(endCheckDelay)
@@ -64,21 +63,22 @@
 	return end
 }
 
-// tryConnect opens a direct connection to an upstream and closes it. If a VM that uses tunnels
-// is refused it may have lost its link; it then asks through other VMs.
+// tryConnect opens a connection to an upstream and closes it. A VM that uses tunnels may have
+// lost its links; it asks through other VMs first.
 func (s *service) tryConnect(address string, usesTunnels bool) upstreamEnd {
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
-	defer cancel()
-	end := connectResult(s.dial(ctx, "tcp", address))
-	if end != upstreamLives && usesTunnels {
-		return connectResult(s.dialer.dialTunnel(ctx, "tcp", address))
+	if usesTunnels {
+		if end := tryDial(s.dialer.dialTunnel, address); end != upstreamEndUnknown {
+			return end
+		}
 	}
-	return end
+	return tryDial(s.dial, address)
 }
 
-// connectResult returns what an attempt to open a connection to an upstream tells, and closes
-// the connection.
-func connectResult(conn net.Conn, err error) upstreamEnd {
+// tryDial opens a connection to an upstream with dial and closes it.
+func tryDial(dial DialFunc, address string) upstreamEnd {
+	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		_ = conn.Close()
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -122,6 +122,8 @@
 		case refusals >= maxRefusals:
 			go closeLater(results, pending)
 			return nil, RefusedError{NotConnected}
+		case pending == 0 && len(untried) == 0 && refusals > 0 && c.noOtherHasLinks(service):
+			return nil, RefusedError{NotConnected}
 		case pending == 0 && len(untried) == 0:
 			return nil, c.failure(service)
 		default:
@@ -168,6 +170,21 @@
 	return ErrNoLinks
 }
 
+// noOtherHasLinks reports whether all VMs that are not used have lost their links, so that those
+// which refused the upstream are the only ones that could reach it.
+func (c *Client) noOtherHasLinks(service string) bool {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, vm := range c.candidates(service) {
+		known := c.avoided[avoidedVM{vm.Name, service}]
+		if now.Before(known.until) && !known.hasNoLinks {
+			return false
+		}
+	}
+	return true
+}
+
 // recordFailure records a failed attempt. It returns 1 if the VM refused the upstream,
 // otherwise 0, and then the VM is avoided for a while.
 func (c *Client) recordFailure(service string, result attempt) int {
