upload: don't deliver an upload without end that ends whoever handles it

Found when looking for the cause of the request that ends upstreams elsewhere: a stored upload under which each upstream ends was delivered again every minute, and one under which the delivering VM vanishes by the next VM after each lease. The upload stays stored; its status says held; POST /uploads/<id>/retry on the operators' address has it delivered again.

Tests, failing before (no bound): 6 deliveries in 10 days of an upload that ends upstreams, at most 6 in 60 hours of one under which VMs vanish.

--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -92,7 +92,7 @@
 	})
 	closeRest(a.rest)
 	if a.reason != "" {
-		return upload.Result{Upstream: a.upstream}
+		return upload.Result{Upstream: a.upstream, UpstreamEnded: a.transfer.UpstreamEnd == upstreamEnded}
 	}
 	return upload.Result{Status: a.status, BodySent: a.bodySent, Upstream: a.upstream}
 }
--- a/internal/gateway/uploadstatus.go
+++ b/internal/gateway/uploadstatus.go
@@ -1,14 +1,17 @@
 package gateway
 
 import (
+	"context"
 	"encoding/json"
 	"net/http"
 	"strings"
 	"time"
 
+	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
 
 	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/upload"
 )
 
@@ -26,6 +29,8 @@
 	Accepted time.Time  `json:"accepted"`
 	Finished *time.Time `json:"finished,omitempty"`
 	Attempts int        `json:"attempts"`
+	// Held means that the upload is not delivered until an operator lets it be tried again.
+	Held bool `json:"held,omitempty"`
 	// UpstreamStatus is the status code of the upstream's last response.
 	UpstreamStatus int `json:"upstream_status,omitempty"`
 }
@@ -39,6 +44,7 @@
 		Accepted:       r.Accepted,
 		Attempts:       r.Attempts,
 		UpstreamStatus: r.Status,
+		Held:           r.IsHeld(),
 	}
 	if r.IsFinal() {
 		status.State = string(r.State)
@@ -55,6 +61,34 @@
 	_ = json.NewEncoder(w).Encode(newUploadStatus(r))
 }
 
+// UploadRoutes adds the operators' way to have a held upload delivered again.
+func (g *Gateway) UploadRoutes(r chi.Router) {
+	r.Post("/uploads/{id}/retry", func(w http.ResponseWriter, r *http.Request) {
+		w.WriteHeader(g.retryUpload(r.Context(), chi.URLParam(r, "id")))
+	})
+}
+
+// retryUpload makes an upload due at once and returns the status of the response.
+func (g *Gateway) retryUpload(ctx context.Context, id string) int {
+	deliverer := g.deliverer.Load()
+	if deliverer == nil || !upload.IsID(id) {
+		return http.StatusNotFound
+	}
+	err := deliverer.Retry(ctx, id)
+	switch {
+	case err == nil:
+		g.options.Log.Info("upload retried by an operator", telemetry.FieldRequestID, id)
+		return http.StatusNoContent
+	case errors.Is(err, upload.ErrNotFound):
+		return http.StatusNotFound
+	case errors.Is(err, upload.ErrTransition):
+		return http.StatusConflict
+	default:
+		g.options.Log.Warn("upload not retried", telemetry.FieldRequestID, id, telemetry.FieldError, err)
+		return http.StatusServiceUnavailable
+	}
+}
+
 // isUploadStatus reports whether a request is for the status of an upload.
 func (g *Gateway) isUploadStatus(r *http.Request) bool {
 	return g.uploads != nil && strings.HasPrefix(r.URL.Path, uploadStatusPath)
--- a/internal/upload/deliverer.go
+++ b/internal/upload/deliverer.go
@@ -233,12 +233,17 @@
 	}
 	d.options.Log.Info("upload delivery ended", telemetry.FieldRequestID, next.ID, telemetry.FieldTeam, next.Team,
 		telemetry.FieldService, next.Service, "state", next.State, "status", result.Status,
-		telemetry.FieldAttempt, next.Attempts)
+		telemetry.FieldAttempt, next.Attempts, "ended", next.Ended)
 	if _, err := d.update(context.WithoutCancel(ctx), stored, next); err != nil {
 		d.count("result_not_written")
 		return
 	}
 	d.count("delivery_" + string(next.State))
+	if next.IsHeld() {
+		d.count("delivery_held")
+		d.options.Log.Warn("upload is held: upstreams end under it", telemetry.FieldRequestID, next.ID,
+			telemetry.FieldTeam, next.Team, telemetry.FieldService, next.Service, "ended", next.Ended)
+	}
 	if next.State == StateDelivered {
 		d.keepParts(next.ID, next.Body)
 	}
@@ -255,6 +260,25 @@
 	return d.stateMachine.Finish(time.Now(), r, result, d.random)
 }
 
+// Retry makes a held or waiting upload due at once, on behalf of an operator. Its errors are
+// those of Store.Get and Store.Update, and ErrTransition if the delivery has ended.
+func (d *Deliverer) Retry(ctx context.Context, id string) error {
+	stored, err := d.store.Get(ctx, id)
+	if err != nil {
+		return err
+	}
+	next, err := d.stateMachine.Retry(time.Now(), stored.Record)
+	if err != nil {
+		return err
+	}
+	if _, err := d.store.Update(ctx, stored, next); err != nil {
+		return err
+	}
+	d.count("retried_by_operator")
+	d.Wake()
+	return nil
+}
+
 // sweep deletes the records whose delivery ended more than the retention time
 // ago, and their parts.
 func (d *Deliverer) sweep(ctx context.Context) {
--- a/internal/upload/deliverer_test.go
+++ b/internal/upload/deliverer_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figfront/figfront/internal/platformstandin"
+	"github.com/figfront/figfront/internal/quarantine"
 	"github.com/figfront/figfront/internal/upload"
 )
 
@@ -129,3 +130,62 @@
 		g.Expect(err).To(MatchError(upload.ErrNotFound))
 	})
 }
+
+// TestUploadThatEndsUpstreamsIsHeld delivers an upload that ends each upstream, at two VMs that
+// are replaced all the while, and then one that an operator has tried again.
+func TestUploadThatEndsUpstreamsIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		server := platformstandin.New(nil)
+		upstream := newTestUpstream()
+		var sent int64
+		deliverFor := func(length time.Duration, endsUpstream bool) *testVM {
+			v := newTestVM(g, "vm1", server, upstream, time.Second)
+			v.sender.endsUpstream.Store(endsUpstream)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() { _ = v.deliverer.Run(ctx) }()
+			time.Sleep(length)
+			cancel()
+			time.Sleep(time.Minute)
+			sent += v.sender.sent.Load()
+			return v
+		}
+		v := newTestVM(g, "vm0", server, upstream, time.Second)
+		storeUpload(g, v.client, uploadID, testBody(10))
+		for range 20 {
+			deliverFor(12*time.Hour, true)
+		}
+		g.Expect(sent).To(BeEquivalentTo(quarantine.MaxEnded + quarantine.MaxLateSends))
+		found, err := upload.NewStore(v.client).Get(t.Context(), uploadID)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(found.Record.IsHeld()).To(BeTrue())
+		g.Expect(v.deliverer.Retry(t.Context(), uploadID)).To(Succeed())
+		deliverFor(time.Minute, false)
+		g.Expect(upstream.received(uploadID)).To(HaveLen(1))
+		g.Expect(v.deliverer.Retry(t.Context(), uploadID)).To(MatchError(upload.ErrTransition))
+	})
+}
+
+// TestUploadUnderWhichVMsVanishIsHeld kills each VM that delivers an upload.
+func TestUploadUnderWhichVMsVanishIsHeld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		server := platformstandin.New(nil)
+		upstream := newTestUpstream()
+		storeUpload(g, newTestVM(g, "vm0", server, upstream, time.Second).client, uploadID, testBody(10))
+		var sent int64
+		for i := range 60 {
+			v := newTestVM(g, fmt.Sprint("vm", i), server, upstream, time.Hour)
+			ctx, cancel := context.WithCancel(context.Background())
+			go func() { _ = v.deliverer.Run(ctx) }()
+			time.Sleep(time.Hour / 2)
+			v.transport.mu.Lock()
+			v.transport.killed, v.transport.stepsBeforeFault = true, 1
+			v.transport.mu.Unlock()
+			cancel()
+			time.Sleep(time.Hour / 2)
+			sent += v.sender.sent.Load()
+		}
+		g.Expect(sent).To(BeNumerically("<=", quarantine.MaxEnded+quarantine.MaxLateSends))
+	})
+}
--- a/internal/upload/record.go
+++ b/internal/upload/record.go
@@ -49,6 +49,11 @@
 	// Avoid is the upstream of the last failed delivery. The next delivery goes
 	// to a different upstream if there is one.
 	Avoid string `json:"avoid,omitempty"`
+	// Ended counts the deliveries under which their upstream has ended, and Lapses the leases
+	// that lapsed, one after the other, because their VM vanished. Either may be the upload's
+	// doing.
+	Ended  int `json:"ended,omitempty"`
+	Lapses int `json:"lapses,omitempty"`
 }
 
 // Call is the request line and the header of an upload.
@@ -155,7 +160,7 @@
 		return "call"
 	case !isStoredState(r.State):
 		return "state"
-	case r.Attempts < 0 || r.Status < 0:
+	case r.Attempts < 0 || r.Status < 0 || r.Ended < 0 || r.Lapses < 0:
 		return "counts"
 	default:
 		return r.Body.invalidField()
--- a/internal/upload/state.go
+++ b/internal/upload/state.go
@@ -10,6 +10,7 @@
 
 	"github.com/figfront/figfront/charts"
 	"github.com/figfront/figfront/internal/chart"
+	"github.com/figfront/figfront/internal/quarantine"
 )
 
 // Events of the chart upload.ini.
@@ -86,25 +87,72 @@
 	return errors.Wrapf(ErrTransition, "state %q, event %q", r.State, event)
 }
 
+// IsHeld reports whether no further delivery is started, because the upload may be what ends
+// the upstreams or VMs that handle it. It ends with Retry.
+func (r Record) IsHeld() bool {
+	return isExhausted(r.Ended) || r.State == StateDelivering && isExhausted(r.lapsesIfLost())
+}
+
+// lapsesIfLost returns the lapses if the present lease lapses, too.
+func (r Record) lapsesIfLost() int {
+	return r.Lapses + 1
+}
+
+// isExhausted reports whether so many deliveries have ended badly that none is left.
+func isExhausted(ended int) bool {
+	_, ok := badEndDelay(ended)
+	return !ok
+}
+
+// badEndDelay returns the time until the next delivery after a number of deliveries that
+// ended badly; false if there is none.
+func badEndDelay(ended int) (time.Duration, bool) {
+	if ended < quarantine.MaxEnded {
+		return 0, true
+	}
+	return quarantine.TrialDelay(ended - quarantine.MaxEnded)
+}
+
 // IsDue reports whether a delivery may be started: the upload is pending and its
-// retry delay has passed, or it is being delivered and the lease has expired.
+// retry delay has passed, or it is being delivered and the lease has expired. A held upload
+// is never due.
 func (m *StateMachine) IsDue(now time.Time, r Record) bool {
+	if r.IsHeld() {
+		return false
+	}
 	switch r.State {
 	case StatePending:
 		return !now.Before(r.NotBefore)
 	case StateDelivering:
-		return now.After(r.Lease.Until)
+		delay, _ := badEndDelay(r.lapsesIfLost())
+		return now.After(r.Lease.Until.Add(delay))
 	default:
 		return false
 	}
 }
 
+// Retry returns the record of a held or waiting upload, due at once and with nothing held
+// against it.
+func (m *StateMachine) Retry(now time.Time, r Record) (Record, error) {
+	if r.IsFinal() {
+		return r, errors.Wrapf(ErrTransition, "state %q", r.State)
+	}
+	r.Ended, r.Lapses = 0, 0
+	if r.State == StatePending {
+		r.NotBefore = now
+	}
+	return r, nil
+}
+
 // Lease starts a delivery: it returns the record with a lease for holder. It
 // returns ErrTransition if no delivery is due.
 func (m *StateMachine) Lease(now time.Time, r Record, holder string) (Record, error) {
 	if !m.IsDue(now, r) {
 		return r, errors.Wrap(ErrTransition, "not due")
 	}
+	if r.State == StateDelivering {
+		r.Lapses++
+	}
 	if err := m.fire(&r, EventLeased); err != nil {
 		return r, err
 	}
@@ -130,6 +178,8 @@
 	BodySent bool
 	// Upstream is the upstream that the upload was sent to; empty means none.
 	Upstream string
+	// UpstreamEnded means that the upstream has ended under the upload.
+	UpstreamEnded bool
 }
 
 // Event returns the event for the result. A 2xx response acknowledges the upload
@@ -172,13 +222,18 @@
 		return r, err
 	}
 	r.Lease = Lease{}
+	r.Lapses = 0
 	r.Status = result.Status
+	if result.UpstreamEnded {
+		r.Ended++
+	}
 	if r.IsFinal() {
 		r.Finished = now
 		return r, nil
 	}
 	r.Avoid = result.Upstream
-	r.NotBefore = now.Add(backoff(r.Attempts, random))
+	delay, _ := badEndDelay(r.Ended)
+	r.NotBefore = now.Add(max(backoff(r.Attempts, random), delay))
 	return r, nil
 }
 
@@ -189,6 +244,7 @@
 		return r, err
 	}
 	r.Lease = Lease{}
+	r.Lapses = 0
 	r.NotBefore = now
 	return r, nil
 }
--- a/internal/upload/testvm_test.go
+++ b/internal/upload/testvm_test.go
@@ -102,10 +102,15 @@
 	// responseDelay is the time that the upstream needs for an upload.
 	responseDelay time.Duration
 	sent          atomic.Int64
+	// endsUpstream means that the upstream ends under each upload.
+	endsUpstream atomic.Bool
 }
 
 func (s *testSender) SendUpload(ctx context.Context, r upload.Record, body io.Reader) upload.Result {
 	s.sent.Add(1)
+	if s.endsUpstream.Load() {
+		return upload.Result{Upstream: "u", UpstreamEnded: true}
+	}
 	data, err := io.ReadAll(body)
 	if err != nil || s.transport.step() != nil {
 		return upload.Result{}
