--- a/internal/gateway/transferlog.go
+++ b/internal/gateway/transferlog.go
@@ -40,10 +40,17 @@
 	Status     int                  `json:"status,omitempty"`
 	ResponseID responseID           `json:"response_id,omitempty"`
 	Rejected   callheader.Rejection `json:"rejected,omitempty"`
+	// RetryAfter is what a refusal asks for, as the upstream wrote it, cut to
+	// maxLoggedRetryAfter bytes. Leaving means that the upstream says that it leaves.
+	RetryAfter string `json:"retry_after,omitempty"`
+	Leaving    bool   `json:"leaving,omitempty"`
 	// UpstreamEnd tells, for a connection that broke, whether the upstream has ended.
 	UpstreamEnd upstreamEnd `json:"upstream_end,omitempty"`
 }
 
+// maxLoggedRetryAfter limits a logged Retry-After, in bytes.
+const maxLoggedRetryAfter = 40
+
 // describeError returns the record of a send whose round trip failed.
 func (c *call) describeError(trace *sendTrace, err error) transferRecord {
 	record := transferRecord{Conn: trace.connKind(), Via: trace.via(), Written: trace.mayHaveSent()}
@@ -64,9 +71,16 @@
 		Written:    trace.mayHaveSent(),
 		Status:     response.StatusCode,
 		ResponseID: c.responseID(response.Header.Get(outcome.HeaderRequestID)),
+		RetryAfter: cutText(response.Header.Get("Retry-After"), maxLoggedRetryAfter),
+		Leaving:    callheader.IsDraining(response.Header),
 	}
 }
 
+// cutText returns the first bytes of a text.
+func cutText(text string, limit int) string {
+	return text[:min(len(text), limit)]
+}
+
 // responseID compares the request ID of a response with the call's.
 func (c *call) responseID(id string) responseID {
 	switch id {
--- a/internal/gateway/transferlog_test.go
+++ b/internal/gateway/transferlog_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/outcome"
 )
 
@@ -18,6 +19,13 @@
 	}
 }
 
+// shedsWithRest sheds every call and asks for rest; the upstream leaves.
+func shedsWithRest(env *siteTestEnv, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Retry-After", "2.5")
+	w.Header().Set(callheader.Draining, "1")
+	sheds(env, w, r)
+}
+
 // TestLogShowsTheTransferOfAFailedSend checks that the log line of a failed call tells
 // apart a response without an ID, a response to another call, a connection that broke,
 // and a connection that was refused.
@@ -33,6 +41,10 @@
 			sheds, siteUpstreams(),
 			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"own"}`,
 		},
+		"shed with a rest": {
+			shedsWithRest, siteUpstreams(),
+			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"own","retry_after":"2.5","leaving":true}`,
+		},
 		"shed without ID": {
 			shedsWithID(""), siteUpstreams(),
 			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"none","rejected":"no_id"}`,
