--- a/internal/pipenet/pipenet.go
+++ b/internal/pipenet/pipenet.go
@@ -51,6 +51,29 @@
 // connection, and returns ErrRefused if there is no open listener. It has the
 // signature of net.Dialer.DialContext.
 func (n *Network) Dial(ctx context.Context, _, address string) (net.Conn, error) {
+	return n.dial(ctx, "", address)
+}
+
+// DialFrom returns a function like Dial whose connections seem to come from an address, as
+// IP:port.
+func (n *Network) DialFrom(source string) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, _, address string) (net.Conn, error) {
+		return n.dial(ctx, source, address)
+	}
+}
+
+// sourcedConn is a connection that seems to come from an address.
+type sourcedConn struct {
+	net.Conn
+	source address
+}
+
+// RemoteAddr returns that address.
+func (c sourcedConn) RemoteAddr() net.Addr {
+	return c.source
+}
+
+func (n *Network) dial(ctx context.Context, source, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l, ok := n.listeners[address]
 	n.dialCounts[address]++
@@ -59,6 +82,9 @@
 		return nil, ErrRefused
 	}
 	client, server := net.Pipe()
+	if source != "" {
+		server = sourcedConn{Conn: server, source: addressOf(source)}
+	}
 	select {
 	case l.incoming <- server:
 		return client, nil
@@ -109,6 +135,10 @@
 // address implements net.Addr.
 type address string
 
+func addressOf(text string) address {
+	return address(text)
+}
+
 // Network returns "pipe".
 func (address) Network() string { return "pipe" }
 
