Leave upstreams alone that asked this VM for rest

What callers saw: 503 although other upstreams were free, as both sends of a call went to upstreams that had asked for rest. Cause: nothing read Retry-After of a refusal; it counted as load, with a penalty that was gone after a second. The class: what an upstream says about itself is read piece by piece, each with a life span of its own.

A rest binds one VM and one upstream, so the VM keeps it (internal/holdoff), whoever places its calls: it names such upstreams with each placement and gives back a grant that crossed the answer. First sends, retries, hedges, trials, probes and link checks stay off. An upstream that asks again and again is avoided for up to five times its rest while there are others. If all rest, a call waits as long as the queue allows, else it is refused at once (upstreams_resting) and told when the first rest ends. To the upstream, the requests of a tunnel come from the VM that serves it: that VM is told of a rest, and tells the others with tunnels through it. Unusable values (a date, several, infinite) are none, counted, logged once. It holds for upstreams of teams, too.

--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -54,7 +54,9 @@
 	defer cancelDelivery()
 	context.AfterFunc(workCtx, cancelDelivery)
 	group.Go(func() error { return claims.Run(workCtx) })
-	group.Go(func() error { return process.ServeOperators(workCtx, settings.Operators, parts.Lifecycle, g.UploadRoutes) })
+	group.Go(func() error {
+		return process.ServeOperators(workCtx, settings.Operators, parts.Lifecycle, g.UploadRoutes)
+	})
 	group.Go(func() error { return g.FollowBus(workCtx, bus, parts.Lifecycle.Configured) })
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error { return g.DeliverUploads(deliveryCtx) })
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -38,7 +38,10 @@
 	// HasLostLinks reports whether this VM has lost its links to the upstreams; it then
 	// places no calls of other VMs. nil means that it never has.
 	HasLostLinks func() bool
-	Counters     *telemetry.Counters
+	// IsResting reports whether an upstream asked this VM for rest; it gets no probes then.
+	// nil means that none ever does.
+	IsResting func(upstream string) bool
+	Counters  *telemetry.Counters
 	// OnSuspectChange is called when what is known about suspects has changed. It must not
 	// block or call the Dispatcher; nil means that nobody is told.
 	OnSuspectChange func()
@@ -109,6 +112,9 @@
 	if options.HasLostLinks == nil {
 		options.HasLostLinks = func() bool { return false }
 	}
+	if options.IsResting == nil {
+		options.IsResting = func(string) bool { return false }
+	}
 	if options.Log == nil {
 		options.Log = hclog.NewNullLogger()
 	}
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/figfront/figfront/internal/loadbalancer"
@@ -123,6 +124,7 @@
 	request := r.balancerRequest()
 	request.StaleAfter = d.maxLoadAgeLocked(now)
 	choices := d.balancer.Candidates(now, request, probesPerRound)
+	choices = slices.DeleteFunc(choices, func(c loadbalancer.Choice) bool { return d.options.IsResting(c.Name) })
 	d.probeBudget.SetCoordinator(now, d.isCoordinatorLocked(now))
 	granted := d.probeBudget.Take(now, len(choices))
 	d.options.Counters.Add(telemetry.GroupProbes, "withheld", int64(len(choices)-granted))
@@ -197,7 +199,8 @@
 	pause := interval / time.Duration(len(d.upstreams))
 	d.lastProbed = (d.lastProbed + 1) % len(d.upstreams)
 	upstream := d.upstreams[d.lastProbed]
-	if _, isAwaited := d.awaitingProbe[upstream.Name]; isAwaited || !d.balancer.MayProbe(upstream.Name) {
+	_, isAwaited := d.awaitingProbe[upstream.Name]
+	if isAwaited || !d.balancer.MayProbe(upstream.Name) || d.options.IsResting(upstream.Name) {
 		return loadbalancer.Upstream{}, pause
 	}
 	d.awaitingProbe[upstream.Name] = struct{}{}
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -1,7 +1,6 @@
 package dispatch
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -66,21 +65,12 @@
 	l.onChange()
 }
 
-// processName returns the name of the process that an upstream runs as: it changes with a
-// restart.
-func processName(u loadbalancer.Upstream) string {
-	if u.Started.IsZero() {
-		return u.Name
-	}
-	return u.Name + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10)
-}
-
 // setProcessesLocked records the processes of the upstreams, and which of them have restarted.
 func (d *Dispatcher) setProcessesLocked(now time.Time, upstreams []loadbalancer.Upstream) {
 	before := d.processes
 	d.processes = make(map[string]string, len(upstreams))
 	for _, u := range upstreams {
-		process := processName(u)
+		process := u.Process()
 		d.processes[u.Name] = process
 		if old, ok := before[u.Name]; ok && old != process {
 			d.suspects.Restarted(now, old)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -105,6 +105,7 @@
 	router    *dispatch.Router
 	readiness readinessGate
 	suspects  *suspectstore.Store
+	tunnels   *tunnel.Server
 	// storeClock is the store's clock, which all followers share.
 	storeClock follow.StoreClock
 	// storeAddress is the address of the store in use; only reload accesses it after
@@ -124,7 +125,10 @@
 	e.suspects = e.newSuspectStore()
 	e.gateway = gateway.New(gateway.Options{
 		OnSuspectChange: e.suspects.Wake,
-		VM:              settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
+		OnHoldOff: func(service, address string, h tunnel.HoldOff) {
+			e.tunnels.TellHoldOff(service, address, h)
+		},
+		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
 		Dial: upstreamDialer(settings.Source),
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport, RequireRequestID: true,
 		ProbesPerUpstream: settings.ProbesPerUpstream, Router: e.router,
@@ -136,13 +140,14 @@
 			Constant: coordinatorSlackShare * settings.RetrySlack,
 		},
 	})
+	e.tunnels = tunnel.NewServer(e.gateway, parts.Log, parts.Counters)
 	e.readiness.onReady = parts.Lifecycle.Configured
 	adapter.Eras.Notify(newEraObserver(parts.Log, parts.Counters))
 	var err error
 	e.mesh, err = mesh.New(mesh.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Address: settings.Advertised,
 		Capacity: capacity(settings), Seeds: otherSeeds(settings), Eras: adapter.Eras, Dispatch: e.dispatch,
-		Tunnels: tunnel.NewServer(e.gateway, parts.Log, parts.Counters), OnLiveVMs: e.gateway.SetLiveVMs,
+		Tunnels: e.tunnels, OnLiveVMs: e.gateway.SetLiveVMs,
 		Log: parts.Log, Counters: parts.Counters,
 	})
 	return e, err
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -243,6 +243,7 @@
 	}
 	sendResult.Report, sendResult.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
 	c.observeRate(sent, response, &sendResult)
+	c.observeHoldOff(sent, trace, response)
 	result.outcome, result.reason = responseOutcome(response.Header)
 	if result.outcome == outcome.NotRun {
 		_ = response.Body.Close()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -61,6 +61,9 @@
 	// Tunnels opens connections to a site's upstreams through other VMs; nil means that
 	// there are none.
 	Tunnels *tunnel.Client
+	// OnHoldOff is called with what an upstream of the site at an address asked this VM for,
+	// which binds those that have tunnels through it; nil means that there are none.
+	OnHoldOff func(service, address string, h tunnel.HoldOff)
 	// Seed seeds the random number generators.
 	Seed uint64
 	// MaxCalls limits the concurrent calls of all teams; 0 means
@@ -119,6 +122,9 @@
 	if options.Table != nil && options.Objects != nil {
 		g.uploads = upload.NewStore(options.Table)
 	}
+	if options.Tunnels != nil {
+		options.Tunnels.OnHoldOff(g.ObserveHoldOff)
+	}
 	g.routes.Store(&routeTable{})
 	return g
 }
--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -38,9 +38,9 @@
 	// VMs; 0 means no limit.
 	probesPerUpstream float64
 
-	// isRateLimited reports whether the upstream with a name names a rate limit; it is not
-	// checked then.
-	isRateLimited func(name string) bool
+	// isExempt reports whether the upstream with a name must not be checked: it names a rate
+	// limit or asked for rest.
+	isExempt func(name string) bool
 
 	mu      sync.Mutex
 	path    string
@@ -58,10 +58,10 @@
 
 // newLinkChecker returns a linkChecker that opens direct connections with dial.
 func newLinkChecker(
-	links *links, dial DialFunc, probesPerUpstream float64, isRateLimited func(name string) bool,
+	links *links, dial DialFunc, probesPerUpstream float64, isExempt func(name string) bool,
 ) *linkChecker {
 	return &linkChecker{
-		links: links, dial: dial, probesPerUpstream: probesPerUpstream, isRateLimited: isRateLimited,
+		links: links, dial: dial, probesPerUpstream: probesPerUpstream, isExempt: isExempt,
 		transport: &http.Transport{
 			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: siteIdleConnTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
@@ -126,7 +126,7 @@
 	}
 	for range c.targets {
 		target := c.targets[c.current%len(c.targets)]
-		if !c.isRateLimited(target.name) {
+		if !c.isExempt(target.name) {
 			c.checkedAt = now
 			return target.address, c.path, true
 		}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -30,6 +30,9 @@
 		return send{}, c.noUpstreamProblem(outcome.ConnectFailed)
 	}
 	for range maxPlacements {
+		if problem := c.awaitHoldOff(kind); problem != nil {
+			return send{}, problem
+		}
 		request := c.placementRequest(kind)
 		grant, err := c.gateway.options.Router.Place(c.ctx, s.name, s.dispatcher, request)
 		if err != nil {
@@ -54,7 +57,7 @@
 		Bulk:      c.route.rule.settings.Traffic == dynamic.Upload,
 		Bytes:     len(c.body),
 		NoTrial:   c.route.rule.settings.Traffic != dynamic.Lookup,
-		Tried:     c.tried,
+		Tried:     c.excluded(),
 		Priority:  c.route.rule.priority,
 		Objective: c.arrived.Add(c.route.rule.objective),
 		Deadline:  c.deadline,
@@ -88,15 +91,16 @@
 }
 
 // startGranted starts a send to the upstream of a grant. It returns false and
-// cancels the grant when this VM does not know the upstream or knows that it is
-// leaving.
+// cancels the grant when this VM does not know the upstream, or the upstream has asked it for
+// no requests since the call was placed.
 func (s *service) startGranted(grant dispatch.Grant, isBulk bool) (send, bool) {
 	s.mu.Lock()
 	address, ok := s.addresses[grant.Upstream]
 	t := s.transports[address]
+	mayStart := ok && t != nil && s.beginSendLocked(time.Now(), grant.Upstream)
 	s.mu.Unlock()
-	if !ok || t == nil {
-		grant.End(dispatch.End{IsCancelled: true})
+	if !mayStart {
+		endUnsent(grant)
 		return send{}, false
 	}
 	return send{
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -61,8 +61,9 @@
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	exclude = append(s.holdOffs.HeldOff(now), exclude...)
 	choice, ok := s.pickLocked(now, pickRequest(traffic, exclude), kind != firstSend)
-	if !ok {
+	if !ok || !s.beginSendLocked(now, choice.Name) {
 		return send{}, sendErrNoUpstream
 	}
 	if kind.needsBudget() && !s.budget.Take(now) {
--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/tunnel"
 )
 
 // errConnSilent cancels a send whose connection received no byte of a response
@@ -167,6 +169,18 @@
 	return viaOf(t.conn.Conn)
 }
 
+// tunnel returns the tunnel that the send's connection leads through; nil if it is direct or
+// there is none.
+func (t *sendTrace) tunnel() *tunnel.Conn {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn == nil {
+		return nil
+	}
+	through, _ := t.conn.Conn.(*tunnel.Conn)
+	return through
+}
+
 // isSilent reports whether a reused connection has received no byte since the
 // send was written.
 func (t *sendTrace) isSilent() bool {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -9,10 +10,12 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/hedge"
+	"github.com/figfront/figfront/internal/holdoff"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
@@ -26,6 +29,7 @@
 type service struct {
 	team string
 	name string
+	log  hclog.Logger
 	dial DialFunc
 	wrap WrapFunc
 	// links watches the direct connections to the upstreams, dialer opens connections and
@@ -55,6 +59,10 @@
 	balancer      *loadbalancer.Balancer
 	budget        *retry.Budget
 	hedgeTrigger  *hedge.Trigger
+	// holdOffs holds what the upstreams asked this VM for; loggedRests those of which an
+	// unusable rest was logged.
+	holdOffs    *holdoff.Book
+	loggedRests map[string]bool
 	// transports maps addresses to connections, addresses maps the names of
 	// upstreams to addresses.
 	transports map[string]*transport
@@ -88,6 +96,9 @@
 	s := &service{
 		team:        teamName,
 		name:        name,
+		log:         options.Log,
+		holdOffs:    holdoff.New(),
+		loggedRests: make(map[string]bool),
 		dial:        dial,
 		wrap:        options.WrapTransport,
 		idleTimeout: idleConnTimeout,
@@ -133,11 +144,26 @@
 		})
 	}
 	s.configureTransports(settings)
+	s.setProcesses(upstreams)
 	s.balancer.SetUpstreams(time.Now(), upstreams)
 	s.limits.configure(settings)
 	s.updateCapacityLocked(time.Now())
 }
 
+// setProcesses tells the hold-offs the processes of the upstreams and forgets which rests of
+// other upstreams were logged.
+func (s *service) setProcesses(upstreams []loadbalancer.Upstream) {
+	processes := make(map[string]string, len(upstreams))
+	for _, u := range upstreams {
+		processes[u.Name] = u.Process()
+	}
+	s.holdOffs.SetUpstreams(time.Now(), processes)
+	maps.DeleteFunc(s.loggedRests, func(name string, _ bool) bool {
+		_, stays := processes[name]
+		return !stays
+	})
+}
+
 // configureTransports keeps the connections to the upstreams that remain and
 // closes the others.
 func (s *service) configureTransports(settings []dynamic.Upstream) {
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -81,13 +81,13 @@
 	s.links = newLinks(name, g.options, s.closeIdleConns)
 	s.dialer = &dialer{vm: g.options.VM, service: name, direct: s.dial, links: s.links, tunnels: g.options.Tunnels}
 	s.linkChecker = newLinkChecker(s.links, s.dialer.dialDirect, g.options.ProbesPerUpstream, func(name string) bool {
-		return s.dispatcher.NamesRate(name)
+		return s.dispatcher.NamesRate(name) || s.isResting(name)
 	})
 	s.dispatcher = dispatch.NewDispatcher(dispatch.Options{
 		Service: name, Log: g.options.Log,
 		VM: g.options.VM, Zone: g.options.Zone, Probe: s.probe,
 		ProbesPerUpstream: g.options.ProbesPerUpstream, RetryLimits: g.options.RetryLimits, Counters: g.options.Counters,
-		HasLostLinks: s.links.isLost, OnSuspectChange: g.options.OnSuspectChange,
+		HasLostLinks: s.links.isLost, IsResting: s.isResting, OnSuspectChange: g.options.OnSuspectChange,
 		Random: rand.New(rand.NewPCG(g.options.Seed, xxhash.Sum64String(name))),
 	})
 	s.dispatcher.SetLiveVMs(g.site.vms)
@@ -168,6 +168,7 @@
 	s.mu.Lock()
 	s.tracker.path = settings.HealthPath
 	s.configureTransports(connected)
+	s.setProcesses(placed)
 	s.mu.Unlock()
 	s.links.setUpstreams(len(connected))
 	s.linkChecker.configure(settings.HealthPath, s.checkTargets(connected))
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -152,6 +152,10 @@
 			expectNoSend(g, line)
 			g.Expect(line.Refusal.Free).To(Equal(2))
 		}},
+		outcome.UpstreamsResting: {upstream: asksForRest, send: sendWhileAllRest, check: func(g *WithT, line callLine) {
+			expectNoSend(g, line)
+			g.Expect(line.Duration).To(BeNumerically("<", 1000), "microseconds")
+		}},
 		outcome.UpstreamFailed: {upstream: abortsConnection, check: func(g *WithT, line callLine) {
 			expectOneSend(g, line, outcome.UpstreamFailed)
 			g.Expect(line.NotResent).To(Equal("may_have_run"))
@@ -280,6 +284,18 @@
 	env.callAs(id, http.MethodPost, "/book/1", "x")
 }
 
+// asksForRest sheds every call and asks for half a minute of rest.
+func asksForRest(env *siteTestEnv, w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(callheader.RetryAfter, "30")
+	sheds(env, w, r)
+}
+
+// sendWhileAllRest sends a booking after both upstreams have asked for rest.
+func sendWhileAllRest(_ *WithT, env *siteTestEnv, id string) {
+	env.callAs("first", http.MethodPost, "/book/1", "x")
+	env.callAs(id, http.MethodPost, "/book/1", "x")
+}
+
 // workPath is the path of the calls that occupy the upstreams.
 const workPath = "/book/work"
 
--- a/internal/gateway/transferlog_test.go
+++ b/internal/gateway/transferlog_test.go
@@ -6,8 +6,8 @@
 
 	. "github.com/onsi/gomega"
 
-	"github.com/figfront/figfront/internal/config/site"
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/config/site"
 	"github.com/figfront/figfront/internal/outcome"
 )
 
--- a/internal/gateway/tunnels.go
+++ b/internal/gateway/tunnels.go
@@ -19,6 +19,9 @@
 	if s.links.isLost() {
 		return nil, tunnel.RefusedError{Refusal: tunnel.NoLinks}
 	}
+	if s.isHeldOffAt(address) {
+		return nil, tunnel.RefusedError{Refusal: tunnel.HeldOff}
+	}
 	conn, err := s.dialer.dialDirect(ctx, "tcp", address)
 	if err != nil && s.links.isLost() {
 		return nil, tunnel.RefusedError{Refusal: tunnel.NoLinks}
@@ -33,3 +36,15 @@
 	_, ok := s.transports[address]
 	return ok
 }
+
+// ObserveHoldOff records what the upstream of a service at an address asked for, which concerns
+// this VM: in a response that this VM passed on through a tunnel, or to the VM that serves a
+// tunnel of this one.
+func (g *Gateway) ObserveHoldOff(serviceName, address string, h tunnel.HoldOff) {
+	g.mu.Lock()
+	s, ok := g.site.services[serviceName]
+	g.mu.Unlock()
+	if ok {
+		s.holdOffAt(address, h)
+	}
+}
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/figfront/figfront/internal/callheader"
@@ -175,6 +176,15 @@
 	b.selectSubset()
 }
 
+// Process returns the name of the process that the server runs as: it changes with a restart,
+// if the server tells its start.
+func (u Upstream) Process() string {
+	if u.Started.IsZero() {
+		return u.Name
+	}
+	return u.Name + "@" + strconv.FormatInt(u.Started.UnixMilli(), 10)
+}
+
 // isSameProcess reports whether u and other are the same server without a
 // restart in between.
 func (u Upstream) isSameProcess(other Upstream) bool {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -51,6 +51,7 @@
 	HeaderTooLarge    Reason = "header_too_large"
 	Quarantined       Reason = "quarantined"
 	SuspectBusy       Reason = "suspect_busy"
+	UpstreamsResting  Reason = "upstreams_resting"
 )
 
 // Reasons lists every Reason.
@@ -58,5 +59,5 @@
 	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
 	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
 	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
-	RateLimited, Quarantined, SuspectBusy,
+	RateLimited, Quarantined, SuspectBusy, UpstreamsResting,
 }
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -42,6 +42,8 @@
 	GroupLinks    = "links"
 	GroupTunnels  = "tunnels"
 	GroupLog      = "log"
+	// GroupHoldOff counts what upstreams asked for: rest, or nothing as they leave.
+	GroupHoldOff = "holdoff"
 	// GroupQuarantine counts what happened to requests under which upstreams have ended.
 	GroupQuarantine = "quarantine"
 	// GroupLatencies holds histograms.
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -42,8 +42,10 @@
 	dialer     exchange.Dialer
 	counters   *telemetry.Counters
 
-	mu      sync.Mutex
-	avoided map[avoidedVM]avoidance
+	mu sync.Mutex
+	// onHoldOff is called with what an upstream asked a serving VM for.
+	onHoldOff func(service, address string, h HoldOff)
+	avoided   map[avoidedVM]avoidance
 }
 
 // avoidedVM names a VM that is not used for a service.
@@ -60,9 +62,25 @@
 func NewClient(self string, candidates func(service string) []VM, dialer exchange.Dialer, counters *telemetry.Counters) *Client {
 	return &Client{
 		self: self, candidates: candidates, dialer: dialer, counters: counters, avoided: make(map[avoidedVM]avoidance),
+		onHoldOff: func(string, string, HoldOff) {},
 	}
 }
 
+// OnHoldOff sets the function that is called with what an upstream asked a VM for that serves
+// tunnels of this one.
+func (c *Client) OnHoldOff(observe func(service, address string, h HoldOff)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.onHoldOff = observe
+}
+
+func (c *Client) holdOff(service, address string, h HoldOff) {
+	c.mu.Lock()
+	observe := c.onHoldOff
+	c.mu.Unlock()
+	observe(service, address, h)
+}
+
 // ErrNoTunnel means that no VM could open a tunnel, although some may reach the upstreams.
 var ErrNoTunnel = errors.New("tunnel: no VM opened one")
 
@@ -190,7 +208,7 @@
 func (c *Client) recordFailure(service string, result attempt) int {
 	c.counters.Add(telemetry.GroupTunnels, "failed", 1)
 	var refused RefusedError
-	if errors.As(result.err, &refused) && (refused.Refusal == NotConnected || refused.Refusal == UnknownUpstream) {
+	if errors.As(result.err, &refused) && refused.Refusal.isOfUpstream() {
 		return 1
 	}
 	c.mu.Lock()
@@ -213,7 +231,10 @@
 		return nil, err
 	}
 	streamCtx, cancel := context.WithCancel(context.Background())
-	conn := &Conn{via: vm.Name, address: upstreamAddress(address), conn: raw, cancel: cancel}
+	conn := &Conn{
+		via: vm.Name, address: upstreamAddress(address), conn: raw, cancel: cancel,
+		onHoldOff: func(h HoldOff) { c.holdOff(service, address, h) },
+	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = conn.open(streamCtx, &api.TunnelOpen{Service: service, Address: address, Vm: c.self})
 	if !stop() && err == nil {
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -27,6 +27,10 @@
 	conn    *drpcconn.Conn
 	stream  api.DRPCTunnel_OpenClient
 	cancel  context.CancelFunc
+	// onHoldOff is called with what the upstream asked the serving VM for.
+	onHoldOff func(HoldOff)
+	// sendMu serializes stream.Send.
+	sendMu sync.Mutex
 
 	// unread holds the received bytes that were not read yet; isEnded means that no more
 	// follow.
@@ -53,6 +57,9 @@
 		if err != nil {
 			return 0, errors.Wrap(ErrBroken, err.Error())
 		}
+		if h := frame.GetHoldOff(); h != nil {
+			c.onHoldOff(decodeHoldOff(h))
+		}
 		c.unread = frame.GetData()
 		c.isEnded = frame.GetEnd()
 	}
@@ -69,7 +76,7 @@
 	written := 0
 	for written < len(p) {
 		end := min(len(p), written+maxFrameBytes)
-		if err := c.stream.Send(&api.TunnelFrame{Data: p[written:end]}); err != nil {
+		if err := c.send(&api.TunnelFrame{Data: p[written:end]}); err != nil {
 			return written, errors.Wrap(ErrBroken, err.Error())
 		}
 		written = end
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,13 +37,22 @@
 	UnknownUpstream Refusal = "unknown_upstream"
 	// NotConnected means that the upstream could not be connected to.
 	NotConnected Refusal = "not_connected"
+	// HeldOff means that the upstream asked the VM for no requests.
+	HeldOff Refusal = "held_off"
 )
 
+// isOfUpstream reports whether the refusal concerns the upstream and not the VM.
+func (r Refusal) isOfUpstream() bool {
+	return r == NotConnected || r == UnknownUpstream || r == HeldOff
+}
+
 // Upstreams tells a Server about the upstreams of this VM.
 type Upstreams interface {
 	// DialDirect connects to an upstream of a service without a tunnel. The error wraps a
 	// RefusedError if the VM may not or can't do so.
 	DialDirect(ctx context.Context, service, address string) (net.Conn, error)
+	// ObserveHoldOff records what the upstream at an address asked this VM for.
+	ObserveHoldOff(service, address string, h HoldOff)
 }
 
 // RefusedError is the error of a tunnel that a VM refused to open.
@@ -61,11 +71,14 @@
 	log       hclog.Logger
 	counters  *telemetry.Counters
 	open      atomic.Int64
+
+	mu      sync.Mutex
+	tunnels map[*served]struct{}
 }
 
 // NewServer returns a Server.
 func NewServer(upstreams Upstreams, log hclog.Logger, counters *telemetry.Counters) *Server {
-	return &Server{upstreams: upstreams, log: log, counters: counters}
+	return &Server{upstreams: upstreams, log: log, counters: counters, tunnels: make(map[*served]struct{})}
 }
 
 // Open serves one tunnel until it ends.
@@ -88,10 +101,13 @@
 	if err := stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{}}); err != nil {
 		return errors.Wrap(err, "send")
 	}
+	t := &served{service: first.GetOpen().GetService(), address: first.GetOpen().GetAddress(), stream: stream}
+	s.add(t)
+	defer s.remove(t)
 	go func() {
-		receiveInto(stream, upstream)
+		s.receiveInto(t, upstream)
 	}()
-	return sendFrom(upstream, stream)
+	return sendFrom(upstream, t)
 }
 
 // connect connects to the upstream that a VM asks for.
@@ -112,13 +128,18 @@
 
 // receiveInto passes what the other VM sends to the upstream. When the tunnel ends it closes
 // the connection to the upstream.
-func receiveInto(stream api.DRPCTunnel_OpenStream, upstream net.Conn) {
+func (s *Server) receiveInto(t *served, upstream net.Conn) {
 	defer func() { _ = upstream.Close() }()
 	for {
-		frame, err := stream.Recv()
+		frame, err := t.stream.Recv()
 		if err != nil {
 			return
 		}
+		if h := frame.GetHoldOff(); h != nil {
+			s.upstreams.ObserveHoldOff(t.service, t.address, decodeHoldOff(h))
+			s.tellOthers(t, t.service, t.address, decodeHoldOff(h))
+			continue
+		}
 		if _, err := upstream.Write(frame.GetData()); err != nil {
 			return
 		}
@@ -127,17 +148,17 @@
 
 // sendFrom passes what the upstream sends to the other VM until the connection ends. It
 // returns an error, which breaks the tunnel, unless the upstream closed it in order.
-func sendFrom(upstream net.Conn, stream api.DRPCTunnel_OpenStream) error {
+func sendFrom(upstream net.Conn, t *served) error {
 	buffer := make([]byte, maxFrameBytes)
 	for {
 		n, readErr := upstream.Read(buffer)
 		if n > 0 {
-			if err := stream.Send(&api.TunnelFrame{Data: buffer[:n]}); err != nil {
+			if err := t.send(&api.TunnelFrame{Data: buffer[:n]}); err != nil {
 				return errors.Wrap(err, "send")
 			}
 		}
 		if errors.Is(readErr, io.EOF) {
-			return stream.Send(&api.TunnelFrame{End: true})
+			return t.send(&api.TunnelFrame{End: true})
 		}
 		if readErr != nil {
 			return errors.Wrap(readErr, "read from upstream")
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -32,6 +32,22 @@
 	dials int
 	// conns are the connections to the upstream.
 	conns []net.Conn
+	// observed is what it was told that the upstream asked it for.
+	observed []tunnel.HoldOff
+	server   *tunnel.Server
+}
+
+// ObserveHoldOff records what the upstream asked for.
+func (v *servingVM) ObserveHoldOff(_, _ string, h tunnel.HoldOff) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.observed = append(v.observed, h)
+}
+
+func (v *servingVM) observations() []tunnel.HoldOff {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.observed
 }
 
 // DialDirect connects to the upstream.
@@ -86,6 +102,7 @@
 			serving = append(serving, v)
 			listener := network.Listen(vm.Address)
 			server := tunnel.NewServer(v, hclog.NewNullLogger(), telemetry.NewCounters())
+			v.server = server
 			go func() {
 				_ = exchange.ServeAll(ctx, listener, &api.DRPCExchangeUnimplementedServer{}, nil, server)
 			}()
@@ -208,3 +225,37 @@
 func (f dialFunc) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
 	return f(ctx, network, address)
 }
+
+func TestWhatAnUpstreamAsksForReachesBothEndsOfItsTunnels(t *testing.T) {
+	hang := func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)) }
+	withTunnels(t, hang, func(g *WithT, client *tunnel.Client, first, _ *servingVM) {
+		var mu sync.Mutex
+		var heard []tunnel.HoldOff
+		client.OnHoldOff(func(_, _ string, h tunnel.HoldOff) {
+			mu.Lock()
+			defer mu.Unlock()
+			heard = append(heard, h)
+		})
+		conn, err := client.Dial(context.Background(), "s", upstreamAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		other, err := client.Dial(context.Background(), "s", upstreamAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		for _, c := range []*tunnel.Conn{conn, other} {
+			go func() { _, _ = c.Read(make([]byte, 1)) }()
+		}
+		asked := tunnel.HoldOff{Rest: 3 * time.Second, IsLeaving: true}
+		g.Expect(conn.TellHoldOff(asked)).To(Succeed())
+		synctest.Wait()
+		g.Expect(first.observations()).To(Equal([]tunnel.HoldOff{asked}))
+		mu.Lock()
+		g.Expect(heard).To(Equal([]tunnel.HoldOff{asked}), "the other tunnel")
+		mu.Unlock()
+		first.server.TellHoldOff("s", upstreamAddress, asked)
+		first.server.TellHoldOff("other", upstreamAddress, asked)
+		synctest.Wait()
+		mu.Lock()
+		g.Expect(heard).To(HaveLen(3))
+		mu.Unlock()
+		_, _ = conn.Close(), other.Close()
+	})
+}
