Send nothing to an upstream that has said that it leaves until it starts again

What could happen: a healthy probe brought a leaving upstream back after 60 s, silence after two minutes with trial calls, and a VM that placed alone did not know what the coordinator had seen. Cause: leaving had an end in time, chosen for upstreams that can't be told from a new one at their address, and was known where the call was placed only, while the rule binds the VM that passed on the answer. The same class as the rests.

The VM keeps it now for the process of the upstream, which changes with a new start; nothing else lifts it, not even that its entry was gone for a while. The coordinator keeps it for all VMs in the same way. It is taken from all answers of the server itself: refusals, failures, health checks that name it; not from 421, which another server gives. A VM that serves tunnels is told. Upstreams that don't tell their start, as those of teams, are as before.

--- a/internal/callheader/callheader.go
+++ b/internal/callheader/callheader.go
@@ -19,7 +19,8 @@
 	// clocks.
 	Timeout = "Figfront-Timeout"
 	// Upstream holds the name of the upstream that a call is for. Another
-	// upstream that now has the same address must not run the call.
+	// upstream that now has the same address must not run the call. In a response to a probe it
+	// names the upstream that responds.
 	Upstream = "Figfront-Upstream"
 	// Attempt holds the attempt number; a value above 1 means that this or an
 	// earlier hop sent the call again.
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -150,6 +150,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.balancer.Probed(time.Now(), name, result)
+	if result.Upstream == name {
+		d.suspects.Answered(time.Now(), d.processes[name], sent)
+	}
 	d.wakeOneLocked()
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -238,7 +238,7 @@
 		response: response,
 	}
 	sendResult := loadbalancer.Result{
-		Draining: callheader.IsDraining(response.Header),
+		Draining: callheader.IsDraining(response.Header) && response.StatusCode != http.StatusMisdirectedRequest,
 		Failed:   response.StatusCode >= http.StatusInternalServerError,
 	}
 	sendResult.Report, sendResult.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
--- a/internal/gateway/holdoff.go
+++ b/internal/gateway/holdoff.go
@@ -21,10 +21,11 @@
 // this one are. Status 421 comes from another upstream.
 func (c *call) observeHoldOff(sent send, trace *sendTrace, response *http.Response) {
 	s := c.route.service
-	var asked tunnel.HoldOff
-	switch {
-	case response.StatusCode == http.StatusMisdirectedRequest:
+	if response.StatusCode == http.StatusMisdirectedRequest {
 		return
+	}
+	asked := tunnel.HoldOff{IsLeaving: s.observeLeaving(sent.choice.Name, response.Header)}
+	switch {
 	case isRefusalWithRest(response):
 		asked.Rest = s.observeRest(sent.choice.Name, response.Header)
 	case !callheader.IsShed(response.Header):
@@ -61,10 +62,37 @@
 	defer s.mu.Unlock()
 	s.counters.Add(telemetry.GroupHoldOff, "learned_by_tunnel", 1)
 	for name, known := range s.addresses {
-		if known == address && h.Rest > 0 {
+		if known != address {
+			continue
+		}
+		if h.Rest > 0 {
 			s.holdOffs.Rest(time.Now(), name, h.Rest)
 		}
+		if h.IsLeaving {
+			s.leaveLocked(name)
+		}
+	}
+}
+
+// observeLeaving records whether an upstream of a site says that it is leaving, and returns it.
+// An upstream of a team may take that back; the balancer has it probed for that.
+func (s *service) observeLeaving(upstream string, h http.Header) bool {
+	if s.dispatcher == nil || !callheader.IsDraining(h) {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leaveLocked(upstream)
+	return true
+}
+
+func (s *service) leaveLocked(upstream string) {
+	if !s.holdOffs.Leave(upstream) {
+		return
 	}
+	s.counters.Add(telemetry.GroupHoldOff, "leaving", 1)
+	s.log.Info("upstream says that it is leaving, no more requests until it starts again",
+		telemetry.FieldService, s.name, telemetry.FieldUpstream, upstream)
 }
 
 // observeRest records the rest that an upstream asked this VM for when it refused a request,
@@ -172,3 +200,18 @@
 func endUnsent(grant dispatch.Grant) {
 	grant.End(dispatch.End{IsCancelled: true})
 }
+
+// observeProbe records what the upstream at an address asked this VM for in the answer to a
+// probe, which names the upstream.
+func (s *service) observeProbe(address, upstream string, response *http.Response) {
+	s.mu.Lock()
+	isListed := s.addresses[upstream] == address
+	s.mu.Unlock()
+	if !isListed {
+		return
+	}
+	s.observeLeaving(upstream, response.Header)
+	if response.StatusCode == http.StatusServiceUnavailable {
+		s.observeRest(upstream, response.Header)
+	}
+}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -147,7 +147,14 @@
 	if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxProbeResponseBytes)); err != nil {
 		return loadbalancer.ProbeResult{}, false
 	}
-	result := loadbalancer.ProbeResult{IsHealthy: response.StatusCode == http.StatusOK}
+	result := loadbalancer.ProbeResult{
+		IsHealthy: response.StatusCode == http.StatusOK,
+		Upstream:  response.Header.Get(callheader.Upstream),
+	}
+	if result.Upstream != "" {
+		s.observeProbe(t.address, result.Upstream, response)
+		result.Draining = callheader.IsDraining(response.Header)
+	}
 	result.Report, result.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
 	if rate, err := callheader.ParseRate(response.Header); err == nil {
 		result.Rate = rate
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -89,6 +89,10 @@
 	Sent time.Time
 	// IsHealthy means that the upstream accepts calls.
 	IsHealthy bool
+	// Upstream is the name of the upstream that answered; empty if the answer has none.
+	Upstream string
+	// Draining means that it says that it is leaving.
+	Draining bool
 	// Report is the upstream's load report; HasReport reports whether there is
 	// one.
 	Report    callheader.Report
--- a/internal/loadbalancer/entry.go
+++ b/internal/loadbalancer/entry.go
@@ -67,9 +67,11 @@
 	leavingSince time.Duration
 	// lastHeard is when the upstream began to leave or was last probed,
 	// whichever is later; further drain notices don't change it.
-	// isDrainSeenLocally means that this VM itself saw the upstream drain.
+	// isDrainSeenLocally means that this VM itself saw the upstream drain, saysItLeaves that
+	// the upstream said so itself.
 	lastHeard          time.Duration
 	isDrainSeenLocally bool
+	saysItLeaves       bool
 
 	// rate limits the sends to the upstream while it names a rate limit, namedRate.
 	// rateStatedAt is when the latest known response arrived that said something about
--- a/internal/loadbalancer/loadbalancer_test.go
+++ b/internal/loadbalancer/loadbalancer_test.go
@@ -308,4 +308,20 @@
 			Expect(countCalls(b, now, time.Minute, "u-0", fastResult)).To(BeZero())
 		}
 	})
+
+	It("does not use one that tells its start until it has started again", func() {
+		b := newBalancer("vm", 2, 0)
+		listed := upstreams(2)
+		listed[0].Started = start
+		b.SetUpstreams(start, listed)
+		Expect(countCalls(b, start, 30*time.Second, "u-0", drains)).To(BeNumerically(">", 0))
+		for minute := range 10 {
+			now := start.Add(time.Duration(minute+1) * time.Minute)
+			b.Probed(now, "u-0", loadbalancer.ProbeResult{Sent: now, IsHealthy: minute%2 == 0})
+			Expect(countCalls(b, now, time.Minute, "u-0", fastResult)).To(BeZero())
+		}
+		listed[0].Started = start.Add(time.Hour)
+		b.SetUpstreams(start.Add(time.Hour), listed)
+		Expect(countCalls(b, start.Add(time.Hour), time.Minute, "u-0", fastResult)).To(BeNumerically(">", 100))
+	})
 })
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -33,8 +33,7 @@
 		b.RecordRate(now, RateNotice{Upstream: choice.Name, Rate: result.Rate})
 	}
 	if result.Draining {
-		e.fire(eventDrainSeen, at)
-		e.isDrainSeenLocally = true
+		e.seeDrain(at)
 	}
 	if e.isOutOfUse() {
 		b.selectSubset()
@@ -97,6 +96,9 @@
 		b.recordSlowness(e, at, result.Report.Slowness)
 	}
 	wasOut := e.isOutOfUse()
+	if result.Draining && result.Upstream == name {
+		e.seeDrain(at)
+	}
 	e.recordProbe(at, b.since(result.Sent), result.IsHealthy)
 	if wasOut != e.isOutOfUse() {
 		b.selectSubset()
--- a/internal/loadbalancer/state.go
+++ b/internal/loadbalancer/state.go
@@ -98,7 +98,7 @@
 	b.nextUnheardCheck = at + unheardCheckInterval
 	isChanged := false
 	for _, e := range b.ranked {
-		if e.isOutOfUse() && at-e.lastHeard >= unheardTimeout {
+		if e.isOutOfUse() && !e.leavesForGood() && at-e.lastHeard >= unheardTimeout {
 			e.fire(eventUnheard, at)
 			isChanged = true
 		}
@@ -160,11 +160,27 @@
 	return e.phase == phaseLeaving || e.phase == phaseGone
 }
 
+// leavesForGood reports whether the upstream is leaving and comes back with a new start only.
+// One that does not tell its start can't be told from a new one at its address.
+func (e *entry) leavesForGood() bool {
+	return e.isOutOfUse() && e.saysItLeaves && !e.upstream.Started.IsZero()
+}
+
+// seeDrain records that the upstream itself says that it is leaving.
+func (e *entry) seeDrain(at time.Duration) {
+	e.fire(eventDrainSeen, at)
+	e.isDrainSeenLocally = true
+	e.saysItLeaves = true
+}
+
 // recordProbe records the result of a probe that was sent at sentAt. A healthy
-// answer does not bring back a leaving upstream during drainHold, nor a suspect
-// that was slow or whose trial is not due.
+// answer does not bring back a leaving upstream during drainHold, or at all if it tells its
+// start, nor a suspect that was slow or whose trial is not due.
 func (e *entry) recordProbe(at, sentAt time.Duration, healthy bool) {
 	e.lastHeard = at
+	if e.leavesForGood() {
+		return
+	}
 	if !healthy {
 		e.fire(eventFailed, at)
 		return
