--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -98,6 +98,13 @@
 // rateLimitFault is added to the selected kinds of a run with Options.RateLimits.
 var rateLimitFault = fault{"server names a rate limit", rateLimit}
 
+// deadlyFault is added to the selected kinds of a run with Options.DeadlyRequests, askFaults
+// with Options.Asks.
+var (
+	deadlyFault = fault{"request ends servers", deadlyRequest}
+	askFaults   = []fault{{"server asks for rest", askForRest}, {"server says that it leaves", sayLeaving}}
+)
+
 // restart starts the process of a VM again.
 func restart(v *VM) {
 	// Start fails only if the machine is out of resources; requests to this VM
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -43,11 +43,13 @@
 	violations []Violation
 	served     int
 	finished   int
+	// refusals holds the refusals by which servers asked for rest, by server.
+	refusals map[string][]sentRun
 }
 
 // NewLedger returns an empty ledger.
 func NewLedger() *Ledger {
-	return &Ledger{records: make(map[string]*record)}
+	return &Ledger{records: make(map[string]*record), refusals: make(map[string][]sentRun)}
 }
 
 // Sent records that a request is about to be sent to a VM. It must be called before the
@@ -143,6 +145,44 @@
 	return found
 }
 
+// runsOf returns the runs of the requests with a path.
+func (l *Ledger) runsOf(path string) []sentRun {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []sentRun
+	for id, r := range l.records {
+		if r.request.Path != path {
+			continue
+		}
+		for _, run := range r.executions {
+			found = append(found, sentRun{id: id, vm: r.vm, at: run.at})
+		}
+	}
+	return found
+}
+
+// Refused records that a server turned a request away and asked for rest.
+func (l *Ledger) Refused(id, server string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r, ok := l.records[id]; ok {
+		l.refusals[server] = append(l.refusals[server], sentRun{id: id, vm: r.vm, at: time.Now()})
+	}
+}
+
+// refusalsOf returns the refusals of a server after a time.
+func (l *Ledger) refusalsOf(server string, after time.Time) []sentRun {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var found []sentRun
+	for _, r := range l.refusals[server] {
+		if r.at.After(after) {
+			found = append(found, r)
+		}
+	}
+	return found
+}
+
 // servedBy counts the finished requests that were sent to a VM between two times, and how
 // many of them succeeded.
 func (l *Ledger) servedBy(vm *VM, from, to time.Time) (finished, served int) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -60,6 +61,10 @@
 	LinkLosses bool
 	// RateLimits adds servers that name a rate limit to the faults.
 	RateLimits bool
+	// DeadlyRequests adds requests that end the servers that run them to the faults, and Asks
+	// servers that ask for rest or say in their answers that they leave.
+	DeadlyRequests bool
+	Asks           bool
 	// Log receives a line for each fault.
 	Log io.Writer
 }
@@ -86,6 +91,8 @@
 	configs   configs
 	vms       []*VM
 	startedAt time.Time
+	// hasDeadly is set while a deadly request comes.
+	hasDeadly atomic.Bool
 
 	mu sync.Mutex
 	// err is the first failure of the test itself, as opposed to a broken guarantee.
@@ -220,6 +227,14 @@
 	if run.options.RateLimits && rateLimitFault.matches(run.options.Only) {
 		kinds = append(kinds, rateLimitFault)
 	}
+	if run.options.DeadlyRequests && deadlyFault.matches(run.options.Only) {
+		kinds = append(kinds, deadlyFault)
+	}
+	for _, f := range askFaults {
+		if run.options.Asks && f.matches(run.options.Only) {
+			kinds = append(kinds, f)
+		}
+	}
 	for until := time.Now().Add(run.options.Duration); time.Now().Before(until) && ctx.Err() == nil; injected++ {
 		f := kinds[random.IntN(len(kinds))]
 		length := randomDuration(random, minFaultDuration, maxFaultDuration)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -68,6 +68,15 @@
 		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
 		g.Expect(result.Faults).To(BeNumerically(">", 0))
 	})
+	t.Run("deadly requests and asking servers", func(t *testing.T) {
+		asked := options
+		asked.Seed, asked.Only, asked.DeadlyRequests, asked.Asks = 1, "server", true, true
+		result, err := soak.Execute(context.Background(), asked)
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
+		g.Expect(result.Faults).To(BeNumerically(">", 0))
+	})
 	for seed, cause := range regressions {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -51,6 +51,8 @@
 	// linkStates holds the states of the links of single VMs to all servers, by the VM's
 	// source host.
 	linkStates map[string]LinkState
+	// isClosed is set at the end of the run.
+	isClosed bool
 }
 
 // member is a server behind its proxy.
@@ -66,6 +68,8 @@
 	// leavingSince is when its entry was marked as draining in the store; zero if it does
 	// not leave as planned.
 	leavingSince time.Time
+	// isAsking is set while the server asks for rest, or says that it leaves.
+	isAsking atomic.Bool
 	// isLimited is set while the server names a rate limit.
 	isLimited atomic.Bool
 }
@@ -88,6 +92,9 @@
 	m := &member{server: server, http: &http.Server{Handler: server}, proxy: proxy, entry: sitetest.Entry{
 		ID: server.ID, Service: serviceName, Zone: zones[0], Address: proxy.Address(), Slots: serverSlots, Born: time.Now(),
 	}}
+	server.IsDeadly = isDeadly
+	server.OnDeath = func() { f.diesOf(m) }
+	server.OnRest = f.ledger.Refused
 	go func() { _ = m.http.Serve(listener) }()
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -232,6 +239,7 @@
 func (f *fleet) close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.isClosed = true
 	for _, m := range f.members {
 		m.isStopped = true
 		m.close()
