--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -213,28 +213,7 @@
 func (run *Run) inject(ctx context.Context, random *rand.Rand) int {
 	var pendingEnds sync.WaitGroup
 	injected := 0
-	kinds := pickKinds(random, run.options.Only)
-	if run.options.StoreRestores && restoreFault.matches(run.options.Only) {
-		kinds = append(kinds, restoreFault)
-	}
-	if run.options.LinkLosses {
-		for _, f := range linkFaults {
-			if f.matches(run.options.Only) {
-				kinds = append(kinds, f)
-			}
-		}
-	}
-	if run.options.RateLimits && rateLimitFault.matches(run.options.Only) {
-		kinds = append(kinds, rateLimitFault)
-	}
-	if run.options.DeadlyRequests && deadlyFault.matches(run.options.Only) {
-		kinds = append(kinds, deadlyFault)
-	}
-	for _, f := range askFaults {
-		if run.options.Asks && f.matches(run.options.Only) {
-			kinds = append(kinds, f)
-		}
-	}
+	kinds := run.kinds(random)
 	for until := time.Now().Add(run.options.Duration); time.Now().Before(until) && ctx.Err() == nil; injected++ {
 		f := kinds[random.IntN(len(kinds))]
 		length := randomDuration(random, minFaultDuration, maxFaultDuration)
@@ -257,6 +236,29 @@
 	return injected
 }
 
+// kinds returns the kinds of faults of the run.
+func (run *Run) kinds(random *rand.Rand) []fault {
+	kinds := pickKinds(random, run.options.Only)
+	optional := []struct {
+		isEnabled bool
+		faults    []fault
+	}{
+		{run.options.StoreRestores, []fault{restoreFault}},
+		{run.options.LinkLosses, linkFaults},
+		{run.options.RateLimits, []fault{rateLimitFault}},
+		{run.options.DeadlyRequests, []fault{deadlyFault}},
+		{run.options.Asks, askFaults},
+	}
+	for _, o := range optional {
+		for _, f := range o.faults {
+			if o.isEnabled && f.matches(run.options.Only) {
+				kinds = append(kinds, f)
+			}
+		}
+	}
+	return kinds
+}
+
 // recordErr keeps the first failure of the run itself. err may be nil.
 func (run *Run) recordErr(err error) {
 	run.mu.Lock()
