gateway: cut interim responses without end

net/http limits the header of each interim response, but not their number where they are forwarded: an upstream that sends them without end was read, and its bytes passed on to the caller, until the deadline. A send takes 32 now; then its connection is closed and the call fails as one whose upstream broke.

A body without a length is passed on within the deadline, as before.

--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -30,8 +30,10 @@
 	// interim receives interim responses (1xx).
 	interim func(status int, header http.Header)
 
-	mu   sync.Mutex
-	conn *trackedConn
+	mu sync.Mutex
+	// interimCount counts the interim responses.
+	interimCount int
+	conn         *trackedConn
 	// transfer is the send's on conn; nil when it has no tracked connection.
 	transfer *transfer
 	reused   bool
@@ -95,8 +97,23 @@
 	return t.retryReserved
 }
 
-// got1xx forwards an interim response.
+// maxInterimResponses limits the interim responses to one send. net/http limits the header of
+// each, but not their number where they are forwarded.
+const maxInterimResponses = 32
+
+// errInterimFlood ends a send whose upstream sends interim responses without end.
+var errInterimFlood = errors.New("gateway: too many interim responses")
+
+// got1xx forwards an interim response. After maxInterimResponses it returns an error, which
+// closes the connection.
 func (t *sendTrace) got1xx(status int, header textproto.MIMEHeader) error {
+	t.mu.Lock()
+	t.interimCount++
+	isFlood := t.interimCount > maxInterimResponses
+	t.mu.Unlock()
+	if isFlood {
+		return errInterimFlood
+	}
 	t.interim(status, http.Header(header))
 	return nil
 }
