gateway: hold requests that end upstreams of teams, on each VM

Each VM has a table of its own now; teams' upstreams don't tell their start, so that an end counts as the end of what ran under the name until then.

Not done: the VMs of a team share no suspects, each of them may lose three.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -121,10 +121,10 @@
 	if options.OnSuspectChange == nil {
 		options.OnSuspectChange = func() {}
 	}
-	suspects := suspectLog{service: options.Service, log: options.Log, counters: options.Counters, onChange: options.OnSuspectChange}
+	suspects := SuspectLog{Service: options.Service, Log: options.Log, Counters: options.Counters, OnChange: options.OnSuspectChange}
 	return &Dispatcher{
 		options:  options,
-		suspects: quarantine.NewTable(suspects.observe),
+		suspects: quarantine.NewTable(suspects.Observe),
 		balancer: loadbalancer.New(loadbalancer.Options{
 			VM: options.VM, Zone: options.Zone, WarmUp: recoveryWarmUp, MinWarmUpShare: minRecoveryShare,
 		}, options.Random),
--- a/internal/dispatch/suspects.go
+++ b/internal/dispatch/suspects.go
@@ -31,13 +31,13 @@
 	minStoredAlone       = 1
 )
 
-// suspectLog logs and counts the events of a quarantine.Table.
-type suspectLog struct {
-	service  string
-	log      hclog.Logger
-	counters *telemetry.Counters
-	// onChange is called for each event; it must not block.
-	onChange func()
+// SuspectLog logs and counts the events of a quarantine.Table.
+type SuspectLog struct {
+	Service  string
+	Log      hclog.Logger
+	Counters *telemetry.Counters
+	// OnChange is called for each event; it must not block.
+	OnChange func()
 }
 
 // suspectMessages are the log messages of the events.
@@ -53,16 +53,16 @@
 	quarantine.Forgotten:     "suspect request forgotten",
 }
 
-// observe logs and counts an event.
-func (l suspectLog) observe(e quarantine.Event) {
-	l.counters.Add(telemetry.GroupQuarantine, string(e.Kind), 1)
+// Observe logs and counts an event.
+func (l SuspectLog) Observe(e quarantine.Event) {
+	l.Counters.Add(telemetry.GroupQuarantine, string(e.Kind), 1)
 	level := hclog.Info
 	if e.Kind == quarantine.Held {
 		level = hclog.Warn
 	}
-	l.log.Log(level, suspectMessages[e.Kind], telemetry.FieldService, l.service, telemetry.FieldDigest, e.Record.Digest.String(),
+	l.Log.Log(level, suspectMessages[e.Kind], telemetry.FieldService, l.Service, telemetry.FieldDigest, e.Record.Digest.String(),
 		telemetry.FieldUpstream, e.Upstream, "ended", len(e.Record.Ended), "late_sends", e.Record.LateSends, "held", e.Record.IsHeld)
-	l.onChange()
+	l.OnChange()
 }
 
 // setProcessesLocked records the processes of the upstreams, and which of them have restarted.
--- a/internal/gateway/hedgebudget_test.go
+++ b/internal/gateway/hedgebudget_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figfront/figfront/internal/config/dynamic"
+	"github.com/figfront/figfront/internal/quarantine"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -23,7 +24,7 @@
 		},
 	})
 	start := func(kind sendKind) sendError {
-		_, err := s.startSend(dynamic.Lookup, nil, kind)
+		_, err := s.startSend(dynamic.Lookup, quarantine.Identity{}, nil, kind)
 		return err
 	}
 	g.Expect(start(firstSend)).To(Equal(sendOK))
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -176,13 +176,26 @@
 	if c.route.isSite {
 		return c.placeSend(kind)
 	}
-	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.tried, kind)
+	sent, err := c.route.service.startSend(c.route.rule.settings.Traffic, c.identity, c.tried, kind)
 	switch err {
 	case sendOK:
 		return sent, nil
+	case sendErrHeld, sendErrBusy:
+		return send{}, c.suspectProblem(err)
 	case sendErrBudget:
 		return send{}, c.noUpstreamProblem(outcome.RetryBudget)
 	default:
 		return send{}, c.noUpstreamProblem(outcome.NoUpstream)
 	}
 }
+
+// suspectProblem returns the problem of a call of a team that is refused because upstreams have
+// ended under its request.
+func (c *call) suspectProblem(err sendError) *outcome.Problem {
+	reason := outcome.SuspectBusy
+	if err == sendErrHeld {
+		reason = outcome.Quarantined
+	}
+	p := c.noUpstreamProblem(reason).WithRetryAfter(max(c.route.service.suspectRetryAfter(c.identity), retryAfter))
+	return &p
+}
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,8 @@
 	grant *dispatch.Grant
 	// traffic is the call's kind of traffic.
 	traffic dynamic.Traffic
+	// suspect is the send as the quarantine of a team's service knows it.
+	suspect *quarantine.Send
 	// isAbandoned means that another send of the call has won; nil when the call
 	// has only one send at a time.
 	isAbandoned *atomic.Bool
@@ -56,11 +59,14 @@
 	return k == extraSend || k == hedgeSend
 }
 
-// startSend chooses an upstream and records the start of the send.
-func (s *service) startSend(traffic dynamic.Traffic, exclude []string, kind sendKind) (send, sendError) {
+// startSend chooses an upstream for a request and records the start of the send.
+func (s *service) startSend(traffic dynamic.Traffic, id quarantine.Identity, exclude []string, kind sendKind) (send, sendError) {
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if refused := s.admitSuspectLocked(now, id, kind); refused != sendOK {
+		return send{}, refused
+	}
 	exclude = append(s.holdOffs.HeldOff(now), exclude...)
 	choice, ok := s.pickLocked(now, pickRequest(traffic, exclude), kind != firstSend)
 	if !ok || !s.beginSendLocked(now, choice.Name) {
@@ -74,7 +80,52 @@
 	}
 	s.balancer.Sent(now, choice)
 	s.limits.started(choice.Name)
-	return send{choice: choice, transport: s.transports[choice.Address], started: now}, sendOK
+	return send{
+		choice: choice, transport: s.transports[choice.Address], started: now,
+		suspect: s.suspects.Sent(now, id, s.teamProcessLocked(choice.Name)),
+	}, sendOK
+}
+
+// admitSuspectLocked decides on a send of a request under which upstreams may have ended. The
+// VMs of a team share no suspects, so that each of them makes its own trials.
+func (s *service) admitSuspectLocked(now time.Time, id quarantine.Identity, kind sendKind) sendError {
+	verdict := s.suspects.Admit(now, id, kind.quarantineKind(), false)
+	for _, trial := range s.suspects.WantedTrials() {
+		s.suspects.TrialReserved(now, trial, true)
+	}
+	switch verdict {
+	case quarantine.RefuseHeld:
+		return sendErrHeld
+	case quarantine.RefuseBusy:
+		return sendErrBusy
+	default:
+		return sendOK
+	}
+}
+
+// teamProcessLocked returns the name of the process that an upstream of a team runs as, as far
+// as its ends tell.
+func (s *service) teamProcessLocked(upstream string) string {
+	return upstream + "#" + strconv.Itoa(s.endCounts[upstream])
+}
+
+// quarantineKind returns the part that the send has in its call.
+func (k sendKind) quarantineKind() quarantine.SendKind {
+	switch k {
+	case firstSend:
+		return quarantine.First
+	case hedgeSend:
+		return quarantine.Hedge
+	default:
+		return quarantine.Retry
+	}
+}
+
+// suspectRetryAfter returns the time until a suspect may be sent again.
+func (s *service) suspectRetryAfter(id quarantine.Identity) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.suspects.RetryAfter(time.Now(), id)
 }
 
 // reserveRetry takes one retry from the budget ahead of its send. It returns
@@ -102,6 +153,10 @@
 	sendOK sendError = iota
 	sendErrNoUpstream
 	sendErrBudget
+	// sendErrHeld means that upstreams end under the request, sendErrBusy that its copies are
+	// sent one after the other.
+	sendErrHeld
+	sendErrBusy
 )
 
 // endSend records the result of a send and what it tells about the request. An abandoned send
@@ -119,6 +174,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.suspects.Done(now, sent.suspect, run)
+	if run == quarantine.ResultEnded {
+		s.endCounts[sent.choice.Name]++
+	}
 	s.balancer.Done(now, sent.choice, result)
 	s.recordLocked(now, sent, result)
 }
@@ -134,6 +193,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
+	s.suspects.Done(now, sent.suspect, quarantine.ResultNone)
 	s.balancer.Cancelled(now, sent.choice, now.Sub(sent.started))
 	s.limits.cancelled(sent.choice.Name)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -17,6 +17,7 @@
 	"github.com/figfront/figfront/internal/hedge"
 	"github.com/figfront/figfront/internal/holdoff"
 	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/quarantine"
 	"github.com/figfront/figfront/internal/retry"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -59,6 +60,11 @@
 	balancer      *loadbalancer.Balancer
 	budget        *retry.Budget
 	hedgeTrigger  *hedge.Trigger
+	// suspects remembers the requests under which upstreams of a team have ended. Those of a
+	// site are known to the dispatcher.
+	suspects *quarantine.Table
+	// endCounts counts the ends of each upstream of a team, which doesn't tell its starts.
+	endCounts map[string]int
 	// holdOffs holds what the upstreams asked this VM for; loggedRests those of which an
 	// unusable rest was logged.
 	holdOffs    *holdoff.Book
@@ -94,9 +100,13 @@
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	s := &service{
-		team:        teamName,
-		name:        name,
-		log:         options.Log,
+		team: teamName,
+		name: name,
+		log:  options.Log,
+		suspects: quarantine.NewTable(dispatch.SuspectLog{
+			Service: teamName + "/" + name, Log: options.Log, Counters: options.Counters, OnChange: func() {},
+		}.Observe),
+		endCounts:   make(map[string]int),
 		holdOffs:    holdoff.New(),
 		loggedRests: make(map[string]bool),
 		dial:        dial,
@@ -145,23 +155,26 @@
 	}
 	s.configureTransports(settings)
 	s.setProcesses(upstreams)
+	s.suspects.Prune(time.Now())
 	s.balancer.SetUpstreams(time.Now(), upstreams)
 	s.limits.configure(settings)
 	s.updateCapacityLocked(time.Now())
 }
 
-// setProcesses tells the hold-offs the processes of the upstreams and forgets which rests of
-// other upstreams were logged.
+// setProcesses tells the hold-offs the processes of the upstreams and forgets what is kept of
+// others.
 func (s *service) setProcesses(upstreams []loadbalancer.Upstream) {
 	processes := make(map[string]string, len(upstreams))
 	for _, u := range upstreams {
 		processes[u.Name] = u.Process()
 	}
 	s.holdOffs.SetUpstreams(time.Now(), processes)
-	maps.DeleteFunc(s.loggedRests, func(name string, _ bool) bool {
+	isGone := func(name string) bool {
 		_, stays := processes[name]
 		return !stays
-	})
+	}
+	maps.DeleteFunc(s.loggedRests, func(name string, _ bool) bool { return isGone(name) })
+	maps.DeleteFunc(s.endCounts, func(name string, _ int) bool { return isGone(name) })
 }
 
 // configureTransports keeps the connections to the upstreams that remain and
--- a/internal/gateway/testenv_test.go
+++ b/internal/gateway/testenv_test.go
@@ -3,13 +3,14 @@
 import (
 	"bufio"
 	"context"
-	"errors"
+	"fmt"
 	"io"
 	"log"
 	"net"
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -26,7 +27,8 @@
 	"github.com/figfront/figfront/internal/upstreamstandin"
 )
 
-var errNoListener = errors.New("connection refused")
+// errNoListener is returned for an address where nothing listens.
+var errNoListener = fmt.Errorf("dial: %w", syscall.ECONNREFUSED)
 
 // memoryNet connects the HTTP clients and servers of a synctest bubble by pipes.
 type memoryNet struct {
