--- /dev/null
+++ b/internal/gateway/readresponse.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/loadbalancer"
+	"github.com/figfront/figfront/internal/outcome"
+	"github.com/figfront/figfront/internal/quarantine"
+)
+
+// maxBufferedResponseBytes is the largest response that is buffered as a whole
+// before its first byte is sent to the caller. A larger response is streamed
+// after this many bytes; if it is truncated, the caller's connection is aborted.
+const maxBufferedResponseBytes = 1 << 20
+
+// readResponse reads an upstream's response and records how the send ended.
+func (c *call) readResponse(sent send, trace *sendTrace, response *http.Response) attemptResult {
+	result := attemptResult{
+		upstream: sent.choice.Name,
+		status:   response.StatusCode,
+		header:   response.Header,
+		response: response,
+	}
+	sendResult := loadbalancer.Result{
+		Draining: callheader.IsDraining(response.Header) && response.StatusCode != http.StatusMisdirectedRequest,
+		Failed:   response.StatusCode >= http.StatusInternalServerError,
+	}
+	sendResult.Report, sendResult.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
+	c.observeRate(sent, response, &sendResult)
+	c.observeHoldOff(sent, trace, response)
+	result.outcome, result.reason = responseOutcome(response.Header)
+	if result.outcome == outcome.NotRun {
+		_ = response.Body.Close()
+		sendResult.Shed = true
+		c.route.service.endSend(sent, sendResult, shedRunResult(response))
+		return result
+	}
+	run := quarantine.ResultCompleted
+	body, err := readResponseBody(response)
+	result.body = body
+	sendResult.Bytes = len(body)
+	if err != nil {
+		_ = response.Body.Close()
+		sendResult.Failed = true
+		result.reason = outcome.UpstreamTruncated
+		if c.ctx.Err() == nil {
+			result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport, trace.via())
+		}
+		run = result.transfer.UpstreamEnd.runResult()
+	} else if len(body) == maxBufferedResponseBytes {
+		result.rest = response.Body
+		run = quarantine.ResultNone
+	} else {
+		_ = response.Body.Close()
+	}
+	c.route.service.endSend(sent, sendResult, run)
+	return result
+}
+
+// shedRunResult returns what a refusal tells about the upstream. Status 421 comes from another
+// one, which now has its address.
+func shedRunResult(response *http.Response) quarantine.Result {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return quarantine.ResultNone
+	}
+	return quarantine.ResultAnswered
+}
+
+// observeRate records the rate limit that a response names. Status 421 comes from another
+// server, which now has the address of the one that the call was for.
+func (c *call) observeRate(sent send, response *http.Response, result *loadbalancer.Result) {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return
+	}
+	rate, err := callheader.ParseRate(response.Header)
+	result.Rate, result.StatesRate = rate, true
+	if d := c.route.service.dispatcher; d != nil {
+		d.ObserveRate(sent.choice.Name, rate, err)
+	}
+}
+
+// readResponseBody reads at most the first maxBufferedResponseBytes of a
+// response's body.
+func readResponseBody(response *http.Response) ([]byte, error) {
+	var buffer bytes.Buffer
+	if response.ContentLength > 0 {
+		buffer.Grow(int(min(response.ContentLength, maxBufferedResponseBytes)) + bytes.MinRead)
+	}
+	_, err := buffer.ReadFrom(io.LimitReader(response.Body, maxBufferedResponseBytes))
+	return buffer.Bytes(), err
+}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"slices"
 	"time"
 )
@@ -129,78 +128,6 @@
 	t.holdIfDue(now, e)
 }
 
-// holdIfDue holds a request under which enough upstreams have ended.
-func (t *Table) holdIfDue(now time.Time, e *entry) {
-	doubt := t.doubt(e)
-	isEnough := len(e.record.Ended) >= MaxEnded+doubt || e.record.LateSends >= MaxLateSends
-	isDue := isEnough && e.record.mayWithhold()
-	if !e.record.IsHeld && !isDue {
-		return
-	}
-	e.record.IsHeld = true
-	if !e.trial.since.IsZero() {
-		return
-	}
-	e.trial = trial{since: now, isInDoubt: doubt > 0}
-	t.observe(Event{Kind: Held, Record: e.record})
-	for _, process := range e.allEnded {
-		t.acquitOthers(now, e, process)
-	}
-}
-
-// isLate reports whether MaxEnded upstreams have ended under the request, those that ended at
-// the same time among them.
-func (e *entry) isLate() bool {
-	return e.record.mayWithhold() && max(len(e.record.Ended), len(e.allEnded)) >= MaxEnded
-}
-
-// doubt returns how many more upstreams than MaxEnded have to end under a request: it got a
-// complete response lately, or upstreams end without it, too.
-func (t *Table) doubt(e *entry) int {
-	if t.completed.has(e.record.Digest) {
-		return maxDoubt
-	}
-	return min(t.endsWithout(e), maxDoubt)
-}
-
-// endsWithout returns how many upstreams have ended without a request since the first one
-// ended under it. They show that upstreams end for another reason at that time.
-func (t *Table) endsWithout(e *entry) int {
-	count := 0
-	for process, at := range t.endedAt {
-		if !at.Before(e.firstEndAt) && !slices.Contains(e.allEnded, process) && !slices.Contains(e.record.Ended, process) {
-			count++
-		}
-	}
-	return count
-}
-
-// isExplained reports whether another request, which is held, has ended a process.
-func (t *Table) isExplained(e *entry, process string) bool {
-	for _, other := range t.entries {
-		if !isSameRequest(other, e) && other.record.IsHeld && slices.Contains(other.allEnded, process) {
-			return true
-		}
-	}
-	return false
-}
-
-// isSameRequest reports whether two entries are about the same request, with one caller and
-// with any.
-func isSameRequest(a, b *entry) bool {
-	return a == b || slices.Contains(a.record.Callers, b.record.Digest.callerID()) ||
-		slices.Contains(b.record.Callers, a.record.Digest.callerID())
-}
-
-// acquitOthers removes an end that a held request explains from all others.
-func (t *Table) acquitOthers(now time.Time, held *entry, process string) {
-	for _, e := range t.entries {
-		if !isSameRequest(e, held) && !e.record.IsHeld && slices.Contains(e.record.Ended, process) {
-			t.clearEntry(now, e, func(other string) bool { return other != process })
-		}
-	}
-}
-
 // clearEntry clears a request, but for the ends that keep is true for.
 func (t *Table) clearEntry(now time.Time, e *entry, keep func(process string) bool) {
 	wasSuspect := e.record.isSuspect()
@@ -264,24 +191,6 @@
 	t.unresolved = append(t.unresolved, unresolvedSend{id: s.id, process: s.process, sentAt: s.at, brokenAt: now})
 }
 
-// Prune forgets what is too old.
-func (t *Table) Prune(now time.Time) {
-	for digest, e := range t.entries {
-		age := now.Sub(e.changedAt)
-		switch {
-		case !e.record.isSuspect() && age >= clearedLife && !e.isStored:
-			delete(t.entries, digest)
-		case e.record.isSuspect() && !e.record.IsHeld && age >= suspectLife:
-			t.forget(e)
-		}
-	}
-	for process, at := range t.endedAt {
-		if now.Sub(at) >= suspectLife {
-			delete(t.endedAt, process)
-		}
-	}
-}
-
 // noteEnded adds a process to allEnded.
 func (e *entry) noteEnded(process string) {
 	if slices.Contains(e.allEnded, process) {
@@ -298,40 +207,6 @@
 	return e.isStored || e.isWritten
 }
 
-// forget removes an entry and has its row deleted.
-func (t *Table) forget(e *entry) {
-	delete(t.entries, e.record.Digest)
-	delete(t.dirty, e.record.Digest)
-	if e.hasRow() {
-		t.dirty[e.record.Digest] = struct{}{}
-	}
-	t.observe(Event{Kind: Forgotten, Record: e.record})
-}
-
-// makeRoom removes the least dangerous entry if the Table is full: the one with the fewest
-// ends, the longest unchanged among them.
-func (t *Table) makeRoom(now time.Time) {
-	if len(t.entries) < maxEntries {
-		return
-	}
-	t.Prune(now)
-	if len(t.entries) < maxEntries {
-		return
-	}
-	var least *entry
-	for _, e := range t.entries {
-		if least == nil || compareDanger(e, least) < 0 {
-			least = e
-		}
-	}
-	t.forget(least)
-}
-
-// compareDanger orders entries by their ends, then by the time of their last change.
-func compareDanger(a, b *entry) int {
-	return cmp.Or(cmp.Compare(len(a.record.Ended), len(b.record.Ended)), a.changedAt.Compare(b.changedAt))
-}
-
 // Suspects returns the records of all suspects, the most dangerous first.
 func (t *Table) Suspects() []Record {
 	var suspects []*entry
