review: case 1, VM processes end with a panic while they place calls

The dispatcher reads the clock before it takes its lock and the answer to a probe after it, so that a call that had to wait meets reports younger than its own time. For such an age the weight of a report exceeds 1 (reportWeight), the estimated load of an upstream becomes negative, and latencyAt uses it as an index. Nothing recovers in placeCall.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -15,7 +15,7 @@
 	path := flag.String("record", "record.txt", "file for what was sent, run and answered")
 	hasTrouble := flag.Bool("trouble", true, "play the disruption")
 	flag.Parse()
-	cases := map[string]func(*site) (bool, error){"memory": playMemory, "drain": playDrain, "denied": playDenied}
+	cases := map[string]func(*site) (bool, error){"crash": playCrash, "memory": playMemory, "drain": playDrain}
 	play, ok := cases[*name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", *name)
--- a/review/standin/vm.go
+++ b/review/standin/vm.go
@@ -28,6 +28,7 @@
 	// peak is the most memory that was seen, in MB, ownEnds when the platform ended the process
 	// because of its memory.
 	peak    int
+	pauses  int
 	ownEnds []time.Time
 }
 
@@ -95,6 +96,28 @@
 	return nil
 }
 
+// ended returns a channel that is closed when the process has ended.
+func (v *vm) ended() <-chan struct{} {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.exited
+}
+
+// pid returns the id of the process; 0 if it has ended.
+func (v *vm) pid() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	select {
+	case <-v.exited:
+		return 0
+	default:
+		return v.process.Process.Pid
+	}
+}
+
+// signal sends a signal to the process, unless it has ended.
+func (v *vm) signal(sent syscall.Signal) { _ = v.process.Process.Signal(sent) }
+
 // stop kills the process and waits for its end.
 func (v *vm) stop() {
 	v.mu.Lock()
