--- a/review/standin/memory.go
+++ b/review/standin/memory.go
@@ -153,8 +153,8 @@
 	r.Host = host(service)
 	// The transport must not send a request again on its own.
 	r.GetBody = nil
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(wait.Milliseconds()))
+	r.Header.Set(wire["requestID"], id)
+	r.Header.Set(wire["deadline"], fmt.Sprint(wait.Milliseconds()))
 	q := request{id: id, vm: v.name, kind: kind, sent: time.Now()}
 	s.log.sent(q)
 	response, err := transport.RoundTrip(r)
--- a/review/standin/site.go
+++ b/review/standin/site.go
@@ -183,8 +183,8 @@
 		return
 	}
 	r.Host = host(service)
-	r.Header.Set("X-Request-Id", id)
-	r.Header.Set("X-Deadline-Ms", fmt.Sprint(deadline.Milliseconds()))
+	r.Header.Set(wire["requestID"], id)
+	r.Header.Set(wire["deadline"], fmt.Sprint(deadline.Milliseconds()))
 	s.log.sent(request{id: id, vm: v.name, kind: kind, sent: time.Now()})
 	response, err := client.Do(r)
 	if err != nil {
