follow: log which upstreams stay in use without an entry, and until when

Nothing in the logs tells when a VM got its first listing after the outage, how long it had had none, which upstreams it kept because of that and with which listing it dropped them: the hypotheses (late first listing, grace counted from it, drop only with a later regular read, late way to other VMs) can't be told apart.

TestExpiredEntriesAreRetainedAfterOutage compares the names and no longer their number.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -1,6 +1,8 @@
 package catalog
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/figfront/figfront/internal/config/site"
@@ -112,7 +114,7 @@
 	return upstreams
 }
 
-// Retained returns the number of upstreams that are retained without an entry.
-func (c *Catalog) Retained() int {
-	return len(c.retained)
+// Retained returns the sorted names of the upstreams that are retained without an entry.
+func (c *Catalog) Retained() []string {
+	return slices.Sorted(maps.Keys(c.retained))
 }
--- a/internal/catalog/catalog_test.go
+++ b/internal/catalog/catalog_test.go
@@ -63,7 +63,7 @@
 	recovered := start.Add(6 * time.Second)
 	c.Update(recovered, snapshot(2))
 	g.Expect(inUse(c)).To(Equal([]string{"a", "b"}), "the leaving upstream stays out of use")
-	g.Expect(c.Retained()).To(Equal(3))
+	g.Expect(c.Retained()).To(Equal([]string{"a", "b", "c"}))
 	c.Update(recovered.Add(700*time.Millisecond), snapshot(3, "+a"))
 	g.Expect(inUse(c)).To(Equal([]string{"a", "b"}))
 	c.Update(recovered.Add(2*time.Second), snapshot(4, "+a"))
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -30,6 +30,9 @@
 	Clock *StoreClock
 
 	catalog *catalog.Catalog
+	// updatedAt is the time of the last update of the catalog.
+	updatedAt time.Time
+	retained  retainedLog
 	// decoded caches the decoded entries of the last snapshot, so that unchanged ones
 	// are not decoded again.
 	decoded map[string]decodedEntry
@@ -70,11 +73,12 @@
 		upstreams.Upstreams = append(upstreams.Upstreams, entry.upstream)
 	}
 	f.decoded = decoded
-	if !f.catalog.Update(time.Now(), upstreams) {
+	now := time.Now()
+	if !f.catalog.Update(now, upstreams) {
 		f.Counters.Add(telemetry.GroupStore, "upstreams_older", 1)
 		return
 	}
-	f.Counters.Set(telemetry.GroupStore, "upstreams_kept", int64(f.catalog.Retained()))
+	f.observeRetained(now, snapshot)
 	f.Apply(f.catalog.Upstreams())
 }
 
