An upstream that left before an outage of the store is dropped within 3 s of its return

Change: - Reads of the upstreams' records overlap: the next begins 0.3 s after the last one, answered or not (RecordOptions.RetryInterval). Reads in flight end with the first answer. Worst case, from the constants: 0.345 + 2 + 0.2 s and two reads (0.1 s each granted): 2.745 s of 3 s.

Ruled out: dropping at the end of the grace without a read (a server that came back since the last regular read would be dropped), and a grace from the last failed read (live servers that take their two seconds would be).

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -9,14 +9,12 @@
 	"github.com/figfront/figfront/internal/platform"
 )
 
-// reregistrationGrace is how long after an outage of the store upstreams without an
-// entry are retained, so that they can register again.
-const reregistrationGrace = 1900 * time.Millisecond
-
 // Snapshot holds the upstreams' entries at one moment.
 type Snapshot struct {
 	// Position is the store's position at the time of the snapshot.
-	Position  platform.Position
+	Position platform.Position
+	// StoreTime is the reading of the store's monotonic clock; 0 means unknown.
+	StoreTime time.Duration
 	Upstreams []site.Upstream
 }
 
@@ -32,8 +30,8 @@
 	upstreams map[string]site.Upstream
 	// retained holds the names of upstreams that stay in use although their entries
 	// were missing after an outage of the store.
-	retained    map[string]struct{}
-	retainUntil time.Time
+	retained map[string]struct{}
+	grace    grace
 	// restored holds what the store contained when it came back from an older copy.
 	restored restoredEntries
 	// gone holds the last known state of upstreams that are no longer in use, by name.
@@ -62,7 +60,7 @@
 	isAfterOutage := hasSnapshot && now.Sub(c.updatedAt) > c.outageAfter
 	isNewEra := hasSnapshot && snapshot.Position.Era != c.position.Era
 	if isAfterOutage || isNewEra {
-		c.retainUntil = now.Add(reregistrationGrace)
+		c.grace = grace{startedAt: now, storeTime: snapshot.StoreTime}
 	}
 	c.position = snapshot.Position
 	c.updatedAt = now
@@ -76,7 +74,7 @@
 		c.restored.removeRenewed(present)
 	}
 	c.replaceOutdated(present)
-	c.retainMissing(now, present, isAfterOutage || isNewEra)
+	c.retained = c.retainMissing(now, snapshot.StoreTime, present, isAfterOutage || isNewEra)
 	c.dropReusedAddresses(present)
 	c.recordGone(now, present)
 	c.upstreams = present
@@ -84,23 +82,27 @@
 }
 
 // retainMissing adds the upstreams that are missing from the first snapshot after an
-// outage or of a new era to the present ones, until the grace period ends. So it does
-// with upstreams that disappear later without having renewed their entries in that era.
-// Any other upstream whose entry disappears in a later snapshot is dropped.
-func (c *Catalog) retainMissing(now time.Time, present map[string]site.Upstream, isFirst bool) {
+// outage or of a new era to the present ones, until the grace is over. So it does with
+// upstreams that disappear later without having renewed their entries in that era. Any other
+// upstream whose entry disappears in a later snapshot is dropped. It returns the names of the
+// added ones.
+func (c *Catalog) retainMissing(
+	now time.Time, storeTime time.Duration, present map[string]site.Upstream, isFirst bool,
+) map[string]struct{} {
 	retained := make(map[string]struct{})
-	if now.Before(c.retainUntil) {
-		for name, u := range c.upstreams {
-			_, isPresent := present[name]
-			_, wasRetained := c.retained[name]
-			if isPresent || !isFirst && !wasRetained && !c.restored.wasUnrenewed(name) {
-				continue
-			}
-			retained[name] = struct{}{}
-			present[name] = u
+	if c.grace.isOver(now, storeTime) {
+		return retained
+	}
+	for name, u := range c.upstreams {
+		_, isPresent := present[name]
+		_, wasRetained := c.retained[name]
+		if isPresent || !isFirst && !wasRetained && !c.restored.wasUnrenewed(name) {
+			continue
 		}
+		retained[name] = struct{}{}
+		present[name] = u
 	}
-	c.retained = retained
+	return retained
 }
 
 // Upstreams returns the upstreams that accept new calls, in no particular order.
@@ -118,3 +120,12 @@
 func (c *Catalog) Retained() []string {
 	return slices.Sorted(maps.Keys(c.retained))
 }
+
+// RetainUntil returns when a snapshot has to be read that decides which of the retained
+// upstreams are gone; zero if none are retained.
+func (c *Catalog) RetainUntil() time.Time {
+	if len(c.retained) == 0 {
+		return time.Time{}
+	}
+	return c.grace.end()
+}
--- a/internal/catalog/doc.go
+++ b/internal/catalog/doc.go
@@ -3,7 +3,8 @@
 //
 // A missing entry means that its upstream has left, unless this VM was unable to read
 // the store for so long that entries of live upstreams may have expired meanwhile.
-// Such upstreams stay in use until they have had time to register again. The same holds
+// Such upstreams stay in use until they have had time to register again: a snapshot that the
+// store read after this time decides which are gone (Catalog.RetainUntil). The same holds
 // when the store has come back from an older copy, which may lack entries. An entry of
 // the copy that is older than what this VM knows does not replace it, or bring back an
 // upstream that is gone, until the upstream has written it again.
--- /dev/null
+++ b/internal/catalog/grace.go
@@ -0,0 +1,32 @@
+package catalog
+
+import "time"
+
+// ReregistrationGrace is how long upstreams without an entry are retained, counted from the
+// first snapshot after an outage of the store. Live upstreams register again within two
+// seconds of the store's return.
+const ReregistrationGrace = 2 * time.Second
+
+// grace is the time after an outage of the store in which upstreams without an entry are
+// retained. The zero value is over.
+type grace struct {
+	// startedAt is when the first snapshot after the outage arrived.
+	startedAt time.Time
+	// storeTime is the reading of the store's clock in that snapshot; 0 means unknown.
+	storeTime time.Duration
+}
+
+// isOver reports whether a snapshot that arrived at now was read after the grace. The
+// store's clock decides, so that all VMs come to the same result with the same snapshots,
+// however long these took to arrive.
+func (g grace) isOver(now time.Time, storeTime time.Duration) bool {
+	if g.storeTime > 0 && storeTime > 0 {
+		return storeTime-g.storeTime >= ReregistrationGrace
+	}
+	return now.Sub(g.startedAt) >= ReregistrationGrace
+}
+
+// end returns when the grace ends for a VM that reads the store itself.
+func (g grace) end() time.Time {
+	return g.startedAt.Add(ReregistrationGrace)
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -225,7 +225,7 @@
 }
 
 func (e *entry) newUpstreamFollower() *follow.UpstreamFollower {
-	options := e.upstreamRecordOptions()
+	options := UpstreamRecordOptions(e.settings.DrainBound)
 	return &follow.UpstreamFollower{
 		Source: e.mesh.AddRecordSet("upstreams", e.adapter.Upstreams, options), Decode: e.adapter.DecodeUpstream,
 		HeartbeatInterval: e.settings.UpstreamHeartbeatInterval, ReadInterval: options.Interval,
@@ -263,14 +263,20 @@
 	configStalenessShare = 0.8
 )
 
+// upstreamRetryInterval limits how late the upstreams' entries are read after the store has
+// come back.
+const upstreamRetryInterval = 300 * time.Millisecond
+
 // vmRecordOptions holds the read interval and the staleness limit of the list of VMs.
 var vmRecordOptions = mesh.RecordOptions{Interval: 4 * time.Second, Staleness: 6 * time.Second}
 
-// upstreamRecordOptions returns the read interval and the staleness limit of the
-// upstreams' records.
-func (e *entry) upstreamRecordOptions() mesh.RecordOptions {
-	bound := e.settings.DrainBound
-	return mesh.RecordOptions{Interval: scale(bound, drainIntervalShare), Staleness: scale(bound, drainStalenessShare)}
+// UpstreamRecordOptions returns how the upstreams' records are read if a leaving upstream may
+// get no new calls later than drainBound.
+func UpstreamRecordOptions(drainBound time.Duration) mesh.RecordOptions {
+	return mesh.RecordOptions{
+		Interval: scale(drainBound, drainIntervalShare), Staleness: scale(drainBound, drainStalenessShare),
+		RetryInterval: upstreamRetryInterval,
+	}
 }
 
 // configRecordOptions returns the read interval and the staleness limit of the
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -16,6 +16,16 @@
 	// Next waits for the next snapshot. It returns an error when the store can't be
 	// read or ctx ends.
 	Next(ctx context.Context) (platform.Snapshot, error)
+	// Pause waits for d after Next has failed, or less if Next has something to do before.
+	Pause(ctx context.Context, d time.Duration)
+}
+
+// ScheduledSource is a Source that can be asked for a snapshot of a certain time.
+type ScheduledSource interface {
+	Source
+	// ReadAt makes Next return a snapshot that was read at a time or later, as soon as
+	// possible after it. It replaces the time of an earlier call; zero means none.
+	ReadAt(at time.Time)
 }
 
 // Delays after a failed read. The delay starts at minRetryDelay and doubles with each
@@ -76,7 +86,7 @@
 	l.retryDelay = 0
 }
 
-// handleFailure records a failed read and waits before the next one.
+// handleFailure records a failed read and pauses before the next one.
 func (l *loop) handleFailure(ctx context.Context, err error) {
 	l.counters.Add(telemetry.GroupStore, l.name+"_failed", 1)
 	if l.unavailableSince.IsZero() {
@@ -84,5 +94,5 @@
 		l.log.Warn("dependency lost", fieldDependency, l.name, telemetry.FieldError, err)
 	}
 	l.retryDelay = min(max(2*l.retryDelay, minRetryDelay), maxRetryDelay)
-	wait.For(ctx, wait.Jitter(l.retryDelay))
+	l.source.Pause(ctx, wait.Jitter(l.retryDelay))
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -15,6 +15,7 @@
 	"github.com/figfront/figfront/internal/follow"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
+	"github.com/figfront/figfront/internal/wait"
 )
 
 // step is the result of one read: a snapshot or an error.
@@ -42,6 +43,12 @@
 	return next.snapshot, next.err
 }
 
+// Pause waits for d.
+func (s *scriptedSource) Pause(ctx context.Context, d time.Duration) { wait.For(ctx, d) }
+
+// ReadAt does nothing: the script tells when snapshots are read.
+func (s *scriptedSource) ReadAt(time.Time) {}
+
 func row(key string, version uint64, value string) platform.Row {
 	return platform.Row{Key: key, Version: version, Value: []byte(value)}
 }
@@ -109,6 +116,9 @@
 	return platform.Snapshot{}, errStore
 }
 
+// Pause waits for d.
+func (f *failingSource) Pause(ctx context.Context, d time.Duration) { wait.For(ctx, d) }
+
 func TestMalformedEntryLeavesTheOthers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -14,7 +14,7 @@
 
 // UpstreamFollower maintains the list of upstreams.
 type UpstreamFollower struct {
-	Source Source
+	Source ScheduledSource
 	// Decode decodes the entry that an upstream wrote under its name.
 	Decode func(name string, value []byte) (site.Upstream, error)
 	// Apply replaces the list of upstreams that accept new calls.
@@ -61,7 +61,7 @@
 // upstreams in use. Malformed entries are counted and left out, and a snapshot older
 // than the last one is ignored.
 func (f *UpstreamFollower) applySnapshot(snapshot platform.Snapshot) {
-	upstreams := catalog.Snapshot{Position: snapshot.Position}
+	upstreams := catalog.Snapshot{Position: snapshot.Position, StoreTime: snapshot.StoreTime}
 	decoded := make(map[string]decodedEntry, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		entry := f.decode(platform.Position{Era: snapshot.Era, Version: row.Version}, row)
@@ -79,6 +79,7 @@
 		return
 	}
 	f.observeRetained(now, snapshot)
+	f.Source.ReadAt(f.catalog.RetainUntil())
 	f.Apply(f.catalog.Upstreams())
 }
 
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -138,6 +138,7 @@
 type vm struct {
 	name   string
 	mesh   *mesh.Mesh
+	set    *mesh.RecordSet
 	cancel context.CancelFunc
 
 	mu        sync.Mutex
@@ -187,6 +188,7 @@
 	v.mesh = m
 	options := mesh.RecordOptions{Interval: 700 * time.Millisecond, LongPoll: usesLongPoll, Staleness: 1100 * time.Millisecond}
 	set := m.AddRecordSet("set", records{z.store, v.name, eras}, options)
+	v.set = set
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	listener := z.network.Listen(address(i))
@@ -201,7 +203,7 @@
 	for ctx.Err() == nil {
 		snapshot, err := set.Next(ctx)
 		if err != nil {
-			time.Sleep(100 * time.Millisecond)
+			set.Pause(ctx, 100*time.Millisecond)
 			continue
 		}
 		v.mu.Lock()
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -23,6 +23,7 @@
 
 	// arrived wakes Next when a snapshot of a peer has arrived.
 	arrived chan struct{}
+	reads   reads
 
 	mu sync.Mutex
 	// peerSnapshot is the newest snapshot received from a peer that Next has not
@@ -33,6 +34,7 @@
 	// nextReadAt is when the zone's reader reads the store next. It stays zero with
 	// LongPoll: there the reader starts the next poll at once.
 	nextReadAt time.Time
+	scheduled  scheduledRead
 	// latest is the newest snapshot of this VM or a peer; long polls apply their
 	// changes to it. It is nil after a failed call, so that the next call reads all
 	// rows.
@@ -54,6 +56,10 @@
 	// Staleness is how old the last snapshot may become before a VM that is not the
 	// zone's reader reads the store itself.
 	Staleness time.Duration
+	// RetryInterval is the time after which another read begins while the ones before it
+	// have not been answered, or have failed. 0 means that reads don't overlap, and that
+	// the caller of Next decides when to try again.
+	RetryInterval time.Duration
 	// ValueVersion returns the version that the value of a row states, and false if it
 	// states none. The highest one is kept when the store comes back from an older copy.
 	// nil means that no value states a version.
@@ -75,13 +81,18 @@
 		if snapshot, ok := s.takePeerSnapshot(); ok {
 			return snapshot, nil
 		}
-		delay := s.timeUntilFetch()
+		delay := s.timeUntilRead()
 		if delay <= 0 {
-			return s.fetch(ctx)
+			s.startRead(ctx)
+			continue
 		}
 		timer := time.NewTimer(delay)
 		select {
 		case <-s.arrived:
+		case result := <-s.reads.results:
+			timer.Stop()
+			s.reads.finish(result)
+			return s.handleResult(ctx, result)
 		case <-timer.C:
 		case <-ctx.Done():
 			timer.Stop()
@@ -91,6 +102,42 @@
 	}
 }
 
+// Pause waits for d after Next has failed. It returns earlier when a peer's snapshot has
+// arrived, and with RecordOptions.RetryInterval when the next read is due.
+func (s *RecordSet) Pause(ctx context.Context, d time.Duration) {
+	if s.reads.inFlight > 0 {
+		return
+	}
+	if s.options.RetryInterval > 0 {
+		d = min(d, time.Until(s.reads.nextAt))
+	}
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	for !s.hasPeerSnapshot() {
+		select {
+		case <-s.arrived:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// ReadAt schedules a read for a time, besides the regular ones; zero means none. If the
+// zone's reader does not deliver its snapshot within takeoverDelay, this VM reads the store
+// itself. A time that was passed before has no effect.
+func (s *RecordSet) ReadAt(at time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !at.Equal(s.scheduled.at) {
+		s.scheduled = scheduledRead{at: at}
+	}
+}
+
 // takePeerSnapshot returns and clears the peer's snapshot that Next has not returned
 // yet.
 func (s *RecordSet) takePeerSnapshot() (platform.Snapshot, bool) {
@@ -104,13 +151,54 @@
 	return snapshot, true
 }
 
+// hasPeerSnapshot reports whether there is a peer's snapshot that Next has not returned yet.
+func (s *RecordSet) hasPeerSnapshot() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.peerSnapshot != nil
+}
+
 // roleCheckInterval is how often a VM checks whether it is the zone's reader.
 const roleCheckInterval = 100 * time.Millisecond
 
-// timeUntilFetch returns the time until this VM has to read the store; 0 or less means
-// now. It is limited to roleCheckInterval, after which the caller has to ask again
+// TakeoverDelay is how long a VM waits for the zone's reader to deliver the snapshot of a
+// scheduled read before it reads the store itself.
+const TakeoverDelay = 200 * time.Millisecond
+
+// scheduledRead is a read that RecordSet.ReadAt has asked for.
+type scheduledRead struct {
+	// at is zero if none was asked for.
+	at     time.Time
+	isDone bool
+}
+
+// due returns when a VM has to read, and false if it does not have to.
+func (r scheduledRead) due(isReader bool) (time.Time, bool) {
+	due := r.at
+	if !isReader {
+		due = due.Add(TakeoverDelay)
+	}
+	return due, !r.at.IsZero() && !r.isDone
+}
+
+// timeUntilRead returns the time until the next read of the store has to begin; 0 or less
+// means now. While a read is in flight, the next one begins after RetryInterval.
+func (s *RecordSet) timeUntilRead() time.Duration {
+	delay := s.timeUntilDue()
+	switch {
+	case delay > 0 || s.reads.inFlight == 0:
+		return delay
+	case s.reads.canOverlap(s.options.RetryInterval):
+		return time.Until(s.reads.nextAt)
+	default:
+		return s.options.Staleness
+	}
+}
+
+// timeUntilDue returns the time until this VM needs a new snapshot from the store; 0 or less
+// means now. It is limited to roleCheckInterval, after which the caller has to ask again
 // because the zone's reader may have changed.
-func (s *RecordSet) timeUntilFetch() time.Duration {
+func (s *RecordSet) timeUntilDue() time.Duration {
 	isReader := s.mesh.IsReader()
 	now := time.Now()
 	s.mu.Lock()
@@ -125,34 +213,51 @@
 			due = now
 		}
 	}
+	if scheduled, ok := s.scheduled.due(isReader); ok && scheduled.Before(due) {
+		due = scheduled
+	}
 	return min(due.Sub(now), roleCheckInterval)
 }
 
-// fetch reads the store and publishes the snapshot to the zone.
-func (s *RecordSet) fetch(ctx context.Context) (platform.Snapshot, error) {
+// startRead begins a read of the store.
+func (s *RecordSet) startRead(ctx context.Context) {
 	s.mu.Lock()
-	if !s.options.LongPoll {
-		s.nextReadAt = time.Now().Add(wait.Jitter(s.options.Interval))
-	}
 	latest := s.latest
 	s.mu.Unlock()
-	snapshot, err := s.read(ctx, latest)
+	s.reads.start(ctx, s.options.RetryInterval, latest, s.read)
+}
+
+// handleResult publishes the snapshot of a successful read to the zone and returns it.
+func (s *RecordSet) handleResult(ctx context.Context, result readResult) (platform.Snapshot, error) {
 	if ctx.Err() != nil {
 		return platform.Snapshot{}, ctx.Err()
 	}
-	s.mesh.recordStoreResult(err == nil)
-	if err != nil {
+	s.mesh.recordStoreResult(result.err == nil)
+	if result.err != nil {
 		s.forgetLatest()
-		return platform.Snapshot{}, err
+		return platform.Snapshot{}, result.err
 	}
-	accepted, ok := s.accept(snapshot, sourceStore)
+	s.scheduleNext(result.startedAt)
+	accepted, ok := s.accept(result.snapshot, sourceStore)
 	if !ok {
-		return s.newerThanStore(latest)
+		return s.newerThanStore(result.previous)
 	}
 	s.publishSnapshot(accepted, topicRecords, topicSeedRecords)
 	return accepted, nil
 }
 
+// scheduleNext sets the time of the next regular read after one that began at startedAt.
+func (s *RecordSet) scheduleNext(startedAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.options.LongPoll {
+		s.nextReadAt = startedAt.Add(wait.Jitter(s.options.Interval))
+	}
+	if !startedAt.Before(s.scheduled.at) {
+		s.scheduled.isDone = true
+	}
+}
+
 // forgetLatest makes the next call to the store read all rows.
 func (s *RecordSet) forgetLatest() {
 	s.mu.Lock()
--- a/internal/wait/wait.go
+++ b/internal/wait/wait.go
@@ -33,3 +33,8 @@
 func Jitter(d time.Duration) time.Duration {
 	return time.Duration(float64(d) * (1 - jitterShare + 2*jitterShare*rand.Float64()))
 }
+
+// MaxJitter returns the longest duration that Jitter makes of d.
+func MaxJitter(d time.Duration) time.Duration {
+	return time.Duration(float64(d) * (1 + jitterShare))
+}
