--- a/internal/mesh/reads.go
+++ b/internal/mesh/reads.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/wait"
 )
@@ -67,3 +69,65 @@
 func (r *reads) canOverlap(interval time.Duration) bool {
 	return interval > 0 && r.inFlight < maxReadsInFlight
 }
+
+// startRead begins a read of the store.
+func (s *RecordSet) startRead(ctx context.Context) {
+	s.mu.Lock()
+	latest := s.latest
+	s.mu.Unlock()
+	s.reads.start(ctx, s.options.RetryInterval, latest, s.read)
+}
+
+// handleResult publishes the snapshot of a successful read to the zone and returns it.
+func (s *RecordSet) handleResult(ctx context.Context, result readResult) (platform.Snapshot, error) {
+	if ctx.Err() != nil {
+		return platform.Snapshot{}, ctx.Err()
+	}
+	s.mesh.recordStoreResult(result.err == nil)
+	if result.err != nil {
+		s.forgetLatest()
+		return platform.Snapshot{}, result.err
+	}
+	s.scheduleNext(result.startedAt)
+	accepted, ok := s.accept(result.snapshot, sourceStore)
+	if !ok {
+		return s.newerThanStore(result.previous)
+	}
+	s.publishSnapshot(accepted, topicRecords, topicSeedRecords)
+	return accepted, nil
+}
+
+// scheduleNext sets the time of the next regular read after one that began at startedAt.
+func (s *RecordSet) scheduleNext(startedAt time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.options.LongPoll {
+		s.nextReadAt = startedAt.Add(wait.Jitter(s.options.Interval))
+	}
+	if !startedAt.Before(s.scheduled.at) {
+		s.scheduled.isDone = true
+	}
+}
+
+// forgetLatest makes the next call to the store read all rows.
+func (s *RecordSet) forgetLatest() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.latest = nil
+}
+
+// errOlderThanSeen means that the store returned an older snapshot than before.
+var errOlderThanSeen = errors.New("mesh: store returned an older snapshot than before")
+
+// newerThanStore returns the snapshot that a peer has sent during a call to the store, if
+// the store's was older. previous was the latest one when the call began. Without a new
+// one the store is behind for another reason, and the result is errOlderThanSeen.
+func (s *RecordSet) newerThanStore(previous *platform.Snapshot) (platform.Snapshot, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.latest != nil && s.latest != previous {
+		return *s.latest, nil
+	}
+	s.latest = nil
+	return platform.Snapshot{}, errOlderThanSeen
+}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -9,7 +9,6 @@
 
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
-	"github.com/figfront/figfront/internal/wait"
 )
 
 // RecordSet is a record set of the store that one VM of a zone reads on behalf of the
@@ -127,17 +126,6 @@
 	}
 }
 
-// ReadAt schedules a read for a time, besides the regular ones; zero means none. If the
-// zone's reader does not deliver its snapshot within takeoverDelay, this VM reads the store
-// itself. A time that was passed before has no effect.
-func (s *RecordSet) ReadAt(at time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !at.Equal(s.scheduled.at) {
-		s.scheduled = scheduledRead{at: at}
-	}
-}
-
 // takePeerSnapshot returns and clears the peer's snapshot that Next has not returned
 // yet.
 func (s *RecordSet) takePeerSnapshot() (platform.Snapshot, bool) {
@@ -161,26 +149,6 @@
 // roleCheckInterval is how often a VM checks whether it is the zone's reader.
 const roleCheckInterval = 100 * time.Millisecond
 
-// TakeoverDelay is how long a VM waits for the zone's reader to deliver the snapshot of a
-// scheduled read before it reads the store itself.
-const TakeoverDelay = 200 * time.Millisecond
-
-// scheduledRead is a read that RecordSet.ReadAt has asked for.
-type scheduledRead struct {
-	// at is zero if none was asked for.
-	at     time.Time
-	isDone bool
-}
-
-// due returns when a VM has to read, and false if it does not have to.
-func (r scheduledRead) due(isReader bool) (time.Time, bool) {
-	due := r.at
-	if !isReader {
-		due = due.Add(TakeoverDelay)
-	}
-	return due, !r.at.IsZero() && !r.isDone
-}
-
 // timeUntilRead returns the time until the next read of the store has to begin; 0 or less
 // means now. While a read is in flight, the next one begins after RetryInterval.
 func (s *RecordSet) timeUntilRead() time.Duration {
@@ -219,68 +187,6 @@
 	return min(due.Sub(now), roleCheckInterval)
 }
 
-// startRead begins a read of the store.
-func (s *RecordSet) startRead(ctx context.Context) {
-	s.mu.Lock()
-	latest := s.latest
-	s.mu.Unlock()
-	s.reads.start(ctx, s.options.RetryInterval, latest, s.read)
-}
-
-// handleResult publishes the snapshot of a successful read to the zone and returns it.
-func (s *RecordSet) handleResult(ctx context.Context, result readResult) (platform.Snapshot, error) {
-	if ctx.Err() != nil {
-		return platform.Snapshot{}, ctx.Err()
-	}
-	s.mesh.recordStoreResult(result.err == nil)
-	if result.err != nil {
-		s.forgetLatest()
-		return platform.Snapshot{}, result.err
-	}
-	s.scheduleNext(result.startedAt)
-	accepted, ok := s.accept(result.snapshot, sourceStore)
-	if !ok {
-		return s.newerThanStore(result.previous)
-	}
-	s.publishSnapshot(accepted, topicRecords, topicSeedRecords)
-	return accepted, nil
-}
-
-// scheduleNext sets the time of the next regular read after one that began at startedAt.
-func (s *RecordSet) scheduleNext(startedAt time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !s.options.LongPoll {
-		s.nextReadAt = startedAt.Add(wait.Jitter(s.options.Interval))
-	}
-	if !startedAt.Before(s.scheduled.at) {
-		s.scheduled.isDone = true
-	}
-}
-
-// forgetLatest makes the next call to the store read all rows.
-func (s *RecordSet) forgetLatest() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.latest = nil
-}
-
-// errOlderThanSeen means that the store returned an older snapshot than before.
-var errOlderThanSeen = errors.New("mesh: store returned an older snapshot than before")
-
-// newerThanStore returns the snapshot that a peer has sent during a call to the store, if
-// the store's was older. previous was the latest one when the call began. Without a new
-// one the store is behind for another reason, and the result is errOlderThanSeen.
-func (s *RecordSet) newerThanStore(previous *platform.Snapshot) (platform.Snapshot, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.latest != nil && s.latest != previous {
-		return *s.latest, nil
-	}
-	s.latest = nil
-	return platform.Snapshot{}, errOlderThanSeen
-}
-
 // source is where a snapshot comes from.
 type source string
 
