catalog: the silence of a zone's reader is not an outage of the store

What callers would see: on sites with a drain bound of 2.5 s, an upstream that leaves without a report while the zone's reader gets no responses from the store gets calls from the zone's other VMs for up to 3.9 s after its entry is gone, although these VMs are in touch and the store is well.

A VM that is not the reader reads the store itself after 0.7 of the bound: 1.75 s on these sites.

Change: an outage needs a failed read of this VM besides. A live upstream's entry can lapse only in outages of two heartbeats (3 s) or more; by then each VM of the zone has had a read of its own fail: it begins one after 1.4 or 1.75 s, which fails after 0.8 s at the latest.

Evidence: TestUpstreamThatLeavesWhileTheReaderFailsIsNotTakenForLapsed (reader ends, is cut off, gets no responses; bounds of 2 and 2.5 s; 69 cases): before, all 13 with 2.5 s and a reader without responses failed, 2.8 to 3.9 s; now all pass. The tests of outages (live upstreams are kept, callers are served) pass unchanged.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -15,13 +15,16 @@
 	Position platform.Position
 	// StoreTime is the reading of the store's monotonic clock; 0 means unknown.
 	StoreTime time.Duration
-	Upstreams []site.Upstream
+	// IsAfterFailure means that this VM has failed to read the store since the last
+	// snapshot.
+	IsAfterFailure bool
+	Upstreams      []site.Upstream
 }
 
 // Catalog holds the upstreams of all services. It is not safe for concurrent use.
 type Catalog struct {
-	// outageAfter is the time without a snapshot after which the store was probably
-	// unavailable.
+	// outageAfter is the time without a snapshot after which a failed read means that the
+	// store was unavailable.
 	outageAfter time.Duration
 	position    platform.Position
 	updatedAt   time.Time
@@ -38,8 +41,8 @@
 	gone map[string]goneUpstream
 }
 
-// New returns an empty catalog. outageAfter is the time without a snapshot after which the
-// store was probably unavailable.
+// New returns an empty catalog. outageAfter is the time without a snapshot after which a
+// failed read means that the store was unavailable.
 func New(outageAfter time.Duration) *Catalog {
 	return &Catalog{
 		outageAfter: outageAfter,
@@ -56,8 +59,10 @@
 		return false
 	}
 	hasSnapshot := !c.updatedAt.IsZero()
-	// Live upstreams may have been unable to renew their entries during an outage.
-	isAfterOutage := hasSnapshot && now.Sub(c.updatedAt) > c.outageAfter
+	// Live upstreams may have been unable to renew their entries during an outage. Without
+	// a failure, snapshots were missing because the zone's reader did not deliver them.
+	isLate := hasSnapshot && now.Sub(c.updatedAt) > c.outageAfter
+	isAfterOutage := isLate && snapshot.IsAfterFailure
 	isNewEra := hasSnapshot && snapshot.Position.Era != c.position.Era
 	if isAfterOutage || isNewEra {
 		c.grace = grace{startedAt: now, storeTime: snapshot.StoreTime}
--- a/internal/catalog/doc.go
+++ b/internal/catalog/doc.go
@@ -1,7 +1,7 @@
 // Package catalog maintains the set of upstreams from snapshots of the entries that
 // the upstreams keep in the platform's store.
 //
-// A missing entry means that its upstream has left, unless this VM was unable to read
+// A missing entry means that its upstream has left, unless this VM has tried and failed to read
 // the store for so long that entries of live upstreams may have expired meanwhile.
 // Such upstreams stay in use until they have had time to register again: a snapshot that the
 // store read after this time decides which are gone (Catalog.RetainUntil). The same holds
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -50,7 +50,9 @@
 	clock *StoreClock
 
 	unavailableSince time.Time
-	retryDelay       time.Duration
+	// isAfterFailure is set if reads have failed since the snapshot before the last one.
+	isAfterFailure bool
+	retryDelay     time.Duration
 }
 
 func newLoop(name string, source Source, log hclog.Logger, counters *telemetry.Counters, clock *StoreClock) *loop {
@@ -79,7 +81,8 @@
 		l.clock.observe(snapshot.StoreTime, time.Now())
 	}
 	l.counters.Add(telemetry.GroupStore, l.name+"_read", 1)
-	if !l.unavailableSince.IsZero() {
+	l.isAfterFailure = !l.unavailableSince.IsZero()
+	if l.isAfterFailure {
 		l.log.Info("dependency restored", fieldDependency, l.name, "lost_ms", time.Since(l.unavailableSince).Milliseconds())
 	}
 	l.unavailableSince = time.Time{}
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -29,6 +29,7 @@
 	// unless it is nil.
 	Clock *StoreClock
 
+	loop    *loop
 	catalog *catalog.Catalog
 	// updatedAt is the time of the last update of the catalog.
 	updatedAt time.Time
@@ -54,14 +55,17 @@
 	late := time.Duration(lateFactor * float64(f.ReadInterval))
 	f.catalog = catalog.New(max(f.HeartbeatInterval, late))
 	f.decoded = make(map[string]decodedEntry)
-	return newLoop("upstreams", f.Source, f.Log, f.Counters, f.Clock).run(ctx, f.applySnapshot)
+	f.loop = newLoop("upstreams", f.Source, f.Log, f.Counters, f.Clock)
+	return f.loop.run(ctx, f.applySnapshot)
 }
 
 // applySnapshot decodes a snapshot, updates the catalog and calls Apply with the
 // upstreams in use. Malformed entries are counted and left out, and a snapshot older
 // than the last one is ignored.
 func (f *UpstreamFollower) applySnapshot(snapshot platform.Snapshot) {
-	upstreams := catalog.Snapshot{Position: snapshot.Position, StoreTime: snapshot.StoreTime}
+	upstreams := catalog.Snapshot{
+		Position: snapshot.Position, StoreTime: snapshot.StoreTime, IsAfterFailure: f.loop.isAfterFailure,
+	}
 	decoded := make(map[string]decodedEntry, len(snapshot.Rows))
 	for _, row := range snapshot.Rows {
 		entry := f.decode(platform.Position{Era: snapshot.Era, Version: row.Version}, row)
