--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -26,8 +26,13 @@
 	// outageAfter is the time without a snapshot after which a failed read means that the
 	// store was unavailable.
 	outageAfter time.Duration
-	position    platform.Position
-	updatedAt   time.Time
+	// lapseAfter is the time without a snapshot in which the entry of a live upstream can
+	// expire.
+	lapseAfter time.Duration
+	position   platform.Position
+	updatedAt  time.Time
+	// storeTime is the reading of the store's clock in the last snapshot; 0 means unknown.
+	storeTime time.Duration
 	// upstreams holds the upstreams of the last snapshot and the retained ones, by
 	// name.
 	upstreams map[string]site.Upstream
@@ -41,11 +46,16 @@
 	gone map[string]goneUpstream
 }
 
-// New returns an empty catalog. outageAfter is the time without a snapshot after which a
-// failed read means that the store was unavailable.
-func New(outageAfter time.Duration) *Catalog {
+// expiryHeartbeats is the number of heartbeat intervals without a write after which an entry
+// expires.
+const expiryHeartbeats = 3
+
+// New returns an empty catalog. heartbeat is the time between two writes of an entry, late
+// the time after which a snapshot is late.
+func New(heartbeat, late time.Duration) *Catalog {
 	return &Catalog{
-		outageAfter: outageAfter,
+		outageAfter: max(heartbeat, late),
+		lapseAfter:  max((expiryHeartbeats-1)*heartbeat, 2*late),
 		upstreams:   make(map[string]site.Upstream),
 		retained:    make(map[string]struct{}),
 		gone:        make(map[string]goneUpstream),
@@ -59,16 +69,14 @@
 		return false
 	}
 	hasSnapshot := !c.updatedAt.IsZero()
-	// Live upstreams may have been unable to renew their entries during an outage. Without
-	// a failure, snapshots were missing because the zone's reader did not deliver them.
-	isLate := hasSnapshot && now.Sub(c.updatedAt) > c.outageAfter
-	isAfterOutage := isLate && snapshot.IsAfterFailure
+	isAfterOutage := hasSnapshot && c.isAfterOutage(now, snapshot)
 	isNewEra := hasSnapshot && snapshot.Position.Era != c.position.Era
 	if isAfterOutage || isNewEra {
 		c.grace = grace{startedAt: now, storeTime: snapshot.StoreTime}
 	}
 	c.position = snapshot.Position
 	c.updatedAt = now
+	c.storeTime = snapshot.StoreTime
 	present := make(map[string]site.Upstream, len(snapshot.Upstreams))
 	for _, u := range snapshot.Upstreams {
 		present[u.Name] = u
@@ -86,6 +94,17 @@
 	return true
 }
 
+// isAfterOutage reports whether live upstreams may have been unable to renew their entries
+// before a snapshot. Without a failed read, snapshots that are a little late were missing
+// because the zone's reader did not deliver them.
+func (c *Catalog) isAfterOutage(now time.Time, snapshot Snapshot) bool {
+	gap := now.Sub(c.updatedAt)
+	if c.storeTime > 0 && snapshot.StoreTime > 0 && snapshot.Position.Era == c.position.Era {
+		gap = snapshot.StoreTime - c.storeTime
+	}
+	return gap >= c.lapseAfter || snapshot.IsAfterFailure && gap > c.outageAfter
+}
+
 // retainMissing adds the upstreams that are missing from the first snapshot after an
 // outage or of a new era to the present ones, until the grace is over. So it does with
 // upstreams that disappear later without having renewed their entries in that era. Any other
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -53,7 +53,7 @@
 // Run follows the upstreams until ctx ends.
 func (f *UpstreamFollower) Run(ctx context.Context) error {
 	late := time.Duration(lateFactor * float64(f.ReadInterval))
-	f.catalog = catalog.New(max(f.HeartbeatInterval, late))
+	f.catalog = catalog.New(f.HeartbeatInterval, late)
 	f.decoded = make(map[string]decodedEntry)
 	f.loop = newLoop("upstreams", f.Source, f.Log, f.Counters, f.Clock)
 	return f.loop.run(ctx, f.applySnapshot)
