mesh, catalog: a VM that starts after an outage learns which upstreams are retained

What callers would see: a VM that starts, or starts again, within two seconds of the store's return knows only what the store lists then. If it coordinates a service whose entries lapsed, the service's calls are placed on what is left or refused for want of upstreams, until live ones are back.

Cause: what a VM retains without an entry is known to it alone.

VMs of older builds neither send nor ask for the topic.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -19,6 +19,9 @@
 	// snapshot.
 	IsAfterFailure bool
 	Upstreams      []site.Upstream
+	// Retained holds what another VM retains, if this VM may have started too late to know
+	// it.
+	Retained Retained
 }
 
 // Catalog holds the upstreams of all services. It is not safe for concurrent use.
@@ -88,6 +91,7 @@
 	}
 	c.replaceOutdated(present)
 	c.retained = c.retainMissing(now, snapshot.StoreTime, present, isAfterOutage || isNewEra)
+	c.adoptRetained(now, snapshot, present)
 	c.dropReusedAddresses(present)
 	c.recordGone(now, present)
 	c.upstreams = present
@@ -129,6 +133,29 @@
 	return retained
 }
 
+// adoptRetained adds the upstreams that another VM retains and this one has never known.
+func (c *Catalog) adoptRetained(now time.Time, snapshot Snapshot, present map[string]site.Upstream) {
+	other := snapshot.Retained
+	elapsed := snapshot.StoreTime - other.Since
+	isComparable := other.Since > 0 && other.Era == snapshot.Position.Era
+	if !isComparable || elapsed >= ReregistrationGrace {
+		return
+	}
+	for _, u := range other.Upstreams {
+		_, isPresent := present[u.Name]
+		_, isKnown := c.upstreams[u.Name]
+		_, isGone := c.gone[u.Name]
+		if isPresent || isKnown || isGone {
+			continue
+		}
+		if c.grace.isOver(now, snapshot.StoreTime) {
+			c.grace = grace{startedAt: now.Add(-elapsed), storeTime: other.Since}
+		}
+		present[u.Name] = u
+		c.retained[u.Name] = struct{}{}
+	}
+}
+
 // Upstreams returns the upstreams that accept new calls, in no particular order.
 func (c *Catalog) Upstreams() []site.Upstream {
 	upstreams := make([]site.Upstream, 0, len(c.upstreams))
@@ -153,3 +180,9 @@
 	}
 	return c.grace.end()
 }
+
+// RetainedSince returns the reading of the store's clock from which the grace counts; 0 means
+// unknown.
+func (c *Catalog) RetainedSince() time.Duration {
+	return c.grace.storeTime
+}
--- a/internal/catalog/grace.go
+++ b/internal/catalog/grace.go
@@ -1,6 +1,11 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/platform"
+)
 
 // ReregistrationGrace is how long upstreams without an entry are retained, counted from the
 // first snapshot after an outage of the store. Live upstreams register again within two
@@ -30,3 +35,12 @@
 func (g grace) end() time.Time {
 	return g.startedAt.Add(ReregistrationGrace)
 }
+
+// Retained holds the upstreams that another VM retains without an entry.
+type Retained struct {
+	// Since is the reading of the store's clock, in Era, from which the grace counts; 0 means
+	// that nothing is retained.
+	Since     time.Duration
+	Era       platform.Era
+	Upstreams []site.Upstream
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -20,12 +20,17 @@
 	Pause(ctx context.Context, d time.Duration)
 }
 
-// ScheduledSource is a Source that can be asked for a snapshot of a certain time.
-type ScheduledSource interface {
+// UpstreamSource is a Source that can be asked for a snapshot of a certain time, and that
+// tells other VMs which rows stay in use without being in the store.
+type UpstreamSource interface {
 	Source
 	// ReadAt makes Next return a snapshot that was read at a time or later, as soon as
 	// possible after it. It replaces the time of an earlier call; zero means none.
 	ReadAt(at time.Time)
+	// Retain tells the other VMs which rows are retained, since a StoreTime.
+	Retain(retained platform.Snapshot)
+	// Retained returns what another VM retained when this one had just started.
+	Retained() platform.Snapshot
 }
 
 // Delays after a failed read. The delay starts at minRetryDelay and doubles with each
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -49,6 +49,12 @@
 // ReadAt does nothing: the script tells when snapshots are read.
 func (s *scriptedSource) ReadAt(time.Time) {}
 
+// Retain does nothing: there are no other VMs.
+func (s *scriptedSource) Retain(platform.Snapshot) {}
+
+// Retained returns nothing.
+func (s *scriptedSource) Retained() platform.Snapshot { return platform.Snapshot{} }
+
 func row(key string, version uint64, value string) platform.Row {
 	return platform.Row{Key: key, Version: version, Value: []byte(value)}
 }
--- a/internal/follow/retained.go
+++ b/internal/follow/retained.go
@@ -41,6 +41,31 @@
 	f.retained.names = names
 }
 
+// shareRetained tells the other VMs which rows are retained when that has changed. adopted
+// holds the rows that this VM itself has got from another one.
+func (f *UpstreamFollower) shareRetained(snapshot, adopted platform.Snapshot) {
+	rows := make(map[string]platform.Row, len(snapshot.Rows))
+	for _, row := range snapshot.Rows {
+		rows[row.Key] = row
+	}
+	for _, row := range adopted.Rows {
+		if _, isKnown := f.rows[row.Key]; !isKnown {
+			f.rows[row.Key] = row
+		}
+	}
+	since, names := f.catalog.RetainedSince(), f.catalog.Retained()
+	retained := platform.Snapshot{Position: snapshot.Position, StoreTime: since}
+	for _, name := range names {
+		rows[name] = f.rows[name]
+		retained.Rows = append(retained.Rows, rows[name])
+	}
+	f.rows = rows
+	if !slices.Equal(names, f.shared) {
+		f.shared = names
+		f.Source.Retain(retained)
+	}
+}
+
 // without returns the names that are not among others.
 func without(names, others []string) []string {
 	return slices.DeleteFunc(slices.Clone(names), func(name string) bool { return slices.Contains(others, name) })
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -14,7 +14,7 @@
 
 // UpstreamFollower maintains the list of upstreams.
 type UpstreamFollower struct {
-	Source ScheduledSource
+	Source UpstreamSource
 	// Decode decodes the entry that an upstream wrote under its name.
 	Decode func(name string, value []byte) (site.Upstream, error)
 	// Apply replaces the list of upstreams that accept new calls.
@@ -34,6 +34,11 @@
 	// updatedAt is the time of the last update of the catalog.
 	updatedAt time.Time
 	retained  retainedLog
+	// rows holds the rows of the upstreams that were in use or retained after the last
+	// update, by name.
+	rows map[string]platform.Row
+	// shared holds the names of the retained upstreams that other VMs were told.
+	shared []string
 	// decoded caches the decoded entries of the last snapshot, so that unchanged ones
 	// are not decoded again.
 	decoded map[string]decodedEntry
@@ -55,38 +60,51 @@
 	late := time.Duration(lateFactor * float64(f.ReadInterval))
 	f.catalog = catalog.New(f.HeartbeatInterval, late)
 	f.decoded = make(map[string]decodedEntry)
+	f.rows = make(map[string]platform.Row)
 	f.loop = newLoop("upstreams", f.Source, f.Log, f.Counters, f.Clock)
 	return f.loop.run(ctx, f.applySnapshot)
 }
 
 // applySnapshot decodes a snapshot, updates the catalog and calls Apply with the
-// upstreams in use. Malformed entries are counted and left out, and a snapshot older
-// than the last one is ignored.
+// upstreams in use. A snapshot older than the last one is ignored.
 func (f *UpstreamFollower) applySnapshot(snapshot platform.Snapshot) {
 	upstreams := catalog.Snapshot{
 		Position: snapshot.Position, StoreTime: snapshot.StoreTime, IsAfterFailure: f.loop.isAfterFailure,
 	}
 	decoded := make(map[string]decodedEntry, len(snapshot.Rows))
-	for _, row := range snapshot.Rows {
-		entry := f.decode(platform.Position{Era: snapshot.Era, Version: row.Version}, row)
-		decoded[row.Key] = entry
-		if entry.err != nil {
-			f.Counters.Add(telemetry.GroupStore, "upstreams_malformed", 1)
-			continue
-		}
-		upstreams.Upstreams = append(upstreams.Upstreams, entry.upstream)
-	}
+	upstreams.Upstreams = f.decodeRows(snapshot, decoded)
 	f.decoded = decoded
+	retained := f.Source.Retained()
+	upstreams.Retained = catalog.Retained{Era: retained.Era, Since: retained.StoreTime, Upstreams: f.decodeRows(retained, nil)}
 	now := time.Now()
 	if !f.catalog.Update(now, upstreams) {
 		f.Counters.Add(telemetry.GroupStore, "upstreams_older", 1)
 		return
 	}
 	f.observeRetained(now, snapshot)
+	f.shareRetained(snapshot, retained)
 	f.Source.ReadAt(f.catalog.RetainUntil())
 	f.Apply(f.catalog.Upstreams())
 }
 
+// decodeRows returns the upstreams of a snapshot's rows and records the results in decoded
+// unless it is nil. Malformed entries are counted and left out.
+func (f *UpstreamFollower) decodeRows(snapshot platform.Snapshot, decoded map[string]decodedEntry) []site.Upstream {
+	var upstreams []site.Upstream
+	for _, row := range snapshot.Rows {
+		entry := f.decode(platform.Position{Era: snapshot.Era, Version: row.Version}, row)
+		if decoded != nil {
+			decoded[row.Key] = entry
+		}
+		if entry.err != nil {
+			f.Counters.Add(telemetry.GroupStore, "upstreams_malformed", 1)
+			continue
+		}
+		upstreams = append(upstreams, entry.upstream)
+	}
+	return upstreams
+}
+
 // decode returns the cached result for an unchanged entry and decodes a changed one.
 // position is the entry's version and the era in which it was read. A malformed entry
 // is logged once per position.
--- a/internal/mesh/doc.go
+++ b/internal/mesh/doc.go
@@ -6,7 +6,8 @@
 // record sets as the zone's reader publishes them. The reader is chosen by rendezvous
 // hashing among the VMs that are alive and reach the store. A VM whose reader falls
 // silent reads the store itself, and a VM that starts while the store is unavailable
-// fetches snapshots from the seed VMs in its settings.
+// fetches snapshots from the seed VMs in its settings. A VM that starts soon after an outage
+// learns from the zone's reader which rows are retained without being in the store.
 //
 // The coordinator of each service, the VM that places the service's calls for the
 // whole site, is chosen in the same way (Mesh.Coordinator).
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -34,6 +34,10 @@
 	// LongPoll: there the reader starts the next poll at once.
 	nextReadAt time.Time
 	scheduled  scheduledRead
+	// firstAt is when the first snapshot was accepted; retained holds what the zone's reader
+	// retained then.
+	firstAt  time.Time
+	retained platform.Snapshot
 	// latest is the newest snapshot of this VM or a peer; long polls apply their
 	// changes to it. It is nil after a failed call, so that the next call reads all
 	// rows.
@@ -211,6 +215,9 @@
 		s.latest = &snapshot
 		s.newest = snapshot.Position
 		s.updatedAt = time.Now()
+		if isFirst {
+			s.firstAt = s.updatedAt
+		}
 		if from == sourcePeer {
 			s.peerSnapshot = &snapshot
 		}
@@ -262,38 +269,6 @@
 	return latest.With(changes), nil
 }
 
-// mergePeerSnapshot accepts a peer's snapshot unless this VM has a newer one or the
-// snapshot may be from before the store came back from an older copy. It returns the snapshot
-// with the newest known values, and false if it was not accepted.
-func (s *RecordSet) mergePeerSnapshot(snapshot platform.Snapshot) (platform.Snapshot, bool) {
-	era, isUsable := s.mesh.options.Eras.ResolvePeer(snapshot.Era)
-	snapshot.Era = era
-	if !isUsable {
-		s.mesh.options.Counters.Add(telemetry.GroupPeers, "snapshot_without_era", 1)
-		return platform.Snapshot{}, false
-	}
-	accepted, ok := s.accept(snapshot, sourcePeer)
-	if !ok {
-		return platform.Snapshot{}, false
-	}
-	select {
-	case s.arrived <- struct{}{}:
-	default:
-	}
-	return accepted, true
-}
-
-// correct publishes a snapshot with newer values than a peer sent: to starting VMs, and to
-// the zone if this VM corrects for it.
-func (s *RecordSet) correct(snapshot platform.Snapshot) {
-	s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_outdated", 1)
-	topics := []string{topicSeedRecords}
-	if s.mesh.isCorrector() {
-		topics = append(topics, topicRecords)
-	}
-	s.publishSnapshot(snapshot, topics...)
-}
-
 // newestPosition returns the position of the newest snapshot.
 func (s *RecordSet) newestPosition() platform.Position {
 	s.mu.Lock()
--- a/internal/mesh/snapshot.go
+++ b/internal/mesh/snapshot.go
@@ -8,6 +8,7 @@
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/compressed"
 	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 const (
@@ -93,3 +94,35 @@
 	}
 	return nil
 }
+
+// mergePeerSnapshot accepts a peer's snapshot unless this VM has a newer one or the
+// snapshot may be from before the store came back from an older copy. It returns the snapshot
+// with the newest known values, and false if it was not accepted.
+func (s *RecordSet) mergePeerSnapshot(snapshot platform.Snapshot) (platform.Snapshot, bool) {
+	era, isUsable := s.mesh.options.Eras.ResolvePeer(snapshot.Era)
+	snapshot.Era = era
+	if !isUsable {
+		s.mesh.options.Counters.Add(telemetry.GroupPeers, "snapshot_without_era", 1)
+		return platform.Snapshot{}, false
+	}
+	accepted, ok := s.accept(snapshot, sourcePeer)
+	if !ok {
+		return platform.Snapshot{}, false
+	}
+	select {
+	case s.arrived <- struct{}{}:
+	default:
+	}
+	return accepted, true
+}
+
+// correct publishes a snapshot with newer values than a peer sent: to starting VMs, and to
+// the zone if this VM corrects for it.
+func (s *RecordSet) correct(snapshot platform.Snapshot) {
+	s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_outdated", 1)
+	topics := []string{topicSeedRecords}
+	if s.mesh.isCorrector() {
+		topics = append(topics, topicRecords)
+	}
+	s.publishSnapshot(snapshot, topics...)
+}
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -69,7 +69,7 @@
 	defer cancel(nil)
 	idleTimer := time.AfterFunc(streamIdleTimeout, func() { cancel(errStreamIdle) })
 	defer idleTimer.Stop()
-	err = client.Subscribe(ctx, m.options.VM, []string{topicHeartbeat, topicRecords}, func(message *api.Message) {
+	err = client.Subscribe(ctx, m.options.VM, []string{topicHeartbeat, topicRecords, topicRetained}, func(message *api.Message) {
 		idleTimer.Reset(streamIdleTimeout)
 		if !hasReceived {
 			m.options.Log.Info("peer connected", telemetry.FieldVM, vm)
@@ -154,6 +154,8 @@
 		err = m.handleHeartbeat(message.GetPayload())
 	case topicRecords:
 		err = m.handleRecords(message)
+	case topicRetained:
+		err = m.handleRetained(message)
 	}
 	if err != nil {
 		m.options.Counters.Add(telemetry.GroupPeers, "message_malformed", 1)
