soak: servers leave without a report, also just before an outage of the store

The check is made for each request: VM without faults for 3 s before it was sent until it ran. A VM keeps the times of all its faults for that.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -125,9 +125,10 @@
 
 // sentRun is one run of a request, with the VM that its caller sent it to.
 type sentRun struct {
-	id string
-	vm *VM
-	at time.Time
+	id     string
+	vm     *VM
+	sentAt time.Time
+	at     time.Time
 }
 
 // runsAfter returns the runs that a server started after a time.
@@ -138,7 +139,7 @@
 	for id, r := range l.records {
 		for _, run := range r.executions {
 			if run.server == server && run.at.After(after) {
-				found = append(found, sentRun{id: id, vm: r.vm, at: run.at})
+				found = append(found, sentRun{id: id, vm: r.vm, sentAt: r.sentAt, at: run.at})
 			}
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -65,6 +65,9 @@
 	// servers that ask for rest or say in their answers that they leave.
 	DeadlyRequests bool
 	Asks           bool
+	// SilentLeaves adds servers that leave without a report, also before an outage of the
+	// store, to the faults.
+	SilentLeaves bool
 	// Log receives a line for each fault.
 	Log io.Writer
 }
@@ -152,6 +155,7 @@
 	run.checkRecovery(workCtx)
 	run.recordErr(run.changeWithoutFaults(workCtx))
 	run.checkLeaving()
+	run.checkSilentLeaves()
 	return injected, nil
 }
 
@@ -248,6 +252,7 @@
 		{run.options.RateLimits, []fault{rateLimitFault}},
 		{run.options.DeadlyRequests, []fault{deadlyFault}},
 		{run.options.Asks, askFaults},
+		{run.options.SilentLeaves, silentLeaveFaults},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -77,6 +77,15 @@
 		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
 		g.Expect(result.Faults).To(BeNumerically(">", 0))
 	})
+	t.Run("servers leave without a report", func(t *testing.T) {
+		silent := options
+		silent.Seed, silent.Only, silent.SilentLeaves = 1, "without a report", true
+		result, err := soak.Execute(context.Background(), silent)
+		g := NewWithT(t)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(result.Violations).To(BeEmpty(), "logs in %s", result.Dir)
+		g.Expect(result.Faults).To(BeNumerically(">", 0))
+	})
 	for seed, cause := range regressions {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -68,6 +68,8 @@
 	// leavingSince is when its entry was marked as draining in the store; zero if it does
 	// not leave as planned.
 	leavingSince time.Time
+	// goneSince is when its entry was removed without a report; zero if it was not.
+	goneSince time.Time
 	// isAsking is set while the server asks for rest, or says that it leaves.
 	isAsking atomic.Bool
 	// isLimited is set while the server names a rate limit.
@@ -128,7 +130,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.members {
-		if m.isStopped {
+		if m.isStopped || !m.goneSince.IsZero() {
 			continue
 		}
 		if err := f.writeLocked(m); err != nil {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -50,6 +51,8 @@
 	// lastFaultAt is when a fault of the process, its store link or the store last began
 	// or ended, or when the process was last started or signalled.
 	lastFaultAt time.Time
+	// faultTimes holds all such times.
+	faultTimes []time.Time
 }
 
 // vmOptions are the options that all VMs of a run share.
@@ -137,7 +140,7 @@
 	}
 	v.process = process
 	v.starts++
-	v.lastFaultAt = time.Now()
+	v.recordFaultLocked()
 	exited := make(chan struct{})
 	v.exited = exited
 	go func() {
@@ -172,7 +175,7 @@
 func (v *VM) Signal(signal syscall.Signal) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	v.lastFaultAt = time.Now()
+	v.recordFaultLocked()
 	if v.process != nil {
 		_ = v.process.Process.Signal(signal)
 	}
@@ -211,7 +214,19 @@
 func (v *VM) recordFault() {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.recordFaultLocked()
+}
+
+func (v *VM) recordFaultLocked() {
 	v.lastFaultAt = time.Now()
+	v.faultTimes = append(v.faultTimes, v.lastFaultAt)
+}
+
+// isFaultFree reports whether no fault of the VM began or ended between two times.
+func (v *VM) isFaultFree(from, to time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return !slices.ContainsFunc(v.faultTimes, func(t time.Time) bool { return t.After(from) && t.Before(to) })
 }
 
 // isFaultFreeSince reports whether no fault of the VM began or ended since t.
