--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -74,7 +74,8 @@
 	hasSnapshot := !c.updatedAt.IsZero()
 	isAfterOutage := hasSnapshot && c.isAfterOutage(now, snapshot)
 	isNewEra := hasSnapshot && snapshot.Position.Era != c.position.Era
-	if isAfterOutage || isNewEra {
+	isFirst := isAfterOutage || isNewEra
+	if isFirst {
 		c.grace = grace{startedAt: now, storeTime: snapshot.StoreTime}
 	}
 	c.position = snapshot.Position
@@ -90,7 +91,11 @@
 		c.restored.removeRenewed(present)
 	}
 	c.replaceOutdated(present)
-	c.retained = c.retainMissing(now, snapshot.StoreTime, present, isAfterOutage || isNewEra)
+	retained := make(map[string]struct{})
+	if !c.grace.isOver(now, snapshot.StoreTime) {
+		retained = c.retainMissing(present, isFirst)
+	}
+	c.retained = retained
 	c.adoptRetained(now, snapshot, present)
 	c.dropReusedAddresses(present)
 	c.recordGone(now, present)
@@ -110,17 +115,12 @@
 }
 
 // retainMissing adds the upstreams that are missing from the first snapshot after an
-// outage or of a new era to the present ones, until the grace is over. So it does with
-// upstreams that disappear later without having renewed their entries in that era. Any other
-// upstream whose entry disappears in a later snapshot is dropped. It returns the names of the
-// added ones.
-func (c *Catalog) retainMissing(
-	now time.Time, storeTime time.Duration, present map[string]site.Upstream, isFirst bool,
-) map[string]struct{} {
+// outage or of a new era to the present ones, and keeps them there. So it does with upstreams
+// that disappear later without having renewed their entries in that era. Any other upstream
+// whose entry disappears in a later snapshot is dropped. It returns the names of the added
+// ones.
+func (c *Catalog) retainMissing(present map[string]site.Upstream, isFirst bool) map[string]struct{} {
 	retained := make(map[string]struct{})
-	if c.grace.isOver(now, storeTime) {
-		return retained
-	}
 	for name, u := range c.upstreams {
 		_, isPresent := present[name]
 		_, wasRetained := c.retained[name]
--- a/internal/follow/retained.go
+++ b/internal/follow/retained.go
@@ -44,26 +44,33 @@
 // shareRetained tells the other VMs which rows are retained when that has changed. adopted
 // holds the rows that this VM itself has got from another one.
 func (f *UpstreamFollower) shareRetained(snapshot, adopted platform.Snapshot) {
-	rows := make(map[string]platform.Row, len(snapshot.Rows))
-	for _, row := range snapshot.Rows {
-		rows[row.Key] = row
-	}
-	for _, row := range adopted.Rows {
-		if _, isKnown := f.rows[row.Key]; !isKnown {
-			f.rows[row.Key] = row
-		}
+	names := f.catalog.Retained()
+	f.retainedRows = rowsOf(names, f.retainedRows, f.lastRows, adopted.Rows)
+	f.lastRows = snapshot.Rows
+	if !slices.Equal(names, f.retained.names) {
+		f.Source.Retain(platform.Snapshot{
+			Position: snapshot.Position, StoreTime: f.catalog.RetainedSince(), Rows: f.retainedRows,
+		})
 	}
-	since, names := f.catalog.RetainedSince(), f.catalog.Retained()
-	retained := platform.Snapshot{Position: snapshot.Position, StoreTime: since}
-	for _, name := range names {
-		rows[name] = f.rows[name]
-		retained.Rows = append(retained.Rows, rows[name])
+}
+
+// rowsOf returns the rows with the given sorted names, each from the first list that has it.
+func rowsOf(names []string, lists ...[]platform.Row) []platform.Row {
+	var found []platform.Row
+	if len(names) == 0 {
+		return found
 	}
-	f.rows = rows
-	if !slices.Equal(names, f.shared) {
-		f.shared = names
-		f.Source.Retain(retained)
+	seen := make(map[string]bool, len(names))
+	for _, rows := range lists {
+		for _, row := range rows {
+			_, isWanted := slices.BinarySearch(names, row.Key)
+			if isWanted && !seen[row.Key] {
+				seen[row.Key] = true
+				found = append(found, row)
+			}
+		}
 	}
+	return found
 }
 
 // without returns the names that are not among others.
--- a/internal/follow/upstreams.go
+++ b/internal/follow/upstreams.go
@@ -34,11 +34,9 @@
 	// updatedAt is the time of the last update of the catalog.
 	updatedAt time.Time
 	retained  retainedLog
-	// rows holds the rows of the upstreams that were in use or retained after the last
-	// update, by name.
-	rows map[string]platform.Row
-	// shared holds the names of the retained upstreams that other VMs were told.
-	shared []string
+	// lastRows holds the rows of the last snapshot, retainedRows those of the retained
+	// upstreams.
+	lastRows, retainedRows []platform.Row
 	// decoded caches the decoded entries of the last snapshot, so that unchanged ones
 	// are not decoded again.
 	decoded map[string]decodedEntry
@@ -60,7 +58,6 @@
 	late := time.Duration(lateFactor * float64(f.ReadInterval))
 	f.catalog = catalog.New(f.HeartbeatInterval, late)
 	f.decoded = make(map[string]decodedEntry)
-	f.rows = make(map[string]platform.Row)
 	f.loop = newLoop("upstreams", f.Source, f.Log, f.Counters, f.Clock)
 	return f.loop.run(ctx, f.applySnapshot)
 }
@@ -81,8 +78,8 @@
 		f.Counters.Add(telemetry.GroupStore, "upstreams_older", 1)
 		return
 	}
-	f.observeRetained(now, snapshot)
 	f.shareRetained(snapshot, retained)
+	f.observeRetained(now, snapshot)
 	f.Source.ReadAt(f.catalog.RetainUntil())
 	f.Apply(f.catalog.Upstreams())
 }
--- a/internal/mesh/retained.go
+++ b/internal/mesh/retained.go
@@ -30,9 +30,17 @@
 func (s *RecordSet) Retained() platform.Snapshot {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.isStartingLocked() {
+		return platform.Snapshot{}
+	}
 	return s.retained
 }
 
+// isStartingLocked reports whether this VM may not know what the others retain.
+func (s *RecordSet) isStartingLocked() bool {
+	return s.firstAt.IsZero() || time.Since(s.firstAt) < adoptionPeriod
+}
+
 // handleRetained keeps the rows that the zone's reader retains and lets Next return the latest
 // snapshot again, so that its caller sees them.
 func (m *Mesh) handleRetained(message *api.Message) error {
@@ -53,8 +61,7 @@
 func (s *RecordSet) setRetained(retained platform.Snapshot) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	isStarting := s.firstAt.IsZero() || time.Since(s.firstAt) < adoptionPeriod
-	if !isStarting {
+	if !s.isStartingLocked() {
 		return
 	}
 	s.retained = retained
