catalog: an entry that lapses just after the store's return may come back

What callers would see: the store counts an entry's silence through an outage and removes it at its return, before the upstream has had time to write it. All VMs drop the upstream with the next listing until it has: up to a heartbeat in which its calls go to others or are refused.

Cause: only what was missing from the first listing was kept. What disappeared later counted as removed on purpose.

An entry that disappears within the grace is kept if it has not been written for three heartbeats since. One that was written and then removed is dropped at once, as before (TestUpstreamThatLeavesAfterAnOutageIsOut, unchanged). The grace is not extended, so that the sum of the delays is the same.

Evidence: the outages of storeoutage_test.go have two kinds more. "entries lapse after it" (0.4 s after the return) failed before, 0.97 to 1.11 s after the return on all three VMs, and passes now. "many short ones" (1.3 s, four times) passed before and after.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -32,8 +32,10 @@
 	// lapseAfter is the time without a snapshot in which the entry of a live upstream can
 	// expire.
 	lapseAfter time.Duration
-	position   platform.Position
-	updatedAt  time.Time
+	// expireAfter is the time after which an entry that is not written expires.
+	expireAfter time.Duration
+	position    platform.Position
+	updatedAt   time.Time
 	// storeTime is the reading of the store's clock in the last snapshot; 0 means unknown.
 	storeTime time.Duration
 	// upstreams holds the upstreams of the last snapshot and the retained ones, by
@@ -43,6 +45,9 @@
 	// were missing after an outage of the store.
 	retained map[string]struct{}
 	grace    grace
+	// renewals holds the last known writes of the entries in the last snapshot and of the
+	// retained ones, by name.
+	renewals map[string]renewal
 	// restored holds what the store contained when it came back from an older copy.
 	restored restoredEntries
 	// gone holds the last known state of upstreams that are no longer in use, by name.
@@ -59,6 +64,7 @@
 	return &Catalog{
 		outageAfter: max(heartbeat, late),
 		lapseAfter:  max((expiryHeartbeats-1)*heartbeat, 2*late),
+		expireAfter: expiryHeartbeats * heartbeat,
 		upstreams:   make(map[string]site.Upstream),
 		retained:    make(map[string]struct{}),
 		gone:        make(map[string]goneUpstream),
@@ -80,6 +86,7 @@
 	}
 	c.position = snapshot.Position
 	c.updatedAt = now
+	previousStoreTime := c.storeTime
 	c.storeTime = snapshot.StoreTime
 	present := make(map[string]site.Upstream, len(snapshot.Upstreams))
 	for _, u := range snapshot.Upstreams {
@@ -93,12 +100,13 @@
 	c.replaceOutdated(present)
 	retained := make(map[string]struct{})
 	if !c.grace.isOver(now, snapshot.StoreTime) {
-		retained = c.retainMissing(present, isFirst)
+		retained = c.retainMissing(present, snapshot.StoreTime, isFirst)
 	}
 	c.retained = retained
 	c.adoptRetained(now, snapshot, present)
 	c.dropReusedAddresses(present)
 	c.recordGone(now, present)
+	c.recordRenewals(present, previousStoreTime)
 	c.upstreams = present
 	return true
 }
@@ -116,15 +124,18 @@
 
 // retainMissing adds the upstreams that are missing from the first snapshot after an
 // outage or of a new era to the present ones, and keeps them there. So it does with upstreams
-// that disappear later without having renewed their entries in that era. Any other upstream
-// whose entry disappears in a later snapshot is dropped. It returns the names of the added
-// ones.
-func (c *Catalog) retainMissing(present map[string]site.Upstream, isFirst bool) map[string]struct{} {
+// that disappear later without having renewed their entries in that era, or since long before
+// the outage. Any other upstream whose entry disappears in a later snapshot is dropped. It
+// returns the names of the added ones.
+func (c *Catalog) retainMissing(
+	present map[string]site.Upstream, storeTime time.Duration, isFirst bool,
+) map[string]struct{} {
 	retained := make(map[string]struct{})
 	for name, u := range c.upstreams {
 		_, isPresent := present[name]
 		_, wasRetained := c.retained[name]
-		if isPresent || !isFirst && !wasRetained && !c.restored.wasUnrenewed(name) {
+		mayReturn := isFirst || wasRetained || c.restored.wasUnrenewed(name) || c.mayHaveExpired(name, storeTime)
+		if isPresent || !mayReturn {
 			continue
 		}
 		retained[name] = struct{}{}
