catalog: a store clock that starts anew does not extend the grace

If that clock starts anew in between without a new era, the difference is negative and upstreams without an entry stay in use until it has caught up.

Change: two readings count only if the second one is not lower; otherwise the VM's own clock counts. One function compares them for the grace, the gap, a peer's retained rows and the time since a write.

Evidence: TestStoreClockThatStartsAnewDoesNotExtendTheGrace, b still in use before.

--- a/internal/catalog/catalog.go
+++ b/internal/catalog/catalog.go
@@ -115,9 +115,9 @@
 // before a snapshot. Without a failed read, snapshots that are a little late were missing
 // because the zone's reader did not deliver them.
 func (c *Catalog) isAfterOutage(now time.Time, snapshot Snapshot) bool {
-	gap := now.Sub(c.updatedAt)
-	if c.storeTime > 0 && snapshot.StoreTime > 0 && snapshot.Position.Era == c.position.Era {
-		gap = snapshot.StoreTime - c.storeTime
+	gap, ok := storeElapsed(c.storeTime, snapshot.StoreTime)
+	if !ok || snapshot.Position.Era != c.position.Era {
+		gap = now.Sub(c.updatedAt)
 	}
 	return gap >= c.lapseAfter || snapshot.IsAfterFailure && gap > c.outageAfter
 }
@@ -147,9 +147,8 @@
 // adoptRetained adds the upstreams that another VM retains and this one has never known.
 func (c *Catalog) adoptRetained(now time.Time, snapshot Snapshot, present map[string]site.Upstream) {
 	other := snapshot.Retained
-	elapsed := snapshot.StoreTime - other.Since
-	isComparable := other.Since > 0 && other.Era == snapshot.Position.Era
-	if !isComparable || elapsed >= ReregistrationGrace {
+	elapsed, ok := storeElapsed(other.Since, snapshot.StoreTime)
+	if !ok || other.Era != snapshot.Position.Era || elapsed >= ReregistrationGrace {
 		return
 	}
 	for _, u := range other.Upstreams {
--- a/internal/catalog/grace.go
+++ b/internal/catalog/grace.go
@@ -25,10 +25,18 @@
 // store's clock decides, so that all VMs come to the same result with the same snapshots,
 // however long these took to arrive.
 func (g grace) isOver(now time.Time, storeTime time.Duration) bool {
-	if g.storeTime > 0 && storeTime > 0 {
-		return storeTime-g.storeTime >= ReregistrationGrace
+	elapsed, ok := storeElapsed(g.storeTime, storeTime)
+	if !ok {
+		elapsed = now.Sub(g.startedAt)
 	}
-	return now.Sub(g.startedAt) >= ReregistrationGrace
+	return elapsed >= ReregistrationGrace
+}
+
+// storeElapsed returns the time between two readings of the store's clock. It returns false if
+// one of them is unknown, or the clock has started anew in between.
+func storeElapsed(from, to time.Duration) (time.Duration, bool) {
+	isKnown := from > 0 && to > 0
+	return to - from, isKnown && to >= from
 }
 
 // end returns when the grace ends for a VM that reads the store itself.
--- a/internal/catalog/grace_test.go
+++ b/internal/catalog/grace_test.go
@@ -36,3 +36,18 @@
 		g.Expect(c.RetainUntil().IsZero()).To(BeTrue())
 	}
 }
+
+// TestStoreClockThatStartsAnewDoesNotExtendTheGrace guards against upstreams that stay in use
+// until the clock has caught up.
+func TestStoreClockThatStartsAnewDoesNotExtendTheGrace(t *testing.T) {
+	const back = 500 * time.Second
+	g := NewWithT(t)
+	c := catalog.New(heartbeat, heartbeat)
+	c.Update(start, at(back-6*time.Second, snapshot(1, "+a", "+b")))
+	first := start.Add(6 * time.Second)
+	c.Update(first, at(back, afterOutage(snapshot(2, "+a"))))
+	c.Update(first.Add(time.Second), at(time.Second, snapshot(3, "+a")))
+	g.Expect(inUse(c)).To(Equal([]string{"a", "b"}))
+	c.Update(first.Add(catalog.ReregistrationGrace), at(2*time.Second, snapshot(4, "+a")))
+	g.Expect(inUse(c)).To(Equal([]string{"a"}))
+}
--- a/internal/catalog/renewal.go
+++ b/internal/catalog/renewal.go
@@ -32,6 +32,6 @@
 // have expired after an outage, before the upstream could write it again: it had not been
 // written for too long.
 func (c *Catalog) mayHaveExpired(name string, storeTime time.Duration) bool {
-	last, isKnown := c.renewals[name]
-	return isKnown && last.after > 0 && storeTime-last.after >= c.expireAfter
+	silence, ok := storeElapsed(c.renewals[name].after, storeTime)
+	return ok && silence >= c.expireAfter
 }
