soak: a restored store loses the removal of a server that left without a report

Traced by the VMs' lines: the store came back from a copy that held the server's entry, before any VM had seen the removal; all VMs listed it again in the new era and rightly used it. The platform's entry would expire after three heartbeats; the soak's store only removed those of servers that had ended.

Change: three heartbeats after a restore the entries of servers that left without a report are removed again, and the bound counts from there: the acknowledgement of the first removal is lost.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -188,7 +188,7 @@
 		run.store.Restore(old)
 		run.store.SetFaults(storetest.Faults{})
 		run.recordErr(run.configs.writeAgain(run))
-		time.AfterFunc(entryTTL, run.fleet.deleteStopped)
+		time.AfterFunc(entryTTL, run.fleet.deleteSilent)
 		run.recordFaultOnAll()
 	}, nil
 }
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -68,7 +68,7 @@
 	// leavingSince is when its entry was marked as draining in the store; zero if it does
 	// not leave as planned.
 	leavingSince time.Time
-	// goneSince is when its entry was removed without a report; zero if it was not.
+	// goneSince is when its entry was last removed without a report; zero if it was not.
 	goneSince time.Time
 	// isAsking is set while the server asks for rest, or says that it leaves.
 	isAsking atomic.Bool
@@ -211,14 +211,19 @@
 	time.AfterFunc(entryTTL, func() { sitetest.DeleteEntry(f.store, m.server.ID) })
 }
 
-// deleteStopped deletes the entries of all servers that have ended.
-func (f *fleet) deleteStopped() {
+// deleteSilent deletes the entries of all servers that don't renew theirs. A server that left
+// without a report is gone from then on: the store has lost its first removal.
+func (f *fleet) deleteSilent() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, m := range f.members {
-		if m.isStopped {
+		hasLeft := !m.goneSince.IsZero()
+		if m.isStopped || hasLeft {
 			sitetest.DeleteEntry(f.store, m.server.ID)
 		}
+		if hasLeft {
+			m.goneSince = time.Now()
+		}
 	}
 }
 
