tunnel: what an upstream asks for is told to a tunnel from its opening on

What callers would see: an upstream asks for rest, or says that it leaves, through one tunnel while another one to it is being opened. The VM at the end of the second one is not told, and sends it more until it is turned away itself.

Cause: a serving VM told the other one that its tunnel is open before it added the tunnel to those that it tells. By the trace the second tunnel was told nothing.

Change: the tunnel is added first, with its sends held back until it has been opened.

--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -98,18 +98,26 @@
 	}
 	defer func() { _ = upstream.Close() }()
 	s.counters.Add(telemetry.GroupTunnels, "served", 1)
-	if err := stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{}}); err != nil {
-		return errors.Wrap(err, "send")
-	}
 	t := &served{service: first.GetOpen().GetService(), address: first.GetOpen().GetAddress(), stream: stream}
-	s.add(t)
 	defer s.remove(t)
+	if err := s.announce(t); err != nil {
+		return errors.Wrap(err, "send")
+	}
 	go func() {
 		s.receiveInto(t, upstream)
 	}()
 	return sendFrom(upstream, t)
 }
 
+// announce adds a tunnel and tells the other VM that it is open. The tunnel is added first, so
+// that the other VM misses nothing that the upstream asks for once it knows of the tunnel.
+func (s *Server) announce(t *served) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s.add(t)
+	return t.stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{}})
+}
+
 // connect connects to the upstream that a VM asks for.
 func (s *Server) connect(ctx context.Context, open *api.TunnelOpen) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
