--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -26,10 +26,15 @@
 	changed     chan struct{}
 	calls       int
 	unavailable map[string]bool
+	// hanging holds the VMs whose calls fail after hangTime.
+	hanging map[string]bool
 }
 
+// hangTime is how long a call that hangs takes to fail.
+const hangTime = 800 * time.Millisecond
+
 func newStore() *store {
-	return &store{era: 1, changed: make(chan struct{}), unavailable: make(map[string]bool)}
+	return &store{era: 1, changed: make(chan struct{}), unavailable: make(map[string]bool), hanging: make(map[string]bool)}
 }
 
 // change advances the store to a new version.
@@ -59,6 +64,19 @@
 	s.unavailable[vm] = isUnavailable
 }
 
+// setHanging makes the calls of a VM hang or succeed.
+func (s *store) setHanging(vm string, isHanging bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.hanging[vm] = isHanging
+}
+
+func (s *store) isHanging(vm string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.hanging[vm]
+}
+
 const allVMs = "every"
 
 // resetCalls sets the number of calls to 0 and returns the previous number.
@@ -83,6 +101,10 @@
 func (r records) call() (platform.Position, <-chan struct{}, error) {
 	sentIn := r.eras.Latest()
 	time.Sleep(callDuration)
+	if r.store.isHanging(r.vm) {
+		time.Sleep(hangTime)
+		return platform.Position{}, nil, platform.ErrUncertain
+	}
 	r.store.mu.Lock()
 	defer r.store.mu.Unlock()
 	r.store.calls++
@@ -144,6 +166,15 @@
 	mu        sync.Mutex
 	position  platform.Position
 	updatedAt time.Time
+	// failedAt is when Next last failed.
+	failedAt time.Time
+}
+
+// recordFailure records that Next has failed.
+func (v *vm) recordFailure() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.failedAt = time.Now()
 }
 
 func (v *vm) currentPosition() platform.Position {
@@ -187,6 +218,9 @@
 	}
 	v.mesh = m
 	options := mesh.RecordOptions{Interval: 700 * time.Millisecond, LongPoll: usesLongPoll, Staleness: 1100 * time.Millisecond}
+	if !usesLongPoll {
+		options.RetryInterval = retryInterval
+	}
 	set := m.AddRecordSet("set", records{z.store, v.name, eras}, options)
 	v.set = set
 	ctx, cancel := context.WithCancel(context.Background())
@@ -203,6 +237,7 @@
 	for ctx.Err() == nil {
 		snapshot, err := set.Next(ctx)
 		if err != nil {
+			v.recordFailure()
 			set.Pause(ctx, 100*time.Millisecond)
 			continue
 		}
--- a/internal/mesh/reads.go
+++ b/internal/mesh/reads.go
@@ -78,6 +78,14 @@
 	s.reads.start(ctx, s.options.RetryInterval, latest, s.read)
 }
 
+// isOvertaken reports whether an overlapping read has failed that began before the latest
+// snapshot arrived: it says nothing about the time since then.
+func (s *RecordSet) isOvertaken(result readResult) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return result.err != nil && s.options.RetryInterval > 0 && result.startedAt.Before(s.updatedAt)
+}
+
 // handleResult publishes the snapshot of a successful read to the zone and returns it.
 func (s *RecordSet) handleResult(ctx context.Context, result readResult) (platform.Snapshot, error) {
 	if ctx.Err() != nil {
--- a/internal/mesh/reads_test.go
+++ b/internal/mesh/reads_test.go
@@ -141,3 +141,27 @@
 		})
 	}
 }
+
+// TestReadThatBeganBeforeTheLatestSnapshotIsNoFailureAfterIt guards against an outage that is
+// taken for another one because a read of before its end fails later.
+func TestReadThatBeganBeforeTheLatestSnapshotIsNoFailureAfterIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		z := newZone(t, 3, false)
+		defer z.close()
+		for _, v := range z.vms {
+			z.store.setHanging(v.name, true)
+		}
+		time.Sleep(5 * time.Second)
+		version := z.store.change()
+		z.store.setHanging(z.vms[1].name, false)
+		g.Eventually(z.vms[1].currentVersion).WithPolling(time.Millisecond).Should(Equal(version))
+		time.Sleep(50 * time.Millisecond)
+		back := time.Now()
+		time.Sleep(2 * hangTime)
+		for _, v := range z.vms {
+			g.Expect(v.currentVersion()).To(Equal(version), v.name)
+			g.Expect(v.failedAt.Before(back)).To(BeTrue(), "%s failed %v after the snapshot", v.name, v.failedAt.Sub(back))
+		}
+	})
+}
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -95,6 +95,10 @@
 		case result := <-s.reads.results:
 			timer.Stop()
 			s.reads.finish(result)
+			if s.isOvertaken(result) {
+				s.mesh.recordStoreResult(false)
+				continue
+			}
 			return s.handleResult(ctx, result)
 		case <-timer.C:
 		case <-ctx.Done():
