gateway: a response whose head is mixed with another's is no response

Bookings that ran were refused with 503, "not run", and others got the success and the body of an earlier call.

Cause: net/http joins the two heads if the first breaks off within the value of a header line: status of the first, header lines of both. The answer 200 to a booking with the lines of an earlier refusal behind it has the booking's ID and the header that confirms a refusal, so that it counted as proof; an earlier success behind the booking's ID was passed on with the earlier body. A refusal that breaks off before the booking's own success does the same. The proof is the ID in the head, and a head that two answers wrote has no owner.

Fix: a transport below the adapter turns down a response whose reason phrase or header lines hold a status line; the connection is discarded and the outcome is unknown. A status line behind the break is what every such mixture has in common. Mixed interim responses are not forwarded, probes drop their connection too.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -45,7 +45,8 @@
 	if !errors.As(err, &rejected) {
 		return
 	}
-	if rejected.Reason == callheader.RejectedStale || rejected.RequestID != c.id {
+	isOwn := rejected.RequestID == c.id && rejected.Reason != callheader.RejectedStale
+	if !isOwn {
 		c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
 		trace.discardConn()
 	}
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -136,6 +136,7 @@
 	}))
 	response, err := t.roundTripper.RoundTrip(request)
 	if err != nil {
+		trace.discardConn()
 		return loadbalancer.ProbeResult{}, false
 	}
 	defer func() { _ = response.Body.Close() }()
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -42,7 +42,7 @@
 	base           *http.Transport
 	// openConns counts the open connections.
 	openConns atomic.Int64
-	// roundTripper sends calls; it is base or a wrapper around it.
+	// roundTripper sends calls through base.
 	roundTripper http.RoundTripper
 }
 
@@ -64,9 +64,9 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		Proxy:                  nil,
 	}
-	t.roundTripper = t.base
+	t.roundTripper = headChecker{next: t.base}
 	if wrap != nil {
-		t.roundTripper = wrap(t.base)
+		t.roundTripper = wrap(t.roundTripper)
 	}
 	return t
 }
