drain: a call that could be cut off at the end of a planned stop is not sent

Cause: nothing compared what is left of the stop with what a call may take. Everything that was read was sent, up to the moment at which the connections are cut off.

Fix: internal/drain decides without a clock. A call whose deadline ends before the cut is sent; one that came in the first half of the stop is sent while its latency objective is left; any other is refused at once with the new reason "stopping": not run, Retry-After, connection closed. It is asked when a call arrives and before each send, retries and hedges included. A shorter deadline for late sends would not do: giving up on an upstream at work tells the caller nothing.

--- a/cmd/figfront-admin/main.go
+++ b/cmd/figfront-admin/main.go
@@ -54,7 +54,7 @@
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error {
 		defer cancelWork()
-		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, 0, stopTimeout)
+		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{Drain: stopTimeout})
 	})
 	return group.Wait()
 }
--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -36,7 +36,7 @@
 	g := gateway.New(gateway.Options{
 		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize, MaxCalls: settings.MaxCalls,
 		Log: parts.Log, Counters: parts.Counters, Claims: claims, Table: store, Objects: store,
-		Seed: uint64(time.Now().UnixNano()),
+		Seed: uint64(time.Now().UnixNano()), StopWindow: parts.Lifecycle.StopWindow,
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
 	if err != nil {
@@ -62,7 +62,9 @@
 	group.Go(func() error { return g.DeliverUploads(deliveryCtx) })
 	group.Go(func() error {
 		defer cancelWork()
-		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, settings.StopLag, settings.StopTimeout)
+		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{
+			Lag: settings.StopLag, Drain: settings.StopTimeout,
+		})
 	})
 	return group.Wait()
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -124,7 +124,7 @@
 	})
 	e.suspects = e.newSuspectStore()
 	e.gateway = gateway.New(gateway.Options{
-		OnSuspectChange: e.suspects.Wake,
+		OnSuspectChange: e.suspects.Wake, StopWindow: parts.Lifecycle.StopWindow,
 		OnHoldOff: func(service, address string, h tunnel.HoldOff) {
 			e.tunnels.TellHoldOff(service, address, h)
 		},
@@ -194,7 +194,9 @@
 			e.dispatch.Close()
 		})
 		drainTimeout := max(e.settings.StopTimeout-e.settings.StopLag-stopReserve, 0)
-		return e.parts.Lifecycle.StopOnDone(ctx, workCtx, server, e.settings.StopLag, drainTimeout)
+		return e.parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{
+			Lag: e.settings.StopLag, Drain: drainTimeout, Exit: stopReserve,
+		})
 	})
 	err = group.Wait()
 	e.parts.Log.Info("stop")
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -144,6 +144,9 @@
 func (c *call) serve(to route) {
 	c.route = to
 	c.setDeadline(to.rule.settings.Deadline)
+	if c.refuseIfStopping() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/merge"
 	"github.com/figfront/figfront/internal/dispatch"
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/retry"
@@ -72,6 +73,9 @@
 	// Claims stores the claims of bookings with an idempotency key; if it is
 	// nil, such bookings are refused.
 	Claims *claim.Store
+	// StopWindow returns the window of the planned stop of this process; false if it was not
+	// asked to stop. Nil means that it never is.
+	StopWindow func() (drain.Window, bool)
 	// Now returns the wall clock time; nil means time.Now.
 	Now func() time.Time
 }
@@ -108,6 +112,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.StopWindow == nil {
+		options.StopWindow = func() (drain.Window, bool) { return drain.Window{}, false }
+	}
 	if options.MaxCalls == 0 {
 		options.MaxCalls = defaultMaxCalls
 	}
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -159,6 +159,9 @@
 			"the call was sent to as many upstreams as its route allows").WithRetryAfter(retryAfter)
 		return send{}, &p
 	}
+	if problem := c.stopProblem(); problem != nil {
+		return send{}, problem
+	}
 	sent, problem := c.chooseSend(kind)
 	if problem != nil {
 		return send{}, problem
--- a/internal/gateway/sitecall.go
+++ b/internal/gateway/sitecall.go
@@ -25,6 +25,9 @@
 		return
 	}
 	c.setDeadline(to.rule.settings.Deadline)
+	if c.refuseIfStopping() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(c.r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -52,6 +52,7 @@
 	Quarantined       Reason = "quarantined"
 	SuspectBusy       Reason = "suspect_busy"
 	UpstreamsResting  Reason = "upstreams_resting"
+	Stopping          Reason = "stopping"
 )
 
 // Reasons lists every Reason.
@@ -59,5 +60,5 @@
 	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
 	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
 	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
-	RateLimited, Quarantined, SuspectBusy, UpstreamsResting,
+	RateLimited, Quarantined, SuspectBusy, UpstreamsResting, Stopping,
 }
--- a/internal/process/lifecycle.go
+++ b/internal/process/lifecycle.go
@@ -7,6 +7,7 @@
 
 	"github.com/figfront/figfront/charts"
 	"github.com/figfront/figfront/internal/chart"
+	"github.com/figfront/figfront/internal/drain"
 )
 
 // Events and states of the state machine in charts/process.ini.
@@ -28,6 +29,8 @@
 
 	mu      sync.Mutex
 	machine *chart.Machine
+	// stop is the window of the stop; nil before it begins.
+	stop *drain.Window
 }
 
 // NewLifecycle returns a Lifecycle in the state starting. It returns an error if any
@@ -70,3 +73,22 @@
 func (l *Lifecycle) IsReady() bool {
 	return l.State() == stateReady
 }
+
+// beginStop records the window of the stop that begins.
+func (l *Lifecycle) beginStop(w drain.Window) {
+	l.mu.Lock()
+	l.stop = &w
+	l.mu.Unlock()
+	l.fire(eventStopRequested)
+}
+
+// StopWindow returns the window of the planned stop; false if the process was not asked to
+// stop.
+func (l *Lifecycle) StopWindow() (drain.Window, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.stop == nil {
+		return drain.Window{}, false
+	}
+	return *l.stop, true
+}
--- a/internal/process/parts.go
+++ b/internal/process/parts.go
@@ -58,10 +58,10 @@
 // StopOnDone waits until ctx or workCtx is done and then stops the server with Stop.
 // ctx is done when the process has been asked to stop, workCtx when a component of the
 // process has failed.
-func (l *Lifecycle) StopOnDone(ctx, workCtx context.Context, server *Server, lag, timeout time.Duration) error {
+func (l *Lifecycle) StopOnDone(ctx, workCtx context.Context, server *Server, times StopTimes) error {
 	select {
 	case <-ctx.Done():
 	case <-workCtx.Done():
 	}
-	return l.Stop(server, lag, timeout)
+	return l.Stop(server, times)
 }
--- a/internal/process/server.go
+++ b/internal/process/server.go
@@ -11,6 +11,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/figfront/figfront/internal/config/static"
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -66,17 +67,27 @@
 	return r
 }
 
+// StopTimes are the durations of a graceful shutdown.
+type StopTimes struct {
+	// Lag is the time that the platform's balancer needs to notice that the process is not
+	// ready.
+	Lag time.Duration
+	// Drain limits the time for finishing the calls after Lag.
+	Drain time.Duration
+	// Exit is the time that remains for ending the process; 0 if it is not limited.
+	Exit time.Duration
+}
+
 // Stop shuts the server down gracefully. The process reports that it is not ready
-// and keeps serving for lag, the time that the platform's balancer needs to notice.
-// It then accepts no new connections, serves the calls on the open ones and closes
-// each connection once it is idle. Connections that are still open after timeout
-// are cut off, and Stop returns an error.
-func (l *Lifecycle) Stop(server *Server, lag, timeout time.Duration) error {
-	l.fire(eventStopRequested)
+// and keeps serving for times.Lag. It then accepts no new connections, serves the calls on
+// the open ones and closes each connection once it is idle. Connections that are still open
+// after times.Drain are cut off, and Stop returns an error.
+func (l *Lifecycle) Stop(server *Server, times StopTimes) error {
+	l.beginStop(drain.NewWindow(time.Now(), times.Lag+times.Drain, times.Exit))
 	server.conns.enableCloseAfterResponse()
-	time.Sleep(lag)
+	time.Sleep(times.Lag)
 	l.fire(eventLagPassed)
-	if openCount := server.conns.drain(timeout); openCount > 0 {
+	if openCount := server.conns.drain(times.Drain); openCount > 0 {
 		l.fire(eventStopTimeout)
 		_ = server.Close()
 		return errors.Errorf("%d connections were still in use and were cut off", openCount)
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -70,7 +70,7 @@
 }
 
 func (s *testServer) stop() {
-	go func() { s.stopped <- s.lifecycle.Stop(s.server, lag, timeout) }()
+	go func() { s.stopped <- s.lifecycle.Stop(s.server, process.StopTimes{Lag: lag, Drain: timeout}) }()
 }
 
 // withTestServer runs a test in a synctest bubble with a server that is ready.
