--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -20,6 +20,7 @@
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/config/site"
 	"github.com/figfront/figfront/internal/dispatch"
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/gateway"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
@@ -37,6 +38,8 @@
 	client   *http.Client
 	servers  []*http.Server
 	log      spectest.Buffer
+	// stop is the window of the VM's planned stop; nil before it.
+	stop atomic.Pointer[drain.Window]
 
 	mu       sync.Mutex
 	received map[string]int
@@ -76,6 +79,15 @@
 	}
 }
 
+// stopWindow is the gateway's option of this name.
+func (env *siteTestEnv) stopWindow() (drain.Window, bool) {
+	w := env.stop.Load()
+	if w == nil {
+		return drain.Window{}, false
+	}
+	return *w, true
+}
+
 // withSiteTestEnv runs a test with two upstreams per service, which serve calls
 // with handler.
 func withSiteTestEnv(t *testing.T, handler func(env *siteTestEnv, w http.ResponseWriter, r *http.Request), run func(g *WithT, env *siteTestEnv)) {
@@ -86,7 +98,8 @@
 		env.gateway = gateway.New(gateway.Options{
 			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &env.log), Counters: env.counters, Dial: env.network.Dial, Seed: 1,
 			RetryLimits: retry.Limits{Share: 0.1}, ProbesPerUpstream: siteProbesPerSecond,
-			Router: dispatch.NewRouter(selfCoordinator, nil, hclog.NewNullLogger(), env.counters),
+			Router:     dispatch.NewRouter(selfCoordinator, nil, hclog.NewNullLogger(), env.counters),
+			StopWindow: env.stopWindow,
 		})
 		env.servers = append(env.servers, env.network.Serve(gatewayAddress, env.gateway))
 		for _, u := range siteUpstreams() {
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/quarantine"
 )
@@ -156,6 +157,17 @@
 			expectNoSend(g, line)
 			g.Expect(line.Duration).To(BeNumerically("<", 1000), "microseconds")
 		}},
+		outcome.Stopping: {
+			setUp: func(_ *WithT, env *siteTestEnv) {
+				env.applySite()
+				w := drain.NewWindow(time.Now().Add(-time.Minute), time.Minute+siteTimeout/2, 0)
+				env.stop.Store(&w)
+			},
+			check: func(g *WithT, line callLine) {
+				g.Expect(line.Sends).To(BeEmpty())
+				g.Expect(line.Outcome).To(Equal(outcome.NotRun))
+			},
+		},
 		outcome.UpstreamFailed: {upstream: abortsConnection, check: func(g *WithT, line callLine) {
 			expectOneSend(g, line, outcome.UpstreamFailed)
 			g.Expect(line.NotResent).To(Equal("may_have_run"))
