--- a/cmd/figfront-soak/main.go
+++ b/cmd/figfront-soak/main.go
@@ -35,6 +35,7 @@
 	Deadly   bool          `help:"Send requests that end the servers that run them." default:"true" negatable:""`
 	Asks     bool          `help:"Let servers ask for rest, or say in their answers that they leave." default:"true" negatable:""`
 	Silent   bool          `help:"Let servers leave without a report, also before the store is away." default:"true" negatable:""`
+	Heads    bool          `help:"Let servers break off within the head of a response, and send another behind it." default:"true" negatable:""`
 	Untimed  bool          `help:"Check only promises that have no time."`
 	Verbose  bool          `help:"Print each fault." short:"v"`
 }
@@ -75,7 +76,7 @@
 			result, err := soak.Execute(ctx, soak.Options{
 				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm,
 				CheckTimed: !args.Untimed, Callers: args.Callers, Only: args.Only, StoreRestores: args.Restores, RateLimits: args.Limits, LinkLosses: args.Links,
-				DeadlyRequests: args.Deadly, Asks: args.Asks, SilentLeaves: args.Silent, Log: log,
+				DeadlyRequests: args.Deadly, Asks: args.Asks, SilentLeaves: args.Silent, BrokenHeads: args.Heads, Log: log,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -105,6 +105,13 @@
 	askFaults   = []fault{{"server asks for rest", askForRest}, {"server says that it leaves", sayLeaving}}
 )
 
+// headFaults are added to the selected kinds of a run with Options.BrokenHeads.
+var headFaults = []fault{
+	{"servers break off in a head", serverBehavior(sitetest.CutHead)},
+	{"servers refuse in the head of a success", serverBehavior(sitetest.MixRefusal)},
+	{"servers repeat a success in a head", serverBehavior(sitetest.MixSuccess)},
+}
+
 // restart starts the process of a VM again.
 func restart(v *VM) {
 	// Start fails only if the machine is out of resources; requests to this VM
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -68,6 +68,9 @@
 	// SilentLeaves adds servers that leave without a report, also before an outage of the
 	// store, to the faults.
 	SilentLeaves bool
+	// BrokenHeads adds servers that break off within the head of a response, and send another
+	// one behind it, to the faults.
+	BrokenHeads bool
 	// Log receives a line for each fault.
 	Log io.Writer
 }
@@ -253,6 +256,7 @@
 		{run.options.DeadlyRequests, []fault{deadlyFault}},
 		{run.options.Asks, askFaults},
 		{run.options.SilentLeaves, silentLeaveFaults},
+		{run.options.BrokenHeads, headFaults},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -41,6 +41,7 @@
 	"deadly requests and asking servers": func(o *soak.Options) {
 		o.Only, o.DeadlyRequests, o.Asks = "server", true, true
 	},
+	"servers break off within heads": func(o *soak.Options) { o.Only, o.BrokenHeads = " head", true },
 	"servers leave without a report": func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
 }
 
