--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -206,6 +206,31 @@
 	}
 }
 
+// kinds returns the kinds of faults of the run.
+func (run *Run) kinds(random *rand.Rand) []fault {
+	kinds := pickKinds(random, run.options.Only)
+	optional := []struct {
+		isEnabled bool
+		faults    []fault
+	}{
+		{run.options.StoreRestores, []fault{restoreFault}},
+		{run.options.LinkLosses, linkFaults},
+		{run.options.RateLimits, []fault{rateLimitFault}},
+		{run.options.DeadlyRequests, []fault{deadlyFault}},
+		{run.options.Asks, askFaults},
+		{run.options.SilentLeaves, silentLeaveFaults},
+		{run.options.BrokenHeads, headFaults},
+	}
+	for _, o := range optional {
+		for _, f := range o.faults {
+			if o.isEnabled && f.matches(run.options.Only) {
+				kinds = append(kinds, f)
+			}
+		}
+	}
+	return kinds
+}
+
 // minKinds is the smallest number of kinds of faults in a run.
 const minKinds = 3
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -243,31 +243,6 @@
 	return injected
 }
 
-// kinds returns the kinds of faults of the run.
-func (run *Run) kinds(random *rand.Rand) []fault {
-	kinds := pickKinds(random, run.options.Only)
-	optional := []struct {
-		isEnabled bool
-		faults    []fault
-	}{
-		{run.options.StoreRestores, []fault{restoreFault}},
-		{run.options.LinkLosses, linkFaults},
-		{run.options.RateLimits, []fault{rateLimitFault}},
-		{run.options.DeadlyRequests, []fault{deadlyFault}},
-		{run.options.Asks, askFaults},
-		{run.options.SilentLeaves, silentLeaveFaults},
-		{run.options.BrokenHeads, headFaults},
-	}
-	for _, o := range optional {
-		for _, f := range o.faults {
-			if o.isEnabled && f.matches(run.options.Only) {
-				kinds = append(kinds, f)
-			}
-		}
-	}
-	return kinds
-}
-
 // recordErr keeps the first failure of the run itself. err may be nil.
 func (run *Run) recordErr(err error) {
 	run.mu.Lock()
