Tests: an endless response's end is awaited before its connections are counted

Cause, in the test: the gateway closes the connection before it answers, and the simulated upstream counts it as closed in a goroutine of its own, once its write has failed. Nothing made the test wait for that goroutine.

The check stays as strict: an upstream whose connection is left open is blocked in its write then, and counted.

--- a/internal/gateway/endless_test.go
+++ b/internal/gateway/endless_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 
 	. "github.com/onsi/gomega"
 )
@@ -56,6 +57,7 @@
 				v := env.vm("vm1", teamSettings)
 				a := env.send(request("POST", v, "/t/s/x", strings.NewReader("b")))
 				g.Expect(a.status).NotTo(Equal(http.StatusOK))
+				synctest.Wait()
 				g.Expect(largest.Load()).To(BeNumerically("<=", maxEndlessBytes))
 				g.Expect(open.Load()).To(BeZero(), "open connections")
 			})
