gateway: a call is told as not run only if each of its sends is known not to have run

The state chart of a call had one such place left: in the state "sent" the outcome "not run" was allowed, whether the send had a result or not. A send that is forgotten (no result, or one that comes after the answer) would have been told as not run, with 503.

By reading, no path answers a call with a send pending: bookings are sent one after the other, and hedged lookups wait for all results.

Test: the row "send not accepted" of TestOutcomeFollowsTheChart asserted the gap: a call with a send and no result is told as not run. It is replaced by six stricter rows: with the send's outcome the same call is not run, without it, or with one of two, it is unknown. On the code before, a call with a send and no result gave "not run", as that row said.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -81,6 +81,7 @@
 func (c *call) attempt(sent send) attemptResult {
 	if c.isPastDeadline() {
 		c.route.service.cancelSend(sent)
+		c.state.endSend(outcome.NotRun)
 		return attemptResult{upstream: sent.choice.Name, outcome: outcome.NotRun, reason: outcome.DeadlinePassed}
 	}
 	return c.roundTrip(c.ctx, sent, c.memoryBody())
@@ -93,9 +94,7 @@
 	index := c.sendLog.begin(sent)
 	result := c.doRoundTrip(ctx, sent, body)
 	c.sendLog.end(index, time.Since(sent.started), result)
-	if result.outcome != outcome.NotRun {
-		c.state.fire(eventMayHaveRun)
-	}
+	c.state.endSend(result.outcome)
 	return result
 }
 
--- a/internal/gateway/callstate.go
+++ b/internal/gateway/callstate.go
@@ -12,6 +12,7 @@
 const (
 	eventAdmitted     chart.Event = "admitted"
 	eventSent         chart.Event = "sent"
+	eventNoneRan      chart.Event = "none_ran"
 	eventMayHaveRun   chart.Event = "may_have_run"
 	eventToldRan      chart.Event = "told_ran"
 	eventToldNotRun   chart.Event = "told_not_run"
@@ -27,6 +28,8 @@
 type callState struct {
 	mu      sync.Mutex
 	machine *chart.Machine
+	// pending is the number of sends that have begun and have no result yet.
+	pending int
 }
 
 func newCallState() *callState {
@@ -41,6 +44,27 @@
 	_, _ = s.machine.Fire(event)
 }
 
+// beginSend records that a send begins.
+func (s *callState) beginSend() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending++
+	_, _ = s.machine.Fire(eventSent)
+}
+
+// endSend records the outcome of a send.
+func (s *callState) endSend(out outcome.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pending--
+	switch {
+	case out != outcome.NotRun:
+		_, _ = s.machine.Fire(eventMayHaveRun)
+	case s.pending == 0:
+		_, _ = s.machine.Fire(eventNoneRan)
+	}
+}
+
 // conclude moves the call to a final state and returns the outcome to report to
 // the caller: out if the chart allows it, otherwise Unknown. The second result
 // is false when out had to be replaced.
--- a/internal/gateway/callstate_test.go
+++ b/internal/gateway/callstate_test.go
@@ -13,30 +13,43 @@
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
-// TestOutcomeFollowsTheChart checks for sequences of events which outcome is
+// TestOutcomeFollowsTheChart checks for sequences of steps which outcome is
 // reported to the caller.
 func TestOutcomeFollowsTheChart(t *testing.T) {
+	admitted := func(s *callState) { s.fire(eventAdmitted) }
+	begin := (*callState).beginSend
+	end := func(out outcome.Outcome) func(*callState) {
+		return func(s *callState) { s.endSend(out) }
+	}
+	shed, lost := end(outcome.NotRun), end(outcome.Unknown)
 	for _, test := range []struct {
 		name      string
-		events    []chart.Event
+		steps     []func(*callState)
 		requested outcome.Outcome
 		want      outcome.Outcome
 	}{
 		{"refused on arrival", nil, outcome.NotRun, outcome.NotRun},
-		{"send not accepted", []chart.Event{eventAdmitted, eventSent}, outcome.NotRun, outcome.NotRun},
-		{"answered", []chart.Event{eventAdmitted, eventSent}, outcome.Ran, outcome.Ran},
-		{"lost", []chart.Event{eventAdmitted, eventSent, eventMayHaveRun}, outcome.Unknown, outcome.Unknown},
-		{"lost, then shed", []chart.Event{eventAdmitted, eventSent, eventMayHaveRun, eventSent}, outcome.NotRun, outcome.Unknown},
-		{"lost, then answered", []chart.Event{eventAdmitted, eventSent, eventMayHaveRun, eventSent}, outcome.Ran, outcome.Ran},
-		{"lost, then stored", []chart.Event{eventAdmitted, eventSent, eventMayHaveRun}, outcome.Accepted, outcome.Accepted},
-		{"retry of a booking that ran", []chart.Event{eventAdmitted}, outcome.Ran, outcome.Ran},
-		{"retry of a lost booking", []chart.Event{eventAdmitted}, outcome.Unknown, outcome.Unknown},
+		{"not sent", steps(admitted), outcome.NotRun, outcome.NotRun},
+		{"send not accepted", steps(admitted, begin, shed), outcome.NotRun, outcome.NotRun},
+		{"send without a result", steps(admitted, begin), outcome.NotRun, outcome.Unknown},
+		{"shed, second send without a result", steps(admitted, begin, shed, begin), outcome.NotRun, outcome.Unknown},
+		{"one of two sends without a result", steps(admitted, begin, begin, shed), outcome.NotRun, outcome.Unknown},
+		{"both sends shed", steps(admitted, begin, begin, shed, shed), outcome.NotRun, outcome.NotRun},
+		{"one of two sends lost", steps(admitted, begin, begin, lost, shed), outcome.NotRun, outcome.Unknown},
+		{"answered", steps(admitted, begin), outcome.Ran, outcome.Ran},
+		{"lost", steps(admitted, begin, lost), outcome.Unknown, outcome.Unknown},
+		{"lost, then shed", steps(admitted, begin, lost, begin, shed), outcome.NotRun, outcome.Unknown},
+		{"lost, then answered", steps(admitted, begin, lost, begin), outcome.Ran, outcome.Ran},
+		{"lost, then stored", steps(admitted, begin, lost), outcome.Accepted, outcome.Accepted},
+		{"shed, then stored", steps(admitted, begin, shed), outcome.Accepted, outcome.Accepted},
+		{"retry of a booking that ran", steps(admitted), outcome.Ran, outcome.Ran},
+		{"retry of a lost booking", steps(admitted), outcome.Unknown, outcome.Unknown},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			g := NewWithT(t)
 			s := newCallState()
-			for _, event := range test.events {
-				s.fire(event)
+			for _, step := range test.steps {
+				step(s)
 			}
 			got, isUnchanged := s.conclude(test.requested)
 			g.Expect(got).To(Equal(test.want))
@@ -45,16 +58,20 @@
 	}
 }
 
+func steps(s ...func(*callState)) []func(*callState) { return s }
+
 // TestEventAfterTheOutcomeHasNoEffect: an event from an abandoned send after the
 // outcome was reported does not change the state.
 func TestEventAfterTheOutcomeHasNoEffect(t *testing.T) {
 	g := NewWithT(t)
 	s := newCallState()
 	s.fire(eventAdmitted)
-	s.fire(eventSent)
+	s.beginSend()
+	s.beginSend()
 	got, _ := s.conclude(outcome.Ran)
 	g.Expect(got).To(Equal(outcome.Ran))
-	s.fire(eventMayHaveRun)
+	s.endSend(outcome.Unknown)
+	s.endSend(outcome.NotRun)
 	g.Expect(s.machine.State()).To(Equal(chart.State("ran")))
 }
 
@@ -67,8 +84,8 @@
 	c := newCall(&Gateway{options: Options{Counters: counters, Log: hclog.NewNullLogger()}}, w,
 		httptest.NewRequest(http.MethodPost, "/t/s/x", nil))
 	c.state.fire(eventAdmitted)
-	c.state.fire(eventSent)
-	c.state.fire(eventMayHaveRun)
+	c.state.beginSend()
+	c.state.endSend(outcome.Unknown)
 	c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.NoUpstream, ""))
 	g.Expect(w.Header().Get(outcome.HeaderOutcome)).To(Equal(string(outcome.Unknown)))
 	g.Expect(w.Code).To(Equal(http.StatusBadGateway))
--- a/internal/gateway/retries.go
+++ b/internal/gateway/retries.go
@@ -168,7 +168,7 @@
 	}
 	sent.traffic = c.route.rule.settings.Traffic
 	c.attempts++
-	c.state.fire(eventSent)
+	c.state.beginSend()
 	c.tried = append(c.tried, sent.choice.Name)
 	c.gateway.options.Counters.Add(telemetry.GroupAttempts, string(sent.traffic), 1)
 	return sent, nil
