gateway: a success that says that the call did not run proves nothing

What callers could see: 503, which promises "not run", for a booking that an upstream answered with a signed 200, 201 or 302 and the header that says that the request was not executed; or the booking sent to a second upstream.

The platform's pages name it for the statuses 503, 429, 421 and 400; with a success it can only come from heads that were mixed in a way that the check for mixed heads doesn't see, or from a faulty upstream.

Such a response is turned down ("contradictory"): 502 with the outcome unknown, not sent again, and its connection is closed.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -19,8 +19,8 @@
 // checkResponse returns a callheader.RejectedError if a response can't be attributed to
 // the call: it arrived before the call was sent, or carries the request ID of another
 // call. A response that says that the call did not run must carry the call's ID, since it
-// could be a late response to another request on the connection. It closes the body of a
-// rejected response.
+// could be a late response to another request on the connection, and the status of a failure.
+// It closes the body of a rejected response.
 func (c *call) checkResponse(trace *sendTrace, response *http.Response) error {
 	id := response.Header.Get(outcome.HeaderRequestID)
 	var reason callheader.Rejection
@@ -31,6 +31,8 @@
 		reason = callheader.RejectedForeignID
 	case id == "" && callheader.IsShed(response.Header):
 		reason = callheader.RejectedNoID
+	case response.StatusCode < http.StatusBadRequest && callheader.IsShed(response.Header):
+		reason = callheader.RejectedContradictory
 	default:
 		return nil
 	}
@@ -45,8 +47,9 @@
 	if !errors.As(err, &rejected) {
 		return
 	}
-	isOwn := rejected.RequestID == c.id && rejected.Reason != callheader.RejectedStale
-	if !isOwn {
+	isOwn := rejected.RequestID == c.id
+	isUnclear := rejected.Reason == callheader.RejectedStale || rejected.Reason == callheader.RejectedContradictory
+	if !isOwn || isUnclear {
 		c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
 		trace.discardConn()
 	}
