gateway: a response with the IDs of two requests proves nothing for either

What callers could see: 503 for a booking that ran, or its second run, when the response names the booking in one line X-Request-Id and another request, or nobody, in a second one.

Such a head comes from two responses that were mixed line by line, which the check for mixed heads can't see, since no status line stands in a value.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -22,7 +22,7 @@
 // could be a late response to another request on the connection, and the status of a failure.
 // It closes the body of a rejected response.
 func (c *call) checkResponse(trace *sendTrace, response *http.Response) error {
-	id := response.Header.Get(outcome.HeaderRequestID)
+	id := c.statedID(response.Header)
 	var reason callheader.Rejection
 	switch {
 	case trace.isStale():
@@ -40,6 +40,17 @@
 	return &callheader.RejectedError{Status: response.StatusCode, Reason: reason, RequestID: id}
 }
 
+// statedID returns the request ID in the header of a response; empty if there is none. Of several
+// IDs the first that isn't the call's is returned: such a response isn't the call's alone.
+func (c *call) statedID(h http.Header) string {
+	for _, id := range h.Values(outcome.HeaderRequestID) {
+		if id != c.id {
+			return id
+		}
+	}
+	return h.Get(outcome.HeaderRequestID)
+}
+
 // discardIfForeign discards the connection of a send whose response was rejected and can't
 // be attributed to the call, whose own response may still arrive on it.
 func (c *call) discardIfForeign(trace *sendTrace, err error) {
