tunnel: a planned stop lets the calls of other VMs through this one end

What callers could see: a VM that has lost its links sends its calls through another VM. When that one is stopped as planned, each call on its way through it was cut as soon as the stopping VM's own connections had ended, about a second after the lag, although the grace lasts longer: 502 with the outcome unknown, also for bookings, and new tunnels were opened until then.

Cause: the stop waited for the connections of the VM's own callers only; the tunnels ended with the work context.

It breaks a tunnel whose last bytes came from the upstream a second ago or more, and its process waits for the others until the cut of the stop. A tunnel is broken and not closed in order: the serving VM can't tell an idle connection from a response that pauses, and an end in order could make one without a length look complete.

Test, two VMs, tunnels and an upstream in virtual time: a call of 3 s through the stopping VM gets its answer, a new tunnel leads through the other VM, and a call that outlives the stop ends it with an error. The call in the process (internal/entry) is shown by no test of its own. Before, there was nothing to call: by reading, the tunnels ended when internal/entry cancelled its work.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -189,20 +189,34 @@
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error {
 		defer cancelWork()
-		context.AfterFunc(ctx, func() {
-			e.mesh.Leave()
-			e.dispatch.Close()
-		})
-		drainTimeout := max(e.settings.StopTimeout-e.settings.StopLag-stopReserve, 0)
-		return e.parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{
-			Lag: e.settings.StopLag, Drain: drainTimeout, Exit: stopReserve,
-		})
+		return e.stopOnDone(ctx, workCtx, server)
 	})
 	err = group.Wait()
 	e.parts.Log.Info("stop")
 	return err
 }
 
+// stopOnDone stops the VM gracefully once ctx is done: its own callers and the other VMs whose
+// calls lead through it may end theirs until the stop is over.
+func (e *entry) stopOnDone(ctx, workCtx context.Context, server *process.Server) error {
+	drainTimeout := max(e.settings.StopTimeout-e.settings.StopLag-stopReserve, 0)
+	tunnelsDrained := make(chan error, 1)
+	context.AfterFunc(ctx, func() {
+		e.mesh.Leave()
+		e.dispatch.Close()
+		drainCtx, cancel := context.WithTimeout(workCtx, e.settings.StopLag+drainTimeout)
+		defer cancel()
+		tunnelsDrained <- e.tunnels.Drain(drainCtx)
+	})
+	err := e.parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{
+		Lag: e.settings.StopLag, Drain: drainTimeout, Exit: stopReserve,
+	})
+	if err != nil || ctx.Err() == nil {
+		return err
+	}
+	return <-tunnelsDrained
+}
+
 // reload applies changed settings. Only the address of the store takes effect
 // without a restart.
 func (e *entry) reload(settings *static.Entry) {
--- /dev/null
+++ b/internal/tunnel/drain.go
@@ -0,0 +1,88 @@
+package tunnel
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/wait"
+)
+
+const (
+	// quietTime is how long nothing must have been passed on for a tunnel to count as idle.
+	quietTime = time.Second
+	// drainInterval is the time between two looks at the tunnels while a Server is drained.
+	drainInterval = 50 * time.Millisecond
+)
+
+// activity tells whether a tunnel carries a call: bytes went to the upstream, and none came back
+// since. It is safe for concurrent use.
+type activity struct {
+	mu sync.Mutex
+	// isAwaiting means that the last bytes went to the upstream.
+	isAwaiting bool
+	// last is when bytes were last passed on, or when the tunnel was opened.
+	last time.Time
+	// hasEnded means that nothing may be sent to the upstream any more.
+	hasEnded bool
+}
+
+// send records that bytes go to the upstream. It returns false if they must not, since the
+// tunnel has ended.
+func (a *activity) send() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.hasEnded {
+		return false
+	}
+	a.isAwaiting = true
+	a.last = time.Now()
+	return true
+}
+
+// receive records that bytes came from the upstream.
+func (a *activity) receive() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.isAwaiting = false
+	a.last = time.Now()
+}
+
+// endIfIdle ends the tunnel if it carries no call, and reports whether it has ended.
+func (a *activity) endIfIdle() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	isIdle := !a.isAwaiting && time.Since(a.last) >= quietTime
+	a.hasEnded = a.hasEnded || isIdle
+	return a.hasEnded
+}
+
+// Drain refuses new tunnels from now on and closes each open one once it is idle. It returns nil
+// when none is left, and an error when ctx ends before that.
+func (s *Server) Drain(ctx context.Context) error {
+	s.isStopping.Store(true)
+	for {
+		open := s.closeIdle()
+		if open == 0 {
+			return nil
+		}
+		if !wait.For(ctx, drainInterval) {
+			return errors.Errorf("%d tunnels are still in use", open)
+		}
+	}
+}
+
+// closeIdle closes the idle tunnels and returns the number of the open ones.
+func (s *Server) closeIdle() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.tunnels {
+		if t.activity.endIfIdle() {
+			// The tunnel breaks, so that a response that pauses never looks complete.
+			_ = t.upstream.Close()
+		}
+	}
+	return len(s.tunnels)
+}
--- a/internal/tunnel/holdoff.go
+++ b/internal/tunnel/holdoff.go
@@ -1,6 +1,7 @@
 package tunnel
 
 import (
+	"net"
 	"sync"
 	"time"
 
@@ -27,6 +28,8 @@
 // served is a tunnel that this VM serves.
 type served struct {
 	service, address string
+	upstream         net.Conn
+	activity         activity
 
 	// mu serializes the sends to the stream.
 	mu     sync.Mutex
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -39,6 +39,8 @@
 	NotConnected Refusal = "not_connected"
 	// HeldOff means that the upstream asked the VM for no requests.
 	HeldOff Refusal = "held_off"
+	// Stopping means that the VM is being stopped.
+	Stopping Refusal = "stopping"
 )
 
 // isOfUpstream reports whether the refusal concerns the upstream and not the VM.
@@ -71,6 +73,8 @@
 	log       hclog.Logger
 	counters  *telemetry.Counters
 	open      atomic.Int64
+	// isStopping means that no new tunnels are opened.
+	isStopping atomic.Bool
 
 	mu      sync.Mutex
 	tunnels map[*served]struct{}
@@ -87,6 +91,9 @@
 	if err != nil {
 		return errors.Wrap(err, "receive")
 	}
+	if s.isStopping.Load() {
+		return s.refuse(stream, RefusedError{Stopping})
+	}
 	if s.open.Add(1) > maxTunnels {
 		s.open.Add(-1)
 		return s.refuse(stream, RefusedError{Full})
@@ -98,15 +105,14 @@
 	}
 	defer func() { _ = upstream.Close() }()
 	s.counters.Add(telemetry.GroupTunnels, "served", 1)
-	t := &served{service: first.GetOpen().GetService(), address: first.GetOpen().GetAddress(), stream: stream}
+	t := &served{service: first.GetOpen().GetService(), address: first.GetOpen().GetAddress(), stream: stream, upstream: upstream}
+	t.activity.receive()
 	defer s.remove(t)
 	if err := s.announce(t); err != nil {
 		return errors.Wrap(err, "send")
 	}
-	go func() {
-		s.receiveInto(t, upstream)
-	}()
-	return sendFrom(upstream, t)
+	go s.receiveInto(t)
+	return sendFrom(t)
 }
 
 // announce adds a tunnel and tells the other VM that it is open. The tunnel is added first, so
@@ -136,8 +142,8 @@
 
 // receiveInto passes what the other VM sends to the upstream. When the tunnel ends it closes
 // the connection to the upstream.
-func (s *Server) receiveInto(t *served, upstream net.Conn) {
-	defer func() { _ = upstream.Close() }()
+func (s *Server) receiveInto(t *served) {
+	defer func() { _ = t.upstream.Close() }()
 	for {
 		frame, err := t.stream.Recv()
 		if err != nil {
@@ -148,7 +154,10 @@
 			s.tellOthers(t, t.service, t.address, decodeHoldOff(h))
 			continue
 		}
-		if _, err := upstream.Write(frame.GetData()); err != nil {
+		if !t.activity.send() {
+			return
+		}
+		if _, err := t.upstream.Write(frame.GetData()); err != nil {
 			return
 		}
 	}
@@ -156,11 +165,12 @@
 
 // sendFrom passes what the upstream sends to the other VM until the connection ends. It
 // returns an error, which breaks the tunnel, unless the upstream closed it in order.
-func sendFrom(upstream net.Conn, t *served) error {
+func sendFrom(t *served) error {
 	buffer := make([]byte, maxFrameBytes)
 	for {
-		n, readErr := upstream.Read(buffer)
+		n, readErr := t.upstream.Read(buffer)
 		if n > 0 {
+			t.activity.receive()
 			if err := t.send(&api.TunnelFrame{Data: buffer[:n]}); err != nil {
 				return errors.Wrap(err, "send")
 			}
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -201,6 +201,63 @@
 	})
 }
 
+// answerAfter answers each piece of bytes with itself after a time, until the other side closes.
+func answerAfter(d time.Duration) func(net.Conn) {
+	return func(conn net.Conn) {
+		buffer := make([]byte, 64)
+		for {
+			n, err := conn.Read(buffer)
+			if err != nil {
+				return
+			}
+			time.Sleep(d)
+			_, _ = conn.Write(buffer[:n])
+		}
+	}
+}
+
+func TestPlannedStopOfTheServingVMCutsNoCallOfATunnel(t *testing.T) {
+	const work, limit = 3 * time.Second, 5 * time.Second
+	withTunnels(t, answerAfter(work), func(g *WithT, client *tunnel.Client, first, _ *servingVM) {
+		conn, err := client.Dial(context.Background(), "s", upstreamAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write([]byte("hello"))
+		g.Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		began := time.Now()
+		drained := make(chan error, 1)
+		go func() { drained <- first.server.Drain(ctx) }()
+		synctest.Wait()
+		other, err := client.Dial(context.Background(), "s", upstreamAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(other.Via()).To(Equal("second"), "no new tunnel through a VM that stops")
+		answer := make([]byte, 5)
+		_, err = io.ReadFull(conn, answer)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(string(answer)).To(Equal("hello"))
+		_, err = conn.Read(answer)
+		g.Expect(err).To(MatchError(tunnel.ErrBroken), "an end that could be that of a response")
+		g.Expect(<-drained).To(Succeed())
+		g.Expect(time.Since(began)).To(BeNumerically("<", limit))
+		_, _ = conn.Close(), other.Close()
+	})
+}
+
+func TestCallOfATunnelThatOutlivesTheStopEndsWithIt(t *testing.T) {
+	const limit = 5 * time.Second
+	withTunnels(t, answerAfter(time.Minute), func(g *WithT, client *tunnel.Client, first, _ *servingVM) {
+		conn, err := client.Dial(context.Background(), "s", upstreamAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = conn.Write([]byte("hello"))
+		g.Expect(err).NotTo(HaveOccurred())
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		g.Expect(first.server.Drain(ctx)).To(MatchError(ContainSubstring("1 tunnels")))
+		_ = conn.Close()
+	})
+}
+
 func TestVMThatDoesNotAnswerDelaysNoTunnel(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
