--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -88,9 +88,12 @@
 	return *w, true
 }
 
+// upstreamHandler serves the calls of an upstream.
+type upstreamHandler func(env *siteTestEnv, w http.ResponseWriter, r *http.Request)
+
 // withSiteTestEnv runs a test with two upstreams per service, which serve calls
 // with handler.
-func withSiteTestEnv(t *testing.T, handler func(env *siteTestEnv, w http.ResponseWriter, r *http.Request), run func(g *WithT, env *siteTestEnv)) {
+func withSiteTestEnv(t *testing.T, handler upstreamHandler, run func(g *WithT, env *siteTestEnv)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		env := &siteTestEnv{network: pipenet.New(), counters: telemetry.NewCounters(), received: make(map[string]int)}
@@ -128,7 +131,7 @@
 
 // upstream serves calls with handler and counts them. Responses carry the ID of the call
 // unless handler changes it. Probes are answered at once.
-func (env *siteTestEnv) upstream(u site.Upstream, handler func(*siteTestEnv, http.ResponseWriter, *http.Request)) http.Handler {
+func (env *siteTestEnv) upstream(u site.Upstream, handler upstreamHandler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(callheader.Load, callheader.Report{Slowness: 1}.String())
 		w.Header().Set(outcome.HeaderRequestID, r.Header.Get(outcome.HeaderRequestID))
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -85,7 +85,7 @@
 // failedCall is a way in which a call of a site fails and its expected log line.
 type failedCall struct {
 	// upstream serves calls; nil means respondAtOnce.
-	upstream func(env *siteTestEnv, w http.ResponseWriter, r *http.Request)
+	upstream upstreamHandler
 	// setUp configures the site; nil means applySite.
 	setUp func(g *WithT, env *siteTestEnv)
 	// send makes the call; nil means a booking with the ID.
@@ -94,6 +94,20 @@
 	check func(g *WithT, line callLine)
 }
 
+// play configures the site and makes the call.
+func (f failedCall) play(g *WithT, env *siteTestEnv, id string) {
+	if f.setUp != nil {
+		f.setUp(g, env)
+	} else {
+		env.applySite()
+	}
+	if f.send != nil {
+		f.send(g, env, id)
+		return
+	}
+	env.callAs(id, http.MethodPost, "/book/1", "x")
+}
+
 // failedCalls returns a failing call for each reason that a site reports.
 func failedCalls() map[outcome.Reason]failedCall {
 	return map[outcome.Reason]failedCall{
@@ -214,17 +228,8 @@
 				upstream = respondAtOnce
 			}
 			withSiteTestEnv(t, upstream, func(g *WithT, env *siteTestEnv) {
-				if failing.setUp != nil {
-					failing.setUp(g, env)
-				} else {
-					env.applySite()
-				}
 				id := "id-" + string(reason)
-				if failing.send != nil {
-					failing.send(g, env, id)
-				} else {
-					env.callAs(id, http.MethodPost, "/book/1", "x")
-				}
+				failing.play(g, env, id)
 				time.Sleep(10 * time.Millisecond)
 				line := env.callLine(g, id)
 				if line.Refusal == nil || line.Refusal.Reason != reason {
