--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -5,8 +5,8 @@
 	"go/ast"
 	"go/parser"
 	"go/token"
-	"io/fs"
 	"net/http"
+	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -58,16 +58,19 @@
 	g := NewWithT(t)
 	found := make(map[string]bool)
 	for _, dir := range []string{"internal/gateway", "internal/process", "internal/entry", "internal/outcome", "platform"} {
-		isCode := func(info fs.FileInfo) bool { return !strings.HasSuffix(info.Name(), "_test.go") }
-		packages, err := parser.ParseDir(token.NewFileSet(), "../../"+dir, isCode, 0)
+		files, err := filepath.Glob("../../" + dir + "/*.go")
 		g.Expect(err).NotTo(HaveOccurred())
-		for _, p := range packages {
-			ast.Inspect(p, func(n ast.Node) bool {
-				if f, ok := n.(*ast.FuncDecl); ok && choosesStatus(f) {
+		for _, name := range files {
+			if strings.HasSuffix(name, "_test.go") {
+				continue
+			}
+			file, err := parser.ParseFile(token.NewFileSet(), name, nil, 0)
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, declaration := range file.Decls {
+				if f, ok := declaration.(*ast.FuncDecl); ok && choosesStatus(f) {
 					found[dir+" "+functionName(f)] = true
 				}
-				return true
-			})
+			}
 		}
 	}
 	for place := range found {
