soak: servers repeat answers of all kinds and answer wrongly, and what each met is counted

The servers of the soak repeated refusals only and never wrote the next request's own answer behind a copy, had two slots, and a run didn't tell how many requests its faults had met, so that a run without a broken promise could have shown nothing.

Each result counts by behavior the requests that met it (met), also for the faults of before.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -112,6 +112,20 @@
 	{"servers repeat a success in a head", serverBehavior(sitetest.MixSuccess)},
 }
 
+// answerFaults are added to the selected kinds of a run with Options.WrongAnswers.
+var answerFaults = []fault{
+	{"servers repeat answers, refusals at once", serverBehavior(sitetest.RepeatRefusalAtOnce)},
+	{"servers repeat answers, refusals before the next", serverBehavior(sitetest.RepeatRefusalBetween)},
+	{"servers repeat answers, successes before the next", serverBehavior(sitetest.RepeatSuccess)},
+	{"servers repeat answers, health checks before the next", serverBehavior(sitetest.RepeatProbeSuccess)},
+	{"servers answer as to another request", serverBehavior(sitetest.RefuseAsOther)},
+	{"servers answer without an ID", serverBehavior(sitetest.RefuseNameless)},
+	{"servers answer with the ID in capitals", serverBehavior(sitetest.RefuseInCapitals)},
+	{"servers answer before the body", serverBehavior(sitetest.RefuseEarly)},
+	{"servers answer with a reset when full", serverBehavior(sitetest.ResetWhenFull)},
+	{"server starts again under its name", serverFault(func(run *Run, m *member) error { return run.fleet.startAgain(m) })},
+}
+
 // restart starts the process of a VM again.
 func restart(v *VM) {
 	// Start fails only if the machine is out of resources; requests to this VM
@@ -220,6 +234,7 @@
 		{run.options.Asks, askFaults},
 		{run.options.SilentLeaves, silentLeaveFaults},
 		{run.options.BrokenHeads, headFaults},
+		{run.options.WrongAnswers, answerFaults},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -71,6 +71,11 @@
 	// BrokenHeads adds servers that break off within the head of a response, and send another
 	// one behind it, to the faults.
 	BrokenHeads bool
+	// WrongAnswers adds servers that repeat answers, or answer as to another request, before the
+	// body or with a reset, and servers that start again under their names, to the faults.
+	WrongAnswers bool
+	// Slots is the number of slots of each server, at least 1.
+	Slots int
 	// Log receives a line for each fault.
 	Log io.Writer
 }
@@ -78,11 +83,13 @@
 // Result is the result of a run. Faults counts the injected faults, Requests the requests
 // that got a response or an error, and Served those that succeeded.
 type Result struct {
-	Seed       uint64      `json:"seed"`
-	Faults     int         `json:"faults"`
-	Requests   int         `json:"requests"`
-	Served     int         `json:"served"`
-	Violations []Violation `json:"violations"`
+	Seed     uint64 `json:"seed"`
+	Faults   int    `json:"faults"`
+	Requests int    `json:"requests"`
+	Served   int    `json:"served"`
+	// Met counts the requests that met each faulty behavior of servers, by its name.
+	Met        map[string]int `json:"met,omitempty"`
+	Violations []Violation    `json:"violations"`
 	// Dir is the directory of the processes' logs; it is kept only if a guarantee was
 	// broken or the run failed.
 	Dir string `json:"dir,omitempty"`
@@ -114,13 +121,16 @@
 	}
 	random := rand.New(rand.NewPCG(options.Seed, 0))
 	run := &Run{options: options, store: storetest.New(), ledger: NewLedger(), startedAt: time.Now()}
-	run.fleet = newFleet(run.store, run.ledger, rand.New(rand.NewPCG(options.Seed, 1)))
+	run.fleet = newFleet(run.store, run.ledger, rand.New(rand.NewPCG(options.Seed, 1)), options.Slots)
 	storeServer := httptest.NewServer(run.store.Handler())
 	defer storeServer.CloseClientConnections()
 	injected, err := run.execute(ctx, random, vmOptions{binary: options.Binary, dir: dir, host: nextLoopbackHost(), store: storeServer.Listener.Addr().String()})
 	run.stopAll()
 	finished, served := run.ledger.counts()
-	result := Result{Seed: options.Seed, Faults: injected, Requests: finished, Served: served, Violations: run.ledger.Violations()}
+	result := Result{
+		Seed: options.Seed, Faults: injected, Requests: finished, Served: served, Met: run.fleet.metCounts(),
+		Violations: run.ledger.Violations(),
+	}
 	if err == nil {
 		err = run.err
 	}
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -26,6 +26,12 @@
 // callers is the number of callers for each VM.
 const callers = 4
 
+// fewSlots and manySlots are numbers of slots of a server; with many, sends of one VM overlap.
+const (
+	fewSlots  = 2
+	manySlots = 16
+)
+
 // shortRun and shortCalm are how long a run in CI injects faults, and how long it runs
 // without faults before and after.
 const (
@@ -42,7 +48,11 @@
 		o.Only, o.DeadlyRequests, o.Asks = "server", true, true
 	},
 	"servers break off within heads": func(o *soak.Options) { o.Only, o.BrokenHeads = " head", true },
-	"servers leave without a report": func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
+	"servers repeat answers or answer wrongly": func(o *soak.Options) {
+		o.Only, o.WrongAnswers, o.Slots = "answer", true, manySlots
+	},
+	"server starts again under its name": func(o *soak.Options) { o.Only, o.WrongAnswers = "under its name", true },
+	"servers leave without a report":     func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
 }
 
 // TestGuaranteesUnderFaults executes a short run with chosen faults and of each regression
@@ -52,7 +62,7 @@
 	binary := filepath.Join(t.TempDir(), "figfront-entry")
 	output, err := exec.Command("go", "build", "-o", binary, "../../cmd/figfront-entry").CombinedOutput()
 	g.Expect(err).NotTo(HaveOccurred(), string(output))
-	options := soak.Options{Binary: binary, Duration: shortRun, Calm: shortCalm, Callers: callers, Log: io.Discard}
+	options := soak.Options{Binary: binary, Duration: shortRun, Calm: shortCalm, Callers: callers, Slots: fewSlots, Log: io.Discard}
 	for name, choose := range chosenFaults {
 		t.Run(name, func(t *testing.T) {
 			chosen := options
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,7 +29,6 @@
 // Number and properties of the servers.
 const (
 	serverCount = 6
-	serverSlots = 2
 	// serviceTime is how long a server takes for a request.
 	serviceTime = 25 * time.Millisecond
 	// lingerTime is how long a leaving server keeps serving after drainBound.
@@ -42,9 +44,13 @@
 type fleet struct {
 	store  *storetest.Store
 	ledger *Ledger
+	// slots is the number of slots of each server.
+	slots int
 
 	mu     sync.Mutex
 	random *rand.Rand
+	// met counts the requests that met a faulty behavior, by its name.
+	met map[string]int
 	// rates holds the probability of each behavior other than Serve.
 	rates   map[sitetest.Behavior]float64
 	members []*member
@@ -76,12 +82,29 @@
 	isLimited atomic.Bool
 }
 
-func newFleet(store *storetest.Store, ledger *Ledger, random *rand.Rand) *fleet {
-	return &fleet{store: store, ledger: ledger, random: random, rates: make(map[sitetest.Behavior]float64), linkStates: make(map[string]LinkState)}
+func newFleet(store *storetest.Store, ledger *Ledger, random *rand.Rand, slots int) *fleet {
+	return &fleet{
+		store: store, ledger: ledger, random: random, slots: slots, met: make(map[string]int),
+		rates: make(map[sitetest.Behavior]float64), linkStates: make(map[string]LinkState),
+	}
 }
 
 // add starts another server behind a proxy and writes its entry.
 func (f *fleet) add() error {
+	return f.addAs("")
+}
+
+// startAgain ends a server at once and starts another one under its name, at another address.
+func (f *fleet) startAgain(m *member) error {
+	f.mu.Lock()
+	f.members = slices.DeleteFunc(f.members, func(other *member) bool { return other == m })
+	f.mu.Unlock()
+	m.close()
+	return f.addAs(m.server.ID)
+}
+
+// addAs starts a server with an ID; empty means a new one.
+func (f *fleet) addAs(id string) error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
@@ -90,9 +113,11 @@
 	if err != nil {
 		return err
 	}
-	server := sitetest.NewServer(serviceTime, serverSlots, f.ledger.Ran, f.nextBehavior)
+	server := sitetest.NewServer(serviceTime, f.slots, f.ledger.Ran, f.nextBehavior)
+	server.ID = cmp.Or(id, server.ID)
+	server.OnMeet = f.countMet
 	m := &member{server: server, http: &http.Server{Handler: server}, proxy: proxy, entry: sitetest.Entry{
-		ID: server.ID, Service: serviceName, Zone: zones[0], Address: proxy.Address(), Slots: serverSlots, Born: time.Now(),
+		ID: server.ID, Service: serviceName, Zone: zones[0], Address: proxy.Address(), Slots: f.slots, Born: time.Now(),
 	}}
 	server.IsDeadly = isDeadly
 	server.OnDeath = func() { f.diesOf(m) }
@@ -153,6 +178,20 @@
 	return sitetest.Serve
 }
 
+// countMet counts a request that met a faulty behavior.
+func (f *fleet) countMet(behavior sitetest.Behavior) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.met[behavior.String()]++
+}
+
+// metCounts returns how many requests met each faulty behavior, by its name.
+func (f *fleet) metCounts() map[string]int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.met)
+}
+
 // setRate sets the probability of a behavior; 0 disables it.
 func (f *fleet) setRate(behavior sitetest.Behavior, rate float64) {
 	f.mu.Lock()
