loopback: addresses for processes under test are chosen without a listener

Cause: an address was found by opening a listener and closing it again. A process that is started between the two inherits the listener until it has replaced its program, and keeps the port for as long, the longer the busier the machine.

It opens no listener: it counts through ports below those that systems choose for connections, and asks by a connection whether something listens.

--- a/cmd/stop_test.go
+++ b/cmd/stop_test.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -19,34 +18,23 @@
 	"time"
 
 	. "github.com/onsi/gomega"
-)
 
-// usedAddresses holds the addresses that freeAddress has returned.
-var usedAddresses = map[string]bool{}
+	"github.com/figfront/figfront/internal/loopback"
+)
 
-// freeAddress returns an unused address that it has not returned before. The IP
-// address is a loopback address derived from the process id: outgoing connections
-// have source ports on 127.0.0.1, so that none can take the port before the process
-// under test listens at it.
+// freeAddress returns an unused address that it has not returned before.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	host := fmt.Sprintf("127.77.%d.%d", os.Getpid()/250%250, os.Getpid()%250+1)
-	for range 100 {
-		listener, err := net.Listen("tcp", host+":0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		address := listener.Addr().String()
-		_ = listener.Close()
-		if !usedAddresses[address] {
-			usedAddresses[address] = true
-			return address
-		}
+	address, err := loopback.FreeAddress(testHost)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free address")
-	return ""
+	return address
 }
 
+// testHost is the host of the processes under test.
+var testHost = loopback.NextHost()
+
 // testProcess is a running process under test.
 type testProcess struct {
 	command *exec.Cmd
--- a/internal/soak/export_test.go
+++ /dev/null
@@ -1,4 +0,0 @@
-package soak
-
-// FreeAddress exports freeAddress for tests.
-var FreeAddress = freeAddress
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/figfront/figfront/internal/loopback"
 	"github.com/figfront/figfront/platform/sitetest"
 	"github.com/figfront/figfront/platform/storetest"
 )
@@ -124,7 +125,7 @@
 	run.fleet = newFleet(run.store, run.ledger, rand.New(rand.NewPCG(options.Seed, 1)), options.Slots)
 	storeServer := httptest.NewServer(run.store.Handler())
 	defer storeServer.CloseClientConnections()
-	injected, err := run.execute(ctx, random, vmOptions{binary: options.Binary, dir: dir, host: nextLoopbackHost(), store: storeServer.Listener.Addr().String()})
+	injected, err := run.execute(ctx, random, vmOptions{binary: options.Binary, dir: dir, host: loopback.NextHost(), store: storeServer.Listener.Addr().String()})
 	run.stopAll()
 	finished, served := run.ledger.counts()
 	result := Result{
@@ -184,7 +185,7 @@
 	}
 	addresses := make([]string, vmCount)
 	for i := range addresses {
-		address, err := freeAddress(options.host)
+		address, err := loopback.FreeAddress(options.host)
 		if err != nil {
 			return err
 		}
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -90,19 +90,6 @@
 	}
 }
 
-// TestFreeAddressesAreAssignedOnce guards against two listeners with the same address.
-func TestFreeAddressesAreAssignedOnce(t *testing.T) {
-	const addresses = 1000
-	g := NewWithT(t)
-	seen := make(map[string]bool)
-	for range addresses {
-		address, err := soak.FreeAddress("127.0.0.1")
-		g.Expect(err).NotTo(HaveOccurred())
-		g.Expect(seen).NotTo(HaveKey(address))
-		seen[address] = true
-	}
-}
-
 // TestProxyLinkStates checks that each LinkState that drops bytes does so on an
 // open connection, that forwarding resumes afterwards, and that Reset closes it.
 func TestProxyLinkStates(t *testing.T) {
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/loopback"
 )
 
 // stopTimeout is the setting stop_timeout of the processes; stopMargin is how much longer a
@@ -77,45 +78,13 @@
 	if err != nil {
 		return nil, err
 	}
-	listenAddress, err := freeAddress(options.host)
+	listenAddress, err := loopback.FreeAddress(options.host)
 	return &VM{
 		Name: name, Zone: zone, ListenAddress: listenAddress, options: options, exchangeAddress: exchangeAddress,
-		store: store, peers: peers, source: nextLoopbackHost(),
+		store: store, peers: peers, source: loopback.NextHost(),
 	}, err
 }
 
-// runCount counts the runs of this test process.
-var runCount atomic.Uint32
-
-// nextLoopbackHost returns a loopback address for the processes of one run. It is not
-// 127.0.0.1, because outgoing connections are made from there: one of them could occupy
-// the port that was chosen for a process before the process listens on it.
-func nextLoopbackHost() string {
-	const firstNet, nets, hosts = 64, 128, 250
-	return fmt.Sprintf("127.%d.%d.%d", firstNet+os.Getpid()%nets, os.Getpid()/nets%hosts, runCount.Add(1)%hosts+1)
-}
-
-// assigned holds the addresses that freeAddress has returned.
-var assigned sync.Map
-
-// freeAddress returns a host:port on the given loopback address that is currently free
-// and that it has not returned before.
-func freeAddress(host string) (string, error) {
-	for {
-		listener, err := net.Listen("tcp", host+":0")
-		if err != nil {
-			return "", err
-		}
-		address := listener.Addr().String()
-		if err := listener.Close(); err != nil {
-			return "", err
-		}
-		if _, isAssigned := assigned.LoadOrStore(address, true); !isAssigned {
-			return address, nil
-		}
-	}
-}
-
 // Start starts the process unless it is already running.
 func (v *VM) Start() error {
 	v.mu.Lock()
@@ -155,11 +124,11 @@
 
 // writeSettings writes the process's settings file and returns its path.
 func (v *VM) writeSettings() (string, error) {
-	ready, err := freeAddress(v.options.host)
+	ready, err := loopback.FreeAddress(v.options.host)
 	if err != nil {
 		return "", err
 	}
-	operators, err := freeAddress(v.options.host)
+	operators, err := loopback.FreeAddress(v.options.host)
 	if err != nil {
 		return "", err
 	}
