platform: a row that can't be read doesn't stop the reading of the others

What callers saw: nothing at first, then more and more failures: as long as one unreadable row lay in a table, no VM followed that table any more. Upstreams that left went on getting calls, new ones got none.

Cause: a page of rows was decoded as one value. A value that is no base64, a number or an object, a key that is a number, a version of 1e30, or anything nested deeper than 10,000 levels made the whole page an error, each time.

A row of which a field can't be read has no value, and whoever decodes it leaves it out; one without a readable key is left out, counted and logged. A page that is no JSON or has odd fields of its own is still an error, and so is one without any key from which to go on: a shorter list would drop upstreams.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -58,6 +58,8 @@
 	// isAfterFailure is set if reads have failed since the snapshot before the last one.
 	isAfterFailure bool
 	retryDelay     time.Duration
+	// unreadable is the number of rows that were left out of the last snapshot.
+	unreadable int
 }
 
 func newLoop(name string, source Source, log hclog.Logger, counters *telemetry.Counters, clock *StoreClock) *loop {
@@ -92,6 +94,19 @@
 	}
 	l.unavailableSince = time.Time{}
 	l.retryDelay = 0
+	l.recordUnreadable(snapshot.Unreadable)
+}
+
+// recordUnreadable counts the rows of a snapshot that were left out, and logs their number when
+// it changes.
+func (l *loop) recordUnreadable(rows int) {
+	if rows > 0 {
+		l.counters.Add(telemetry.GroupStore, l.name+"_unreadable", int64(rows))
+	}
+	if rows != l.unreadable {
+		l.log.Warn("rows without a readable key are left out", fieldDependency, l.name, "rows", rows, "before", l.unreadable)
+	}
+	l.unreadable = rows
 }
 
 // handleFailure records a failed read and pauses before the next one.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -96,6 +96,8 @@
 	Position
 	// StoreTime is the reading of the store's monotonic clock; 0 means unknown.
 	StoreTime time.Duration
+	// Unreadable is the number of rows that are left out because their keys can't be read.
+	Unreadable int
 }
 
 // Change is a write or deletion of a row.
@@ -111,6 +113,8 @@
 	Position
 	// StoreTime is the reading of the store's monotonic clock; 0 means unknown.
 	StoreTime time.Duration
+	// Unreadable is the number of changes that are left out because their keys can't be read.
+	Unreadable int
 }
 
 // Records gives access to a record set: rows that are read once and then kept up to
@@ -146,7 +150,7 @@
 		}
 		rows[change.Key] = change.Row
 	}
-	next := Snapshot{Position: s.Position, StoreTime: changes.StoreTime}
+	next := Snapshot{Position: s.Position, StoreTime: changes.StoreTime, Unreadable: changes.Unreadable}
 	if next.IsBefore(changes.Position) {
 		next.Position = changes.Position
 	}
