limit: a very high named rate ends no process

What callers would see: a VM process that ends, with all its calls, when an upstream names a rate of a billion calls a second or more for it (Server-Limit: 1e12) and the first permits go unused; with the header in each of its responses, VM after VM, again and again.

Cause: the time between two permits is a whole number of nanoseconds. Above a billion a second it is zero, and the unused permits are counted by dividing by it: an integer division, which panics. Nothing in the product recovers.

Change: a rate counts as at most a million a second, which limits nothing in practice. The bound stands where the arithmetic is, so that it holds for rates that other VMs tell, too.

Evidence: TestVeryHighRateEndsNoProcess fails on the code before with "integer divide by zero" in dropUnused.

--- a/internal/limit/rate.go
+++ b/internal/limit/rate.go
@@ -10,6 +10,9 @@
 	// minRate is the rate of trial sends to an upstream that names a lower rate, or 0,
 	// from all VMs together. Only a response can tell that the limit has ended.
 	minRate = 0.1
+	// maxRate is a rate that limits nothing in practice. The time between two permits stays above
+	// zero with it.
+	maxRate = 1e6
 	// minPermitLife is the shortest time for which an unused permit stays valid. It allows
 	// short bursts at high rates.
 	minPermitLife = 100 * time.Millisecond
@@ -48,7 +51,7 @@
 // phase, from 0 to 1, is when the first permit comes, as a part of the time between two
 // permits; it must differ between the VMs. It has an effect only if there was no limit.
 func (r *Rate) Limit(at time.Duration, perSecond, share, phase float64) {
-	perSecond = max(perSecond, minRate)
+	perSecond = min(max(perSecond, minRate), maxRate)
 	if !r.isLimited {
 		r.isLimited = true
 		r.perSecond, r.share = perSecond, share
--- a/internal/limit/rate_test.go
+++ b/internal/limit/rate_test.go
@@ -1,6 +1,7 @@
 package limit_test
 
 import (
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -98,3 +99,20 @@
 	rate.Lift()
 	g.Expect(rate.Wait(at)).To(BeZero())
 }
+
+// TestVeryHighRateEndsNoProcess guards against a division by a time between permits that is zero.
+func TestVeryHighRateEndsNoProcess(t *testing.T) {
+	g := NewWithT(t)
+	for _, perSecond := range []float64{1e9, 1e12, math.MaxFloat64} {
+		var r limit.Rate
+		r.Limit(0, perSecond, 1.0/12, 0.5)
+		for at := time.Second; at < 10*time.Second; at += time.Second {
+			g.Expect(r.Wait(at)).To(BeZero())
+			r.Take(at)
+		}
+		r.Limit(10*time.Second, 2, 1, 0)
+		r.Limit(11*time.Second, perSecond, 1, 0)
+		g.Expect(r.Wait(12 * time.Second)).To(BeZero())
+		g.Expect(math.IsInf(r.PerSecond(), 0)).To(BeFalse())
+	}
+}
