dispatch, gateway: the clock is read under the lock, and a balancer's time never falls

Cause: the clock was read before the lock was taken. Another goroutine recorded a load report in between, so that the report was younger than the call's "now": its age was below zero, its weight above 1, and the estimated load, which interpolates with that weight, below zero. It is used as an index.

Change: 14 readings of the clock, in dispatch and gateway, moved behind the lock (by a search for each reading before a Lock). Balancer.since never falls, whatever clock it is given, so that no age is below zero by construction; there is no check around the index. The time at which a probe was sent is the one argument that lies in the past, and is not passed through it.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -105,9 +105,9 @@
 
 // SetUpstreams replaces the upstreams and keeps the state of those that remain.
 func (d *Dispatcher) SetUpstreams(upstreams []loadbalancer.Upstream) {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	d.upstreams = upstreams
 	d.setProcessesLocked(now, upstreams)
 	d.balancer.SetUpstreams(now, upstreams)
@@ -172,9 +172,9 @@
 // place starts a send if an upstream is expected to respond in time, or in time for the
 // deadline once the call ignores its objective. A reason means that the call is refused.
 func (d *Dispatcher) place(r Request, wait *waiter) (Grant, loadbalancer.Verdict, outcome.Reason) {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	d.updateRateShareLocked(now)
 	if r.Hedge && len(d.waiters) > 0 {
 		return Grant{}, loadbalancer.Refuse, ""
@@ -231,9 +231,9 @@
 
 // recordEnd records how a send ended and wakes a waiting call.
 func (d *Dispatcher) recordEnd(choice loadbalancer.Choice, sent *quarantine.Send, end End) {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	d.inFlight--
 	d.suspects.Done(now, sent, end.Run)
 	switch {
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -56,9 +56,9 @@
 // the upstream that would be chosen is fresh. Probes of upstreams that don't
 // report their load are of no use either.
 func (d *Dispatcher) hasFreshChoice(r Request, wait *waiter) bool {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	if !d.balancer.ReportsLoad() {
 		return true
 	}
@@ -118,9 +118,9 @@
 // probeCandidates returns the upstreams that are worth a probe, as many as the
 // budget allows.
 func (d *Dispatcher) probeCandidates(r Request) []loadbalancer.Choice {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	request := r.balancerRequest()
 	request.StaleAfter = d.maxLoadAgeLocked(now)
 	choices := d.balancer.Candidates(now, request, probesPerRound)
--- a/internal/dispatch/rates.go
+++ b/internal/dispatch/rates.go
@@ -76,9 +76,9 @@
 	if len(notices) == 0 {
 		return
 	}
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	for _, notice := range notices {
 		d.recordRateLocked(now, notice)
 	}
@@ -94,9 +94,9 @@
 // RateNotices returns what this VM knows about the rate limits of the upstreams. The
 // argument is what another VM knows; what differs from it is part of the result.
 func (d *Dispatcher) RateNotices(known []loadbalancer.RateNotice) []loadbalancer.RateNotice {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	return d.balancer.RateNotices(now, known)
 }
 
@@ -109,8 +109,8 @@
 
 // rateSupply returns what the rate limits of the upstreams permit for a call.
 func (d *Dispatcher) rateSupply(r Request) loadbalancer.RateSupply {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	return d.balancer.RateSupply(now, r.balancerRequest())
 }
--- a/internal/dispatch/refusal.go
+++ b/internal/dispatch/refusal.go
@@ -9,9 +9,9 @@
 
 // refusal returns the Refusal of a call that arrived at the given time.
 func (d *Dispatcher) refusal(r Request, reason outcome.Reason, arrived time.Time) Refusal {
-	now := time.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	request := r.balancerRequest()
 	supply := d.balancer.RateSupply(now, request)
 	estimate := d.balancer.BaseEstimate(now, request)
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -126,9 +126,9 @@
 // is open; one is then opened in the background. isLocal means that this VM is
 // the coordinator.
 func (r *Router) client(service string) (client *Client, isLocal bool) {
-	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	now := time.Now()
 	vm, ok := r.coordinator(service, func(name string) bool {
 		return now.Before(r.avoidedUntil[name]) || now.Before(r.noLinksUntil[serviceVM{service, name}])
 	})
--- a/internal/gateway/holdoff.go
+++ b/internal/gateway/holdoff.go
@@ -99,9 +99,9 @@
 // and returns it. An unusable one is counted; the first one of an upstream is logged.
 func (s *service) observeRest(upstream string, h http.Header) time.Duration {
 	rest, err := callheader.ParseRest(h)
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	switch {
 	case err != nil:
 		s.counters.Add(telemetry.GroupHoldOff, "rest_malformed", 1)
--- a/internal/gateway/links.go
+++ b/internal/gateway/links.go
@@ -45,9 +45,9 @@
 
 // answered records that an upstream answered over a direct connection.
 func (l *links) answered() {
-	now := time.Now()
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
 	l.detector.Answered(now)
 	if l.lostAt.IsZero() {
 		return
--- a/internal/gateway/probing.go
+++ b/internal/gateway/probing.go
@@ -174,9 +174,9 @@
 
 // recordProbe passes the result of a probe to the balancer.
 func (s *service) recordProbe(result measure.ProbeResult) {
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	for _, name := range s.tracker.observeProbe(now, result) {
 		s.balancer.Probed(now, name, loadbalancer.ProbeResult{
 			Sent: result.Sent, IsHealthy: result.IsHealthy, Report: result.Report, HasReport: result.HasReport,
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -61,9 +61,9 @@
 
 // startSend chooses an upstream for a request and records the start of the send.
 func (s *service) startSend(traffic dynamic.Traffic, id quarantine.Identity, exclude []string, kind sendKind) (send, sendError) {
-	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := time.Now()
 	if refused := s.admitSuspectLocked(now, id, kind); refused != sendOK {
 		return send{}, refused
 	}
--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -107,6 +107,8 @@
 	options Options
 	random  *rand.Rand
 	start   time.Time
+	// latest is the largest result of since.
+	latest time.Duration
 	// ranked holds all upstreams in the VM's order; subset holds those in use.
 	ranked []*entry
 	subset []*entry
@@ -146,12 +148,14 @@
 	}
 }
 
-// since returns the time since the balancer's first use.
+// since returns the time since the balancer's first use. It never falls, so that nothing the
+// balancer knows has an age below zero, also if a clock was read before that of the call before.
 func (b *Balancer) since(now time.Time) time.Duration {
 	if b.start.IsZero() {
 		b.start = now
 	}
-	return now.Sub(b.start)
+	b.latest = max(b.latest, now.Sub(b.start))
+	return b.latest
 }
 
 // SetUpstreams replaces the upstreams and keeps the state of those that remain.
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -99,7 +99,7 @@
 	if result.Draining && result.Upstream == name {
 		e.seeDrain(at)
 	}
-	e.recordProbe(at, b.since(result.Sent), result.IsHealthy)
+	e.recordProbe(at, result.Sent.Sub(b.start), result.IsHealthy)
 	if wasOut != e.isOutOfUse() {
 		b.selectSubset()
 	}
