loadbalancer: what one response tells can't make estimates unusable

Callers are refused without a reason. From another VM, a slowness that is no number made the estimates of all upstreams no numbers, and a latency below zero made costs below zero.

Cause: moving averages over all upstreams took each report at its word. 2^20 calls with a weight of 0.02 are 20,000 calls that an upstream is assumed to have, until some 400 further reports have worn them off.

Change: a report adds at most four calls a slot to the mean, counts as a slowness from 0.01 to 100, and latencies and sizes have bounds. The load of the upstream that reports is still taken at its word: it may really wait.

--- a/internal/loadbalancer/estimate.go
+++ b/internal/loadbalancer/estimate.go
@@ -3,18 +3,26 @@
 import (
 	"math"
 	"time"
+
+	"github.com/figfront/figfront/internal/callheader"
 )
 
 // recordReport records the load report of a response. The report still counts
 // the answered call, which has left the upstream.
 func (b *Balancer) recordReport(e *entry, at time.Duration, result Result) {
-	load := float64(result.Report.Running + result.Report.Queued)
+	load := reportedLoad(result.Report)
 	if !result.Shed && !result.Failed {
 		load--
 	}
 	b.recordLoad(e, at, load)
 	b.recordSlowness(e, at, result.Report.Slowness)
-	b.meanOthersLoad += othersLoadWeight * (e.othersLoad - b.meanOthersLoad)
+	othersLoad := min(e.othersLoad, maxMeanLoadPerSlot*e.slots)
+	b.meanOthersLoad += othersLoadWeight * (othersLoad - b.meanOthersLoad)
+}
+
+// reportedLoad returns the calls that an upstream reports.
+func reportedLoad(r callheader.Report) float64 {
+	return float64(min(max(r.Running, 0), maxReportedCalls)) + float64(min(max(r.Queued, 0), maxReportedCalls))
 }
 
 // maxAnswersWithoutReport is the number of answers without a load report after
@@ -69,9 +77,10 @@
 // recordSlowness records the slowness that an upstream reported; 0 means that
 // it reported none.
 func (b *Balancer) recordSlowness(e *entry, at time.Duration, slowness float64) {
-	if slowness <= 0 {
+	if !(slowness > 0) {
 		return
 	}
+	slowness = min(max(slowness, minReportedSlowness), maxReportedSlowness)
 	if b.meanSlowness == 0 {
 		b.meanSlowness = slowness
 	}
--- a/internal/loadbalancer/options.go
+++ b/internal/loadbalancer/options.go
@@ -58,6 +58,17 @@
 	// othersLoadCorrection raises that mean: upstreams with a long queue
 	// respond less often and are underrepresented in it.
 	othersLoadCorrection = 1.25
+	// maxReportedCalls limits the counts of a load report.
+	maxReportedCalls = 1 << 20
+	// maxMeanLoadPerSlot limits what one report adds to that mean, in calls for each slot, so
+	// that a single wrong one does not make all upstreams look full.
+	maxMeanLoadPerSlot = 4
+	// minReportedSlowness and maxReportedSlowness limit a reported slowness for the same reason.
+	minReportedSlowness = 0.01
+	maxReportedSlowness = 100
+	// maxLatency and maxBytes limit what is learned from one response.
+	maxLatency = time.Hour
+	maxBytes   = 1 << 40
 	// responseBytesWeight is the weight of one response in the mean response
 	// length.
 	responseBytesWeight = 0.02
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -20,8 +20,9 @@
 		return
 	}
 	at := b.since(now)
+	result.Latency = boundedLatency(result.Latency)
 	e.removeSend(at, at-result.Latency, choice.Bulk)
-	b.meanResponseBytes += responseBytesWeight * (float64(result.Bytes) - b.meanResponseBytes)
+	b.meanResponseBytes += responseBytesWeight * (float64(min(max(result.Bytes, 0), maxBytes)) - b.meanResponseBytes)
 	if !result.Failed && !result.Shed {
 		b.countReport(result.HasReport)
 	}
@@ -64,6 +65,7 @@
 		return
 	}
 	at := b.since(now)
+	elapsed = boundedLatency(elapsed)
 	e.removeSend(at, at-elapsed, choice.Bulk)
 	if !choice.Bulk {
 		b.recordCancelled(e, at, elapsed)
@@ -75,10 +77,15 @@
 func (b *Balancer) Abandoned(now time.Time, choice Choice, elapsed time.Duration) {
 	if e, ok := b.byName[choice.Name]; ok {
 		at := b.since(now)
-		e.removeSend(at, at-elapsed, choice.Bulk)
+		e.removeSend(at, at-boundedLatency(elapsed), choice.Bulk)
 	}
 }
 
+// boundedLatency returns a latency that was measured by another VM within its bounds.
+func boundedLatency(latency time.Duration) time.Duration {
+	return min(max(latency, 0), maxLatency)
+}
+
 // Probed records the result of a probe. A probe without an answer is recorded
 // as not Healthy.
 func (b *Balancer) Probed(now time.Time, name string, result ProbeResult) {
@@ -92,7 +99,7 @@
 		b.countReport(result.HasReport)
 	}
 	if result.HasReport {
-		b.recordLoad(e, at, float64(result.Report.Running+result.Report.Queued))
+		b.recordLoad(e, at, reportedLoad(result.Report))
 		b.recordSlowness(e, at, result.Report.Slowness)
 	}
 	wasOut := e.isOutOfUse()
