quarantine: a row with the largest count of clears holds no request for good

What callers would see: a harmless request that is refused at all VMs, and that no operator can clear, after another writer left one row with 2^32-1 clears among those of the suspects.

Cause: the number of clears decides which of two records supersedes the other, and was taken at its word. One more clear makes it 0, which the row in the store supersedes again.

Change: counts above 2^20 make a record malformed; it is left out alone.

--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -22,6 +22,8 @@
 	maxEndedKept = 8
 	// maxProcessBytes limits the name of an upstream process.
 	maxProcessBytes = 256
+	// maxCount limits the counts of a record that was received, so that they can still rise.
+	maxCount = 1 << 20
 )
 
 // Record is what is known about one request. Records of several VMs merge in any order.
@@ -153,5 +155,6 @@
 // IsValid reports whether a record that was received can be used.
 func (r Record) IsValid() bool {
 	isTooLong := slices.ContainsFunc(r.Ended, func(process string) bool { return len(process) > maxProcessBytes })
-	return !r.Digest.IsZero() && len(r.Ended) <= maxEndedKept && len(r.Callers) <= maxEndedKept && !isTooLong && r.LateSends >= 0
+	isCount := r.Clears <= maxCount && r.LateSends >= 0 && r.LateSends <= maxCount
+	return !r.Digest.IsZero() && len(r.Ended) <= maxEndedKept && len(r.Callers) <= maxEndedKept && !isTooLong && isCount
 }
