exchange: numbers in messages of other VMs have bounds

Cause, of the class of the odd entries: times of messages were multiplied without a bound, so that a deadline of 2^63-1 us lay 1 us in the past (a call that is refused at once); lengths below zero, rates and slowness that are no numbers went into averages. No build of ours sends such values; found by looking at each decoder, not by a run.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -129,7 +129,7 @@
 		Upstream: reply.GetUpstream(),
 		PlacedBy: c.vm,
 		Basis:    decodeBasis(reply.GetBasis()),
-		Waited:   time.Duration(reply.GetBasis().GetWaitedUs()) * time.Microsecond,
+		Waited:   exchange.Elapsed(reply.GetBasis().GetWaitedUs()),
 		end:      func(end End) { c.sendEnd(id, end) },
 	}, nil
 }
--- a/internal/dispatch/wire.go
+++ b/internal/dispatch/wire.go
@@ -8,6 +8,7 @@
 
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/quarantine"
@@ -67,14 +68,34 @@
 	return encoded
 }
 
+// Bounds of what messages of other VMs hold.
+const (
+	// maxBytes limits the length of a body.
+	maxBytes = 1 << 40
+	// maxEstimate limits loads, slowness and rates of sends.
+	maxEstimate = 1e9
+)
+
+// decodeEstimate returns an estimate within its bounds; 0 for what is no number.
+func decodeEstimate(estimate float64) float64 {
+	if !(estimate > 0) {
+		return 0
+	}
+	return min(estimate, maxEstimate)
+}
+
+// decodeBytes returns the length of a body within its bounds.
+func decodeBytes(length int64) int {
+	return int(min(max(length, 0), maxBytes))
+}
+
 // decodeRates returns the notices of another VM that a service's Dispatcher may learn from.
 // It leaves out those whose rate is not finite or negative.
 func decodeRates(encoded []*api.RateNotice) []loadbalancer.RateNotice {
 	notices := make([]loadbalancer.RateNotice, 0, len(encoded))
 	for _, n := range encoded {
 		if rate, ok := decodeRate(n); ok {
-			age := max(time.Duration(n.GetAgeUs())*time.Microsecond, 0)
-			notices = append(notices, loadbalancer.RateNotice{Upstream: n.GetUpstream(), Rate: rate, Age: age})
+			notices = append(notices, loadbalancer.RateNotice{Upstream: n.GetUpstream(), Rate: rate, Age: exchange.Elapsed(n.GetAgeUs())})
 		}
 	}
 	return notices
@@ -86,7 +107,10 @@
 		return rate, true
 	}
 	rate.PerSecond = n.GetPerSecond()
-	return rate, rate.PerSecond >= 0 && !math.IsInf(rate.PerSecond, 0)
+	if !(rate.PerSecond >= 0) || math.IsInf(rate.PerSecond, 0) {
+		return callheader.Rate{}, false
+	}
+	return rate, true
 }
 
 // runResults are the results of sends as they are sent to other VMs.
@@ -134,11 +158,11 @@
 		VM:        call.GetVm(),
 		Zone:      call.GetZone(),
 		Bulk:      call.GetBulk(),
-		Bytes:     int(call.GetBytes()),
+		Bytes:     decodeBytes(call.GetBytes()),
 		NoTrial:   call.GetNoTrial(),
 		Tried:     call.GetTried(),
-		Objective: arrived.Add(time.Duration(call.GetObjectiveUs()) * time.Microsecond),
-		Deadline:  arrived.Add(time.Duration(call.GetDeadlineUs()) * time.Microsecond),
+		Objective: arrived.Add(exchange.Span(call.GetObjectiveUs())),
+		Deadline:  arrived.Add(exchange.Span(call.GetDeadlineUs())),
 		Extra:     call.GetExtra(),
 		Hedge:     call.GetHedge(),
 		Priority:  int(call.GetPriority()),
@@ -158,13 +182,13 @@
 		IsUnattributed: end.GetCancelled() && end.GetUnattributed(),
 		Run:            decodeRunResult(end.GetRun()),
 		Result: loadbalancer.Result{
-			Latency:  time.Duration(end.GetLatencyUs()) * time.Microsecond,
-			Bytes:    int(end.GetBytes()),
+			Latency:  exchange.Elapsed(end.GetLatencyUs()),
+			Bytes:    decodeBytes(end.GetBytes()),
 			Failed:   end.GetFailed(),
 			Shed:     end.GetShed(),
 			Draining: end.GetDraining(),
 			Report: callheader.Report{
-				Running: int(report.GetRunning()), Queued: int(report.GetQueued()), Slowness: report.GetSlowness(),
+				Running: int(report.GetRunning()), Queued: int(report.GetQueued()), Slowness: decodeEstimate(report.GetSlowness()),
 			},
 			HasReport:  report != nil,
 			Rate:       rate,
@@ -182,9 +206,9 @@
 
 func decodeBasis(basis *api.PlaceBasis) loadbalancer.Basis {
 	return loadbalancer.Basis{
-		Load: basis.GetLoad(), Slowness: basis.GetSlowness(),
-		Age:      time.Duration(basis.GetAgeUs()) * time.Microsecond,
-		Expected: time.Duration(basis.GetExpectedUs()) * time.Microsecond,
+		Load: decodeEstimate(basis.GetLoad()), Slowness: decodeEstimate(basis.GetSlowness()),
+		Age:      exchange.Span(basis.GetAgeUs()),
+		Expected: exchange.Elapsed(basis.GetExpectedUs()),
 	}
 }
 
@@ -214,10 +238,10 @@
 		PlacedBy: vm,
 		Basis: RefusalBasis{
 			Upstreams: int(basis.GetUpstreams()), Free: int(basis.GetFree()), Waiting: int(basis.GetWaiting()),
-			SendsPerSecond: basis.GetSendsPerSecond(),
-			BaseLatency:    time.Duration(basis.GetUnitUs()) * time.Microsecond,
-			Waited:         time.Duration(basis.GetWaitedUs()) * time.Microsecond,
-			NextSend:       time.Duration(basis.GetNextSendUs()) * time.Microsecond,
+			SendsPerSecond: decodeEstimate(basis.GetSendsPerSecond()),
+			BaseLatency:    exchange.Elapsed(basis.GetUnitUs()),
+			Waited:         exchange.Elapsed(basis.GetWaitedUs()),
+			NextSend:       exchange.Elapsed(basis.GetNextSendUs()),
 		},
 	}
 }
--- a/internal/mesh/snapshot.go
+++ b/internal/mesh/snapshot.go
@@ -1,12 +1,11 @@
 package mesh
 
 import (
-	"time"
-
 	"google.golang.org/protobuf/proto"
 
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/compressed"
+	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -58,7 +57,7 @@
 	}
 	snapshot := platform.Snapshot{
 		Position:  platform.Position{Era: platform.Era(encoded.GetEra()), Version: encoded.GetVersion()},
-		StoreTime: time.Duration(encoded.GetStoreTimeUs()) * time.Microsecond,
+		StoreTime: exchange.ClockReading(encoded.GetStoreTimeUs()),
 	}
 	for _, row := range records {
 		snapshot.Rows = append(snapshot.Rows, platform.Row{
--- a/internal/tunnel/holdoff.go
+++ b/internal/tunnel/holdoff.go
@@ -6,6 +6,7 @@
 	"time"
 
 	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/exchange"
 )
 
 // HoldOff is what an upstream asked a VM for. To the upstream, the requests of a tunnel come
@@ -22,7 +23,7 @@
 }
 
 func decodeHoldOff(encoded *api.HoldOff) HoldOff {
-	return HoldOff{Rest: max(time.Duration(encoded.GetRestUs())*time.Microsecond, 0), IsLeaving: encoded.GetLeaving()}
+	return HoldOff{Rest: exchange.Elapsed(encoded.GetRestUs()), IsLeaving: encoded.GetLeaving()}
 }
 
 // served is a tunnel that this VM serves.
