platform: a row of a VM names that VM within bounds, or none

What callers would see: one row with a capacity of 1e300 cores makes each live VM a low-capacity one beside it; if it is listed as well, coordinators and readers are chosen with preference for it until it is found dead. Shown at the decoder only; what MergeList refused (names, addresses) it refused before.

Cause: the row was taken as JSON alone, and not compared with its key, so that a row could speak for another VM, also with an address of its own.

Change: name and key are the same, names and address valid, the capacity from 0 to the most cores that the settings allow; otherwise that row alone is left out.

--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -61,6 +61,9 @@
 	StopTimeout time.Duration
 }
 
+// MaxCores is the largest number of cores of a VM.
+const MaxCores = 1024
+
 // LoadEntry reads the settings of figfront-entry from the file at path. It returns
 // inifile.Faults if they are invalid.
 func LoadEntry(path string) (*Entry, error) {
@@ -85,7 +88,7 @@
 	section.Duration("drain_bound", &e.DrainBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Duration("config_bound", &e.ConfigBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
-	section.Float("cores", &e.Cores, 1, 0, 1024)
+	section.Float("cores", &e.Cores, 1, 0, MaxCores)
 	section.Float("link_mbps", &e.LinkMbps, 1000, 0, 1e6)
 	section.Int("memory_mb", &e.MemoryMB, 256, 32, 1<<20)
 	section.Duration("stop_lag", &e.StopLag, 2500*time.Millisecond, 0, time.Minute)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -37,7 +37,7 @@
 	// VMs holds the records that VMs write with Announce.
 	VMs      platform.Records
 	Announce func(ctx context.Context, vm platform.VM) error
-	DecodeVM func(value []byte) (platform.VM, error)
+	DecodeVM func(name string, value []byte) (platform.VM, error)
 	// Suspects holds the rows of requests under which upstreams have ended, which VMs write
 	// with WriteSuspects. InsertSuspect writes a row that must not exist yet; otherwise it
 	// returns platform.ErrConflict.
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -162,7 +162,7 @@
 				announced++
 				return errStore
 			},
-			Decode: func(value []byte) (platform.VM, error) { return platform.VM{Name: string(value)}, nil },
+			Decode: func(_ string, value []byte) (platform.VM, error) { return platform.VM{Name: string(value)}, nil },
 			Apply:  func([]platform.VM) {}, Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters(),
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
--- a/internal/follow/restore_test.go
+++ b/internal/follow/restore_test.go
@@ -88,7 +88,7 @@
 				writes = append(writes, source.calls)
 				return errors.New("lost")
 			},
-			Decode: func(value []byte) (platform.VM, error) { return platform.VM{Name: string(value)}, nil },
+			Decode: func(_ string, value []byte) (platform.VM, error) { return platform.VM{Name: string(value)}, nil },
 			Apply:  func([]platform.VM) {}, Log: hclog.NewNullLogger(), Counters: telemetry.NewCounters(),
 		}
 		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
--- a/internal/follow/vms.go
+++ b/internal/follow/vms.go
@@ -16,8 +16,8 @@
 	Self platform.VM
 	// Announce writes this VM's entry.
 	Announce func(ctx context.Context, vm platform.VM) error
-	// Decode decodes the entry of a VM.
-	Decode func(value []byte) (platform.VM, error)
+	// Decode decodes the entry that a VM wrote under its name.
+	Decode func(name string, value []byte) (platform.VM, error)
 	// Apply replaces the list of VMs.
 	Apply    func(vms []platform.VM)
 	Log      hclog.Logger
@@ -50,7 +50,7 @@
 	isAnnounced := false
 	var vms []platform.VM
 	for _, row := range snapshot.Rows {
-		vm, err := f.Decode(row.Value)
+		vm, err := f.Decode(row.Key, row.Value)
 		if err != nil {
 			f.Counters.Add(telemetry.GroupStore, "vms_malformed", 1)
 			f.Log.Warn("failed to decode VM entry", telemetry.FieldVM, row.Key, telemetry.FieldError, err)
