loadbalancer: the first upstream's slots don't shape the latency model for good

What callers would see: where the first entry of a service names 65,536 slots, what a call beside another one takes is expected to be 72 ms instead of 126 ms (base latency 60 ms, one slot), so that calls are sent where they will be late.

Cause: the model took the number of slots of the first upstream that it saw, and kept it for as long as the process ran.

Change: the median of the upstreams counts, at each change of the list. Where it changes, what was learned for another number of slots is forgotten.

--- a/internal/loadbalancer/balancer.go
+++ b/internal/loadbalancer/balancer.go
@@ -179,11 +179,26 @@
 		b.byName[upstream.Name] = e
 		b.ranked = append(b.ranked, e)
 	}
+	b.configureModel()
 	b.forgetRatesOfGone()
 	b.rank()
 	b.selectSubset()
 }
 
+// configureModel sets the number of slots of the latency model: the median of the upstreams, so
+// that a single wrong entry has no part in it.
+func (b *Balancer) configureModel() {
+	if len(b.ranked) == 0 {
+		return
+	}
+	slots := make([]float64, 0, len(b.ranked))
+	for _, e := range b.ranked {
+		slots = append(slots, e.slots)
+	}
+	slices.Sort(slots)
+	b.latencyModel.configure(slots[(len(slots)-1)/2])
+}
+
 // Process returns the name of the process that the server runs as: it changes with a restart,
 // if the server tells its start.
 func (u Upstream) Process() string {
@@ -204,7 +219,6 @@
 	e.upstream = upstream
 	e.slots = float64(max(upstream.Slots, 1))
 	e.inverseSlots = 1 / e.slots
-	b.latencyModel.configure(e.slots)
 	e.zoneCost = 0
 	if upstream.Zone != b.options.Zone {
 		e.zoneCost = b.options.RemoteZoneCost
--- a/internal/loadbalancer/export_test.go
+++ b/internal/loadbalancer/export_test.go
@@ -15,6 +15,11 @@
 	return b.latencyModel.fastest()
 }
 
+// LatencyAt returns the expected latency at a load.
+func (b *Balancer) LatencyAt(load float64) time.Duration {
+	return time.Duration(b.latencyModel.latencyAt(load) * float64(b.latencyModel.overall.value))
+}
+
 // Limits of the package's estimates.
 const (
 	MaxIdleTime     = maxIdleTime
--- a/internal/loadbalancer/latencymodel.go
+++ b/internal/loadbalancer/latencymodel.go
@@ -83,9 +83,9 @@
 }
 
 // configure sets the assumed latencies for upstreams with the given number of
-// slots. Only the first call has an effect.
+// slots, unless they are set for that number.
 func (m *latencyModel) configure(slots float64) {
-	if m.slots != 0 {
+	if m.slots == slots {
 		return
 	}
 	m.slots = slots
--- a/internal/loadbalancer/oddreport_test.go
+++ b/internal/loadbalancer/oddreport_test.go
@@ -50,3 +50,33 @@
 	}
 	return float64(sent) / calls
 }
+
+// TestFirstUpstreamWithOddSlotsDoesNotShapeTheModel has a service whose first entry, alone or not,
+// names very many slots. What is expected of the others must not rest on it.
+func TestFirstUpstreamWithOddSlotsDoesNotShapeTheModel(t *testing.T) {
+	g := NewWithT(t)
+	odd := loadbalancer.Upstream{Name: "odd", Address: "10.0.0.9:1", Zone: "a", Slots: 1 << 16}
+	var usual []loadbalancer.Upstream
+	for _, name := range []string{"u0", "u1", "u2"} {
+		usual = append(usual, loadbalancer.Upstream{Name: name, Address: name + ":1", Zone: "a", Slots: 1})
+	}
+	expected := func(before ...[]loadbalancer.Upstream) time.Duration {
+		p := newUntaughtTest(0)
+		for _, upstreams := range append(before, usual) {
+			p.SetUpstreams(p.now, upstreams)
+		}
+		for range 80 {
+			p.report("u0", 0, 1)
+			p.serve(baseLatency)
+		}
+		for _, name := range []string{"u0", "u1", "u2"} {
+			p.report(name, 0, 1)
+		}
+		choice, verdict := p.place("a", time.Second)
+		g.Expect(verdict).To(Equal(loadbalancer.Send))
+		p.Sent(p.now, choice)
+		return p.LatencyAt(1)
+	}
+	g.Expect(expected([]loadbalancer.Upstream{odd})).To(Equal(expected()))
+	g.Expect(expected(append([]loadbalancer.Upstream{odd}, usual...))).To(Equal(expected()))
+}
