loadbalancer: an upstream at whose address another one answers is not used

Cause: status 421, which the upstream at the address answers for another name, counted as a refusal for load, whose penalty halves every 0.2 s. Health checks of the other name were answered by the upstream that is there: idle and healthy, so that the name that is not there looked best of all. An address that is used again has the same effect until the old entry is gone.

Change: 421 counts as a failure of the upstream that was named, so that two in a row make it a suspect, which gets trials; a health check that another upstream answers counts as unanswered. What such responses report besides is recorded for none.

TestHealthCheckAnsweredByAnotherUpstreamSpeaksForNone.

--- a/internal/gateway/readresponse.go
+++ b/internal/gateway/readresponse.go
@@ -34,7 +34,11 @@
 	result.outcome, result.reason = responseOutcome(response.Header)
 	if result.outcome == outcome.NotRun {
 		_ = response.Body.Close()
-		sendResult.Shed = true
+		if response.StatusCode == http.StatusMisdirectedRequest {
+			sendResult = misdirectedResult()
+		} else {
+			sendResult.Shed = true
+		}
 		c.route.service.endSend(sent, sendResult, shedRunResult(response))
 		return result
 	}
@@ -60,6 +64,12 @@
 	return result
 }
 
+// misdirectedResult returns what status 421 tells about the upstream that the call was for: it is
+// not at its address. What the response says besides is about the one that is.
+func misdirectedResult() loadbalancer.Result {
+	return loadbalancer.Result{Failed: true}
+}
+
 // shedRunResult returns what a refusal tells about the upstream. Status 421 comes from another
 // one, which now has its address.
 func shedRunResult(response *http.Response) quarantine.Result {
--- a/internal/loadbalancer/results.go
+++ b/internal/loadbalancer/results.go
@@ -87,13 +87,17 @@
 }
 
 // Probed records the result of a probe. A probe without an answer is recorded
-// as not Healthy.
+// as not Healthy, and so is one that another upstream has answered, which has its address.
 func (b *Balancer) Probed(now time.Time, name string, result ProbeResult) {
 	e, ok := b.byName[name]
 	if !ok {
 		return
 	}
 	at := b.since(now)
+	isOther := result.Upstream != "" && result.Upstream != name
+	if isOther {
+		result = ProbeResult{Sent: result.Sent}
+	}
 	b.recordProbedRate(now, e, result.Rate)
 	if result.IsHealthy {
 		b.countReport(result.HasReport)
