soak: heads of earlier answers are joined in more ways

The soak joined heads in one way: own answer first, both IDs in it, so that no single check of the evidence was needed. Three more behaviors, each of which one check alone stands against:

- a refusal breaks off before its ID, with the own success behind it: the check of mixed heads,
- a success with lines of a refusal: the check that a success says nothing of the kind,
- a failure with lines of a refusal and both IDs: the comparison of all IDs.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -110,6 +110,9 @@
 	{"servers break off in a head", serverBehavior(sitetest.CutHead)},
 	{"servers refuse in the head of a success", serverBehavior(sitetest.MixRefusal)},
 	{"servers repeat a success in a head", serverBehavior(sitetest.MixSuccess)},
+	{"servers succeed in the head of a refusal", serverBehavior(sitetest.MixIntoRefusal)},
+	{"servers leave lines of a refusal in the head of a success", serverBehavior(sitetest.LeftoverInSuccess)},
+	{"servers leave lines of a refusal in the head of a failure", serverBehavior(sitetest.LeftoverInFailure)},
 }
 
 // answerFaults are added to the selected kinds of a run with Options.WrongAnswers.
