soak: another writer leaves odd entries, and no process may end by itself

The writer acts beside the servers at any time: under new names, one or 40 at once, over the entry of a live server, which writes it again at its next heartbeat, at live addresses, and just before a server leaves without a report. Counted is how often such rows were read; new promises are that no process ends without a signal that ends it, and that each live server gets requests after the last fault.

--- a/cmd/figfront-soak/main.go
+++ b/cmd/figfront-soak/main.go
@@ -37,6 +37,7 @@
 	Silent   bool          `help:"Let servers leave without a report, also before the store is away." default:"true" negatable:""`
 	Heads    bool          `help:"Let servers break off within the head of a response, and send another behind it." default:"true" negatable:""`
 	Answers  bool          `help:"Let servers repeat answers, or answer as to another request, before the body or with a reset." default:"true" negatable:""`
+	Odd      bool          `help:"Leave odd entries among those of the servers." default:"true" negatable:""`
 	Slots    int           `help:"Slots of each server." default:"2"`
 	Untimed  bool          `help:"Check only promises that have no time."`
 	Verbose  bool          `help:"Print each fault." short:"v"`
@@ -79,7 +80,7 @@
 				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm,
 				CheckTimed: !args.Untimed, Callers: args.Callers, Only: args.Only, StoreRestores: args.Restores, RateLimits: args.Limits, LinkLosses: args.Links,
 				DeadlyRequests: args.Deadly, Asks: args.Asks, SilentLeaves: args.Silent, BrokenHeads: args.Heads,
-				WrongAnswers: args.Answers, Slots: args.Slots, Log: log,
+				WrongAnswers: args.Answers, OddEntries: args.Odd, Slots: args.Slots, Log: log,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -238,6 +238,7 @@
 		{run.options.SilentLeaves, silentLeaveFaults},
 		{run.options.BrokenHeads, headFaults},
 		{run.options.WrongAnswers, answerFaults},
+		{run.options.OddEntries, oddEntryFaults},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -75,6 +75,8 @@
 	// WrongAnswers adds servers that repeat answers, or answer as to another request, before the
 	// body or with a reset, and servers that start again under their names, to the faults.
 	WrongAnswers bool
+	// OddEntries adds a writer that leaves odd entries among those of the servers.
+	OddEntries bool
 	// Slots is the number of slots of each server, at least 1.
 	Slots int
 	// Log receives a line for each fault.
@@ -89,7 +91,9 @@
 	Requests int    `json:"requests"`
 	Served   int    `json:"served"`
 	// Met counts the requests that met each faulty behavior of servers, by its name.
-	Met        map[string]int `json:"met,omitempty"`
+	Met map[string]int `json:"met,omitempty"`
+	// OddReads counts how often rows with each kind of odd entry were read.
+	OddReads   map[string]int `json:"odd_reads,omitempty"`
 	Violations []Violation    `json:"violations"`
 	// Dir is the directory of the processes' logs; it is kept only if a guarantee was
 	// broken or the run failed.
@@ -107,6 +111,8 @@
 	startedAt time.Time
 	// hasDeadly is set while a deadly request comes.
 	hasDeadly atomic.Bool
+	// oddEntries is the number of odd entries under new names so far.
+	oddEntries int
 
 	mu sync.Mutex
 	// err is the first failure of the test itself, as opposed to a broken guarantee.
@@ -127,9 +133,10 @@
 	defer storeServer.CloseClientConnections()
 	injected, err := run.execute(ctx, random, vmOptions{binary: options.Binary, dir: dir, host: loopback.NextHost(), store: storeServer.Listener.Addr().String()})
 	run.stopAll()
+	run.checkOwnEnds()
 	finished, served := run.ledger.counts()
 	result := Result{
-		Seed: options.Seed, Faults: injected, Requests: finished, Served: served, Met: run.fleet.metCounts(),
+		Seed: options.Seed, Faults: injected, Requests: finished, Served: served, Met: run.fleet.metCounts(), OddReads: run.oddReads(),
 		Violations: run.ledger.Violations(),
 	}
 	if err == nil {
@@ -166,8 +173,10 @@
 	}
 	sleep(workCtx, run.options.Calm)
 	injected := run.inject(workCtx, random)
+	calmSince := time.Now()
 	run.checkRecovery(workCtx)
 	run.recordErr(run.changeWithoutFaults(workCtx))
+	run.checkUse(calmSince)
 	run.checkLeaving()
 	run.checkSilentLeaves()
 	return injected, nil
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -52,6 +52,7 @@
 		o.Only, o.WrongAnswers, o.Slots = "answer", true, manySlots
 	},
 	"server starts again under its name": func(o *soak.Options) { o.Only, o.WrongAnswers = "under its name", true },
+	"odd entries":                        func(o *soak.Options) { o.Only, o.OddEntries = "odd entr", true },
 	"servers leave without a report":     func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
 }
 
--- a/internal/soak/vm.go
+++ b/internal/soak/vm.go
@@ -47,6 +47,10 @@
 	mu      sync.Mutex
 	process *exec.Cmd
 	exited  chan struct{}
+	// mayEnd is set once the process has got a signal that ends it; ownEnds holds how processes
+	// ended that had not.
+	mayEnd  bool
+	ownEnds []string
 	// starts counts the starts of the process.
 	starts int
 	// lastFaultAt is when a fault of the process, its store link or the store last began
@@ -108,6 +112,7 @@
 		return errors.Wrap(err, "start "+v.Name)
 	}
 	v.process = process
+	v.mayEnd = false
 	v.starts++
 	v.recordFaultLocked()
 	exited := make(chan struct{})
@@ -117,6 +122,9 @@
 		v.mu.Lock()
 		defer v.mu.Unlock()
 		v.process = nil
+		if !v.mayEnd {
+			v.ownEnds = append(v.ownEnds, process.ProcessState.String())
+		}
 		close(exited)
 	}()
 	return nil
@@ -145,11 +153,19 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.recordFaultLocked()
+	v.mayEnd = v.mayEnd || signal == syscall.SIGKILL || signal == syscall.SIGTERM
 	if v.process != nil {
 		_ = v.process.Process.Signal(signal)
 	}
 }
 
+// OwnEnds returns how processes ended that had got no signal that ends them.
+func (v *VM) OwnEnds() []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.Clone(v.ownEnds)
+}
+
 // Stop resumes the process if it is paused and stops it gracefully with SIGTERM. It
 // returns false if the process did not exit within stopTimeout and stopMargin and was
 // killed.
