A panic ends the piece of work in which it happens, not the process

What callers saw: each panic ended a VM process and broke off all calls of that VM; a value that makes one VM panic reaches the others with the caller's next try. Shown twice: a load report younger than a call's clock reading, and a named rate of 1e12 calls a second. recover was used nowhere.

A call is told as not run only if no send of it had begun; a send that panics counts as one that may have run, and its slot is free again, as the end of a send is recorded once. Locks released by hand around more than an assignment are released by defer; suspects taken for a write that panics are taken back.

TestEachStatusToACallerHasItsEvidence and TestEachReasonHasAFailedCall found the new status and the new reason internal_error, which are played now.

--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -216,7 +216,7 @@
 	n := &network{Network: pipenet.New(), coordinator: f.dispatcher("boss", 1)}
 	n.server = dispatch.NewServer(func(service string) (*dispatch.Dispatcher, bool) {
 		return n.coordinator, service == "s"
-	})
+	}, hclog.NewNullLogger(), telemetry.NewCounters())
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
 	listener := n.Listen(coordinatorAddress)
--- a/internal/dispatch/probe.go
+++ b/internal/dispatch/probe.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -101,7 +102,7 @@
 	answered := make(chan struct{}, len(choices))
 	for _, choice := range choices {
 		go func() {
-			d.probe(choice.Name, choice.Address, "before_send")
+			d.probeConfined(choice.Name, choice.Address, "before_send")
 			answered <- struct{}{}
 		}()
 	}
@@ -131,6 +132,11 @@
 	return choices[:granted]
 }
 
+// probeConfined runs probe; a panic ends it alone.
+func (d *Dispatcher) probeConfined(name, address, purpose string) {
+	confine.Run(d.options.Log, d.options.Counters, confine.Probe, func() { d.probe(name, address, purpose) })
+}
+
 // probe probes one upstream and records its report. purpose is the name of the
 // counter for this kind of probe.
 func (d *Dispatcher) probe(name, address, purpose string) {
@@ -161,7 +167,9 @@
 // ends.
 func (d *Dispatcher) RunProbes(ctx context.Context) {
 	for ctx.Err() == nil {
-		upstream, pause := d.nextPeriodicProbe(time.Now())
+		var upstream loadbalancer.Upstream
+		pause := idleInterval
+		confine.Run(d.options.Log, d.options.Counters, confine.Probe, func() { upstream, pause = d.nextPeriodicProbe() })
 		if upstream.Name != "" {
 			go d.runPeriodicProbe(upstream)
 		}
@@ -174,7 +182,7 @@
 
 // runPeriodicProbe probes an upstream that nextPeriodicProbe has chosen.
 func (d *Dispatcher) runPeriodicProbe(upstream loadbalancer.Upstream) {
-	d.probe(upstream.Name, upstream.Address, "poll")
+	d.probeConfined(upstream.Name, upstream.Address, "poll")
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.awaitingProbe, upstream.Name)
@@ -183,9 +191,10 @@
 // nextPeriodicProbe returns the upstream to be probed now, if any, and the time
 // until the next probe. It skips an upstream that has not answered its last
 // periodic probe, so that connections to dead upstreams don't pile up.
-func (d *Dispatcher) nextPeriodicProbe(now time.Time) (loadbalancer.Upstream, time.Duration) {
+func (d *Dispatcher) nextPeriodicProbe() (loadbalancer.Upstream, time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	probesPerSecond := periodicShare * d.options.ProbesPerUpstream
 	if !d.isCoordinatorLocked(now) || probesPerSecond == 0 || len(d.upstreams) == 0 {
 		return loadbalancer.Upstream{}, idleInterval
--- a/internal/dispatch/router.go
+++ b/internal/dispatch/router.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/telemetry"
 )
@@ -111,9 +112,11 @@
 // nil.
 func (r *Router) KeepConnected(ctx context.Context, services func() []string) error {
 	for ctx.Err() == nil {
-		for _, service := range services() {
-			r.client(service)
-		}
+		confine.Run(r.log, r.counters, confine.Connection, func() {
+			for _, service := range services() {
+				r.client(service)
+			}
+		})
 		select {
 		case <-time.After(connectInterval):
 		case <-ctx.Done():
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -6,14 +6,20 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/hashicorp/go-hclog"
 
 	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/confine"
+	"github.com/figfront/figfront/internal/quarantine"
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 // Server places the calls of other VMs. It is safe for concurrent use.
 type Server struct {
 	// find returns the Dispatcher of a service.
-	find func(service string) (*Dispatcher, bool)
+	find     func(service string) (*Dispatcher, bool)
+	log      hclog.Logger
+	counters *telemetry.Counters
 
 	mu       sync.Mutex
 	isClosed bool
@@ -22,8 +28,8 @@
 
 // NewServer returns a Server that looks up the Dispatcher of a service with
 // find.
-func NewServer(find func(service string) (*Dispatcher, bool)) *Server {
-	return &Server{find: find, streams: make(map[*serverStream]struct{})}
+func NewServer(find func(service string) (*Dispatcher, bool), log hclog.Logger, counters *telemetry.Counters) *Server {
+	return &Server{find: find, log: log, counters: counters, streams: make(map[*serverStream]struct{})}
 }
 
 // Close ends all streams and rejects new ones, so that other VMs place their
@@ -58,7 +64,7 @@
 		if err != nil {
 			return errors.Wrap(err, "receive")
 		}
-		served.receive(message)
+		served.receiveConfined(message)
 	}
 }
 
@@ -109,6 +115,14 @@
 	end     End
 }
 
+// receiveConfined receives a message. If that panics, the stream ends: what it holds may be half
+// done, and its end ends all its calls.
+func (s *serverStream) receiveConfined(message *api.PlaceMessage) {
+	if !confine.Run(s.server.log, s.server.counters, confine.Message, func() { s.receive(message) }) {
+		s.cancel()
+	}
+}
+
 func (s *serverStream) receive(message *api.PlaceMessage) {
 	if call := message.GetCall(); call != nil {
 		s.startCall(call)
@@ -139,7 +153,16 @@
 	dispatcher.RecordRemoteCall(served.arrived, call.GetVm())
 	dispatcher.LearnRates(decodeRates(call.GetRates()))
 	dispatcher.LearnSuspects(decodeSuspects(call.GetSuspects()))
-	go s.placeCall(ctx, dispatcher, call, served)
+	go s.placeConfined(ctx, dispatcher, call, served)
+}
+
+// placeConfined places a call. If that panics, it ends the call, and the other VM places it itself.
+func (s *serverStream) placeConfined(ctx context.Context, dispatcher *Dispatcher, call *api.PlaceCall, served *servedCall) {
+	isDone := confine.Run(s.server.log, s.server.counters, confine.Placement, func() { s.placeCall(ctx, dispatcher, call, served) })
+	if !isDone {
+		s.endCall(call.GetId(), End{IsCancelled: true})
+		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replyUnknownService})
+	}
 }
 
 // Reasons of replies that are not refusals: the VM does not know the service, has lost its
@@ -155,6 +178,7 @@
 
 func (s *serverStream) placeCall(ctx context.Context, dispatcher *Dispatcher, call *api.PlaceCall, served *servedCall) {
 	ack := time.AfterFunc(ackDelay, func() { s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replyWaiting}) })
+	defer ack.Stop()
 	grant, err := dispatcher.Place(ctx, decodeCall(call, served.arrived))
 	ack.Stop()
 	if err != nil {
@@ -172,14 +196,19 @@
 // know.
 func (s *serverStream) replyWithBook(reply *api.PlaceReply, book Book, call *api.PlaceCall) {
 	reply.Rates = encodeRates(book.RateNotices(decodeRates(call.GetRates())))
-	s.mu.Lock()
-	records, version := book.SuspectNotices(s.toldSuspects[call.GetService()])
-	s.toldSuspects[call.GetService()] = version
-	s.mu.Unlock()
-	reply.Suspects = encodeSuspects(records)
+	reply.Suspects = encodeSuspects(s.untoldSuspects(call.GetService(), book))
 	s.reply(reply)
 }
 
+// untoldSuspects returns what the other VM was not told yet about the suspects of a service.
+func (s *serverStream) untoldSuspects(service string, book Book) []quarantine.Record {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	records, version := book.SuspectNotices(s.toldSuspects[service])
+	s.toldSuspects[service] = version
+	return records
+}
+
 // recordGrant keeps the grant until the call ends. If the call has already
 // ended, it ends the grant as cancelled and returns false.
 func (s *serverStream) recordGrant(served *servedCall, grant Grant) bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -121,7 +121,7 @@
 	e.router = dispatch.NewRouter(coordinator, nil, parts.Log, parts.Counters)
 	e.dispatch = dispatch.NewServer(func(service string) (*dispatch.Dispatcher, bool) {
 		return e.gateway.Dispatcher(service)
-	})
+	}, parts.Log, parts.Counters)
 	e.suspects = e.newSuspectStore()
 	e.gateway = gateway.New(gateway.Options{
 		OnSuspectChange: e.suspects.Wake, StopWindow: parts.Lifecycle.StopWindow,
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -6,6 +6,7 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/wait"
@@ -69,19 +70,27 @@
 // run calls apply with each snapshot until ctx ends.
 func (l *loop) run(ctx context.Context, apply func(platform.Snapshot)) error {
 	for ctx.Err() == nil {
-		snapshot, err := l.source.Next(ctx)
-		switch {
-		case ctx.Err() != nil:
-		case err != nil:
-			l.handleFailure(ctx, err)
-		default:
-			l.recordSuccess(snapshot)
-			apply(snapshot)
+		isDone := confine.Run(l.log, l.counters, confine.Snapshot, func() { l.process(ctx, apply) })
+		if !isDone {
+			l.source.Pause(ctx, wait.Jitter(minRetryDelay))
 		}
 	}
 	return nil
 }
 
+// process applies the next snapshot.
+func (l *loop) process(ctx context.Context, apply func(platform.Snapshot)) {
+	snapshot, err := l.source.Next(ctx)
+	switch {
+	case ctx.Err() != nil:
+	case err != nil:
+		l.handleFailure(ctx, err)
+	default:
+		l.recordSuccess(snapshot)
+		apply(snapshot)
+	}
+}
+
 // recordSuccess records a successful read.
 func (l *loop) recordSuccess(snapshot platform.Snapshot) {
 	if l.clock != nil {
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -79,6 +79,10 @@
 // attempt sends a call whose body is in memory once and reads the response. It
 // cancels the send if the deadline has passed.
 func (c *call) attempt(sent send) attemptResult {
+	return c.confineSend(sent, func() attemptResult { return c.attemptOnce(sent) })
+}
+
+func (c *call) attemptOnce(sent send) attemptResult {
 	if c.isPastDeadline() {
 		c.route.service.cancelSend(sent)
 		c.state.endSend(outcome.NotRun)
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -53,6 +53,8 @@
 	sendLog *sendLog
 	// interim forwards interim responses (1xx) to the caller.
 	interim *interimForwarder
+	// isAnswered is set when the answer to the caller begins.
+	isAnswered bool
 }
 
 func newCall(g *Gateway, w http.ResponseWriter, r *http.Request) *call {
@@ -75,6 +77,7 @@
 	c.interim.end()
 	c.closeIfBodyUnread()
 	newStallWriter(c.w)
+	c.isAnswered = true
 	p.Write(c.w)
 }
 
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -85,11 +85,12 @@
 		return upload.Result{}
 	}
 	counted := &countingBody{Reader: body}
-	a := c.roundTrip(ctx, sent, requestBody{
+	delivered := requestBody{
 		reader:     nonRewindableBody{counted},
 		length:     r.Body.Size,
 		isComplete: func() bool { return counted.read.Load() == r.Body.Size },
-	})
+	}
+	a := c.confineSend(sent, func() attemptResult { return c.roundTrip(ctx, sent, delivered) })
 	closeRest(a.rest)
 	if a.reason != "" {
 		return upload.Result{Upstream: a.upstream, UpstreamEnded: a.transfer.UpstreamEnd == upstreamEnded}
--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -7,6 +7,8 @@
 	"net/url"
 	"sync"
 	"time"
+
+	"github.com/figfront/figfront/internal/confine"
 )
 
 // Parameters of link checks.
@@ -103,9 +105,7 @@
 func (c *linkChecker) run(ctx context.Context) {
 	defer c.transport.CloseIdleConnections()
 	for ctx.Err() == nil {
-		if address, path, ok := c.next(); ok {
-			go c.check(ctx, address, path)
-		}
+		confine.Run(c.links.log, c.links.counters, confine.LinkCheck, func() { c.startDue(ctx) })
 		select {
 		case <-time.After(linkCheckInterval):
 		case <-ctx.Done():
@@ -113,6 +113,15 @@
 	}
 }
 
+// startDue starts the check that is due now, if any.
+func (c *linkChecker) startDue(ctx context.Context) {
+	address, path, ok := c.next()
+	if !ok {
+		return
+	}
+	go confine.Run(c.links.log, c.links.counters, confine.LinkCheck, func() { c.check(ctx, address, path) })
+}
+
 // next returns the upstream to check now; false if no check is needed.
 func (c *linkChecker) next() (address, path string, ok bool) {
 	if !c.links.isLost() && c.links.silentFor(time.Now()) < maxLinkSilence {
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -94,12 +95,8 @@
 // cancels the grant when this VM does not know the upstream, or the upstream has asked it for
 // no requests since the call was placed.
 func (s *service) startGranted(grant dispatch.Grant, isBulk bool) (send, bool) {
-	s.mu.Lock()
-	address, ok := s.addresses[grant.Upstream]
-	t := s.transports[address]
-	mayStart := ok && t != nil && s.beginSendLocked(time.Now(), grant.Upstream)
-	s.mu.Unlock()
-	if !mayStart {
+	address, t, ok := s.beginGranted(grant.Upstream)
+	if !ok {
 		endUnsent(grant)
 		return send{}, false
 	}
@@ -108,9 +105,20 @@
 		transport: t,
 		started:   time.Now(),
 		grant:     &grant,
+		isEnded:   new(atomic.Bool),
 	}, true
 }
 
+// beginGranted records that a request is sent to an upstream and returns its address and transport.
+// It returns false if this VM does not know the upstream or must not send it one.
+func (s *service) beginGranted(upstream string) (string, *transport, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	address, ok := s.addresses[upstream]
+	t := s.transports[address]
+	return address, t, ok && t != nil && s.beginSendLocked(time.Now(), upstream)
+}
+
 // maxProbeResponseBytes limits the body of the response to a probe.
 const maxProbeResponseBytes = 1 << 10
 
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -56,6 +56,7 @@
 		setTrailer(c.w.Header(), a.response)
 	}
 	writer := newStallWriter(c.w)
+	c.isAnswered = true
 	c.w.WriteHeader(a.status)
 	defer closeRest(a.rest)
 	if len(a.body) == 0 {
--- a/internal/gateway/send.go
+++ b/internal/gateway/send.go
@@ -25,6 +25,13 @@
 	// isAbandoned means that another send of the call has won; nil when the call
 	// has only one send at a time.
 	isAbandoned *atomic.Bool
+	// isEnded is set by the first record of its end, after which others have no effect.
+	isEnded *atomic.Bool
+}
+
+// end reports whether the end of the send is recorded for the first time.
+func (s send) end() bool {
+	return s.isEnded == nil || s.isEnded.CompareAndSwap(false, true)
 }
 
 // cancellable returns a copy of the send that can be abandoned.
@@ -81,7 +88,7 @@
 	s.balancer.Sent(now, choice)
 	s.limits.started(choice.Name)
 	return send{
-		choice: choice, transport: s.transports[choice.Address], started: now,
+		choice: choice, transport: s.transports[choice.Address], started: now, isEnded: new(atomic.Bool),
 		suspect: s.suspects.Sent(now, id, s.teamProcessLocked(choice.Name)),
 	}, sendOK
 }
@@ -166,6 +173,9 @@
 		s.cancelSend(sent)
 		return
 	}
+	if !sent.end() {
+		return
+	}
 	now := time.Now()
 	result.Latency = now.Sub(sent.started)
 	if sent.grant != nil {
@@ -184,6 +194,9 @@
 
 // cancelSend records that a send was cancelled.
 func (s *service) cancelSend(sent send) {
+	if !sent.end() {
+		return
+	}
 	if sent.grant != nil {
 		end := dispatch.End{IsCancelled: true}
 		end.Latency = time.Since(sent.started)
@@ -204,6 +217,9 @@
 		s.cancelSend(sent)
 		return
 	}
+	if !sent.end() {
+		return
+	}
 	end := dispatch.End{IsCancelled: true, IsUnattributed: true}
 	end.Latency = time.Since(sent.started)
 	sent.grant.End(end)
--- a/internal/gateway/site.go
+++ b/internal/gateway/site.go
@@ -165,16 +165,21 @@
 			Name: u.Name, Address: u.Address, Zone: u.Zone, Slots: u.Slots, WarmupLeft: u.WarmupLeft, Started: u.Started,
 		})
 	}
-	s.mu.Lock()
-	s.tracker.path = settings.HealthPath
-	s.configureTransports(connected)
-	s.setProcesses(placed)
-	s.mu.Unlock()
+	s.configureConnections(settings.HealthPath, connected, placed)
 	s.links.setUpstreams(len(connected))
 	s.linkChecker.configure(settings.HealthPath, s.checkTargets(connected))
 	s.dispatcher.SetUpstreams(placed)
 }
 
+// configureConnections applies the health path and the upstreams to the connections.
+func (s *service) configureConnections(healthPath string, connected []dynamic.Upstream, placed []loadbalancer.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.tracker.path = healthPath
+	s.configureTransports(connected)
+	s.setProcesses(placed)
+}
+
 // checkTargets returns the upstreams in an order that differs between VMs.
 func (s *service) checkTargets(upstreams []dynamic.Upstream) []checkTarget {
 	targets := make([]checkTarget, 0, len(upstreams))
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -40,6 +40,8 @@
 	log      spectest.Buffer
 	// stop is the window of the VM's planned stop; nil before it.
 	stop atomic.Pointer[drain.Window]
+	// coordinator holds the dispatch.CoordinatorFunc in use.
+	coordinator atomic.Value
 
 	mu       sync.Mutex
 	received map[string]int
@@ -91,17 +93,23 @@
 // upstreamHandler serves the calls of an upstream.
 type upstreamHandler func(env *siteTestEnv, w http.ResponseWriter, r *http.Request)
 
+// selfCoordinator makes each VM place its calls itself.
+func selfCoordinator(string, func(string) bool) (dispatch.VM, bool) { return dispatch.VM{}, false }
+
 // withSiteTestEnv runs a test with two upstreams per service, which serve calls
 // with handler.
 func withSiteTestEnv(t *testing.T, handler upstreamHandler, run func(g *WithT, env *siteTestEnv)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		env := &siteTestEnv{network: pipenet.New(), counters: telemetry.NewCounters(), received: make(map[string]int)}
-		selfCoordinator := func(string, func(string) bool) (dispatch.VM, bool) { return dispatch.VM{}, false }
+		env.coordinator.Store(selfCoordinator)
+		coordinator := func(service string, isAvoided func(string) bool) (dispatch.VM, bool) {
+			return env.coordinator.Load().(func(string, func(string) bool) (dispatch.VM, bool))(service, isAvoided)
+		}
 		env.gateway = gateway.New(gateway.Options{
 			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &env.log), Counters: env.counters, Dial: env.network.Dial, Seed: 1,
 			RetryLimits: retry.Limits{Share: 0.1}, ProbesPerUpstream: siteProbesPerSecond,
-			Router:     dispatch.NewRouter(selfCoordinator, nil, hclog.NewNullLogger(), env.counters),
+			Router:     dispatch.NewRouter(coordinator, nil, hclog.NewNullLogger(), env.counters),
 			StopWindow: env.stopWindow,
 		})
 		env.servers = append(env.servers, env.network.Serve(gatewayAddress, env.gateway))
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/site"
+	"github.com/figfront/figfront/internal/dispatch"
 	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/quarantine"
@@ -182,6 +183,13 @@
 				g.Expect(line.Outcome).To(Equal(outcome.NotRun))
 			},
 		},
+		outcome.InternalError: {
+			setUp: func(_ *WithT, env *siteTestEnv) {
+				env.applySite()
+				env.coordinator.Store(func(string, func(string) bool) (dispatch.VM, bool) { panic("coordinator") })
+			},
+			check: expectNoSend,
+		},
 		outcome.UpstreamFailed: {upstream: abortsConnection, check: func(g *WithT, line callLine) {
 			expectOneSend(g, line, outcome.UpstreamFailed)
 			g.Expect(line.NotResent).To(Equal("may_have_run"))
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -127,13 +127,14 @@
 // sendOnce sends the upload to one upstream. A 2xx response that arrives before
 // the whole body was sent counts as a failure with an unknown outcome.
 func (u *uploadCall) sendOnce(ctx context.Context, sent send, reader *upload.Reader) attemptResult {
-	a := u.roundTrip(ctx, sent, requestBody{
+	body := requestBody{
 		reader:      reader,
 		length:      u.r.ContentLength,
 		trailer:     u.r.Trailer,
 		isComplete:  reader.IsComplete,
 		isTruncated: func() bool { return u.source.Err() != nil },
-	})
+	}
+	a := u.confineSend(sent, func() attemptResult { return u.roundTrip(ctx, sent, body) })
 	if a.outcome != outcome.NotRun {
 		u.mayHaveRun = true
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/platform"
@@ -170,8 +171,10 @@
 // streams to peers every heartbeatInterval until ctx ends.
 func (m *Mesh) runHeartbeats(ctx context.Context) error {
 	for {
-		m.publish(topicHeartbeat, m.options.VM, m.nextHeartbeat(time.Now()))
-		m.updateStreams(ctx)
+		confine.Run(m.options.Log, m.options.Counters, confine.Connection, func() {
+			m.publish(topicHeartbeat, m.options.VM, m.nextHeartbeat(time.Now()))
+			m.updateStreams(ctx)
+		})
 		select {
 		case <-time.After(heartbeatInterval):
 		case <-ctx.Done():
@@ -226,16 +229,22 @@
 			VM: vm.Name, Zone: vm.Zone, Address: vm.Address, Leaving: vm.Leaving, Capacity: vm.Capacity,
 		})
 	}
-	m.mu.Lock()
-	refused := m.view.MergeList(time.Now(), listed)
-	live := m.view.Live().All
-	m.mu.Unlock()
+	refused, live := m.mergeList(listed)
 	if refused > 0 {
 		m.options.Counters.Add(telemetry.GroupPeers, "list_refused", int64(refused))
 	}
 	m.options.OnLiveVMs(live)
 }
 
+// mergeList merges a list into the view. It returns the number of entries that were refused and of
+// live VMs.
+func (m *Mesh) mergeList(listed []membership.ListEntry) (refused, live int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	refused = m.view.MergeList(time.Now(), listed)
+	return refused, m.view.Live().All
+}
+
 // IsReader reports whether this VM reads the store for its zone. The reader is the
 // first of the zone's candidates that is not cut off. A VM that is no candidate itself,
 // for example because it is leaving, reads the store when all candidates are cut off.
--- a/internal/mesh/reads.go
+++ b/internal/mesh/reads.go
@@ -6,6 +6,7 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/wait"
 )
@@ -75,7 +76,17 @@
 	s.mu.Lock()
 	latest := s.latest
 	s.mu.Unlock()
-	s.reads.start(ctx, s.options.RetryInterval, latest, s.read)
+	s.reads.start(ctx, s.options.RetryInterval, latest, s.readConfined)
+}
+
+// errReadPanicked means that a read of the store ended with a panic.
+var errReadPanicked = errors.New("mesh: read of the store panicked")
+
+// readConfined reads the store; a panic is a failed read.
+func (s *RecordSet) readConfined(ctx context.Context, latest *platform.Snapshot) (snapshot platform.Snapshot, err error) {
+	err = errReadPanicked
+	confine.Run(s.mesh.options.Log, s.mesh.options.Counters, confine.Read, func() { snapshot, err = s.read(ctx, latest) })
+	return snapshot, err
 }
 
 // isOvertaken reports whether an overlapping read has failed that began before the latest
--- a/internal/mesh/records.go
+++ b/internal/mesh/records.go
@@ -207,34 +207,40 @@
 // has a newer one replaced. It returns false and changes nothing if the snapshot is older than
 // the newest one.
 func (s *RecordSet) accept(snapshot platform.Snapshot, from source) (platform.Snapshot, bool) {
+	read := snapshot.Rows
+	before, accepted, ok := s.replaceLatest(snapshot, from)
+	if !ok {
+		s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_older", 1)
+		return platform.Snapshot{}, false
+	}
+	isFirst := before == platform.Position{}
+	if !isFirst && before.Era != accepted.Era {
+		s.mesh.logReadAgain(s.name, before, accepted, from, isReplaced(read, accepted.Rows))
+	}
+	return accepted, true
+}
+
+// replaceLatest makes a snapshot the latest one unless it is older than the newest one. It returns
+// the position of the newest one before, and the snapshot with the newest known values.
+func (s *RecordSet) replaceLatest(snapshot platform.Snapshot, from source) (platform.Position, platform.Snapshot, bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	before := s.newest
-	isFirst := s.updatedAt.IsZero()
-	isOlder := snapshot.IsBefore(before)
-	isKept := false
-	if !isOlder {
-		read := snapshot.Rows
-		snapshot.Rows = s.newestValues.replace(read, s.options.ValueVersion)
-		isKept = isReplaced(read, snapshot.Rows)
-		s.latest = &snapshot
-		s.newest = snapshot.Position
-		s.updatedAt = time.Now()
-		if isFirst {
-			s.firstAt = s.updatedAt
-		}
-		if from == sourcePeer {
-			s.peerSnapshot = &snapshot
-		}
+	if snapshot.IsBefore(before) {
+		return before, platform.Snapshot{}, false
 	}
-	s.mu.Unlock()
-	if isOlder {
-		s.mesh.options.Counters.Add(telemetry.GroupStore, s.name+"_older", 1)
-		return platform.Snapshot{}, false
+	snapshot.Rows = s.newestValues.replace(snapshot.Rows, s.options.ValueVersion)
+	isFirst := s.updatedAt.IsZero()
+	s.latest = &snapshot
+	s.newest = snapshot.Position
+	s.updatedAt = time.Now()
+	if isFirst {
+		s.firstAt = s.updatedAt
 	}
-	if !isFirst && before.Era != snapshot.Era {
-		s.mesh.logReadAgain(s.name, before, snapshot, from, isKept)
+	if from == sourcePeer {
+		s.peerSnapshot = &snapshot
 	}
-	return snapshot, true
+	return before, snapshot, true
 }
 
 // publishSnapshot publishes a snapshot on the given topics.
--- a/internal/mesh/stream.go
+++ b/internal/mesh/stream.go
@@ -8,6 +8,7 @@
 
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/chart"
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/membership"
 	"github.com/figfront/figfront/internal/telemetry"
@@ -75,7 +76,7 @@
 			m.options.Log.Info("peer connected", telemetry.FieldVM, vm)
 		}
 		hasReceived = true
-		m.handleMessage(vm, message)
+		confine.Run(m.options.Log, m.options.Counters, confine.Message, func() { m.handleMessage(vm, message) })
 	})
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
@@ -115,9 +116,7 @@
 	defer cancel()
 	client := exchange.NewClient(address, m.options.Dialer)
 	err := client.Subscribe(ctx, m.options.VM, []string{topicSeedRecords}, func(message *api.Message) {
-		if err := m.handleRecords(message); err != nil {
-			m.options.Counters.Add(telemetry.GroupPeers, "message_malformed", 1)
-		}
+		confine.Run(m.options.Log, m.options.Counters, confine.Message, func() { m.handleSeedRecords(message) })
 		if m.hasAllRecordSets() {
 			cancel()
 		}
@@ -127,6 +126,13 @@
 	}
 }
 
+// handleSeedRecords merges a snapshot of a seed. A malformed one is counted.
+func (m *Mesh) handleSeedRecords(message *api.Message) {
+	if err := m.handleRecords(message); err != nil {
+		m.options.Counters.Add(telemetry.GroupPeers, "message_malformed", 1)
+	}
+}
+
 // hasAllRecordSets reports whether every record set has a snapshot.
 func (m *Mesh) hasAllRecordSets() bool {
 	for _, set := range m.sets {
@@ -140,9 +146,9 @@
 // recordUnreachable records that a peer can't be reached.
 func (m *Mesh) recordUnreachable(vm string) {
 	m.mu.Lock()
+	defer m.mu.Unlock()
 	m.view.RecordMiss(time.Now(), vm)
 	delete(m.cutOff, vm)
-	m.mu.Unlock()
 }
 
 // handleMessage processes one message of a peer. A malformed message is counted and
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -53,6 +53,7 @@
 	SuspectBusy       Reason = "suspect_busy"
 	UpstreamsResting  Reason = "upstreams_resting"
 	Stopping          Reason = "stopping"
+	InternalError     Reason = "internal_error"
 )
 
 // Reasons lists every Reason.
@@ -60,5 +61,5 @@
 	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
 	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
 	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
-	RateLimited, Quarantined, SuspectBusy, UpstreamsResting, Stopping,
+	RateLimited, Quarantined, SuspectBusy, UpstreamsResting, Stopping, InternalError,
 }
--- a/internal/suspectstore/store.go
+++ b/internal/suspectstore/store.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/quarantine"
 	"github.com/figfront/figfront/internal/telemetry"
@@ -93,7 +94,7 @@
 		if !wait.For(ctx, batchDelay) {
 			return nil
 		}
-		if err := s.flush(ctx); err != nil && ctx.Err() == nil {
+		if err := s.flushConfined(ctx); err != nil && ctx.Err() == nil {
 			retryDelay = min(max(2*retryDelay, minRetryDelay), maxRetryDelay)
 			s.options.Counters.Add(telemetry.GroupQuarantine, "write_failed", 1)
 			s.options.Log.Warn("failed to store suspects", telemetry.FieldError, err, "retry_ms", retryDelay.Milliseconds())
@@ -107,6 +108,16 @@
 	return nil
 }
 
+// errPanicked means that a write of suspects ended with a panic.
+var errPanicked = errors.New("suspectstore: write panicked")
+
+// flushConfined runs flush; a panic is a failed write.
+func (s *Store) flushConfined(ctx context.Context) error {
+	err := errPanicked
+	confine.Run(s.options.Log, s.options.Counters, confine.Suspects, func() { err = s.flush(ctx) })
+	return err
+}
+
 // flush writes the changes of all books and reserves the trials that are due.
 func (s *Store) flush(ctx context.Context) error {
 	for service, book := range s.options.Books() {
@@ -126,14 +137,20 @@
 	if changes.IsEmpty() {
 		return nil
 	}
+	isWritten := false
+	defer func() {
+		if !isWritten {
+			book.RetakeSuspectChanges(changes)
+		}
+	}()
 	writes, deletions, err := rowsOf(service, changes)
 	if err == nil {
 		err = s.options.Write(ctx, writes, deletions)
 	}
 	if err != nil {
-		book.RetakeSuspectChanges(changes)
 		return errors.Wrapf(err, "write suspects of %s", service)
 	}
+	isWritten = true
 	s.options.Counters.Add(telemetry.GroupQuarantine, "rows_written", int64(len(writes)))
 	s.options.Counters.Add(telemetry.GroupQuarantine, "rows_deleted", int64(len(deletions)))
 	return nil
--- a/internal/suspectstore/store_test.go
+++ b/internal/suspectstore/store_test.go
@@ -26,12 +26,18 @@
 	err    error
 	isLost bool
 	calls  int
+	// panics is the number of next writes that panic.
+	panics int
 }
 
 func (r *rows) write(_ context.Context, writes []platform.Row, deletions []string) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.calls++
+	if r.panics > 0 {
+		r.panics--
+		panic("write")
+	}
 	if r.err != nil && !r.isLost {
 		return r.err
 	}
@@ -225,6 +231,16 @@
 	})
 }
 
+func TestChangesWhoseWritePanickedAreWrittenLater(t *testing.T) {
+	withVMs(t, func(g *WithT, r *rows, a, _ *vm) {
+		r.panics = 2
+		a.book.hold()
+		time.Sleep(10 * time.Second)
+		g.Expect(r.keys()).To(HaveLen(2))
+		g.Expect(a.counters.Get(telemetry.GroupPanics, "suspects")).To(Equal(int64(2)))
+	})
+}
+
 func TestChangesThatCouldNotBeWrittenAreWrittenLater(t *testing.T) {
 	withVMs(t, func(g *WithT, r *rows, a, _ *vm) {
 		r.fail(platform.ErrUnavailable, false)
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -46,6 +46,8 @@
 	GroupHoldOff = "holdoff"
 	// GroupQuarantine counts what happened to requests under which upstreams have ended.
 	GroupQuarantine = "quarantine"
+	// GroupPanics counts confined panics by where they happened.
+	GroupPanics = "panics"
 	// GroupLatencies holds histograms.
 	GroupLatencies = "latencies"
 )
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -12,6 +12,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	api "github.com/figfront/figfront/api/exchange"
+	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -85,8 +86,17 @@
 	return &Server{upstreams: upstreams, log: log, counters: counters, tunnels: make(map[*served]struct{})}
 }
 
+// errPanicked means that a tunnel ended with a panic.
+var errPanicked = errors.New("tunnel: panicked")
+
 // Open serves one tunnel until it ends.
 func (s *Server) Open(stream api.DRPCTunnel_OpenStream) error {
+	err := errPanicked
+	confine.Run(s.log, s.counters, confine.Message, func() { err = s.serve(stream) })
+	return err
+}
+
+func (s *Server) serve(stream api.DRPCTunnel_OpenStream) error {
 	first, err := stream.Recv()
 	if err != nil {
 		return errors.Wrap(err, "receive")
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -28,8 +28,10 @@
 
 	mu sync.Mutex
 	// err is returned instead of a connection.
-	err   error
-	dials int
+	err error
+	// panics makes DialDirect panic.
+	panics bool
+	dials  int
 	// conns are the connections to the upstream.
 	conns []net.Conn
 	// observed is what it was told that the upstream asked it for.
@@ -55,6 +57,9 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	v.dials++
+	if v.panics {
+		panic("dial")
+	}
 	if v.err != nil {
 		return nil, v.err
 	}
@@ -316,3 +321,17 @@
 		_, _ = conn.Close(), other.Close()
 	})
 }
+
+// TestPanicOfOneTunnelEndsNoVM has a VM that panics while it opens a tunnel; the other one serves it.
+func TestPanicOfOneTunnelEndsNoVM(t *testing.T) {
+	withTunnels(t, answerOnce, func(g *WithT, client *tunnel.Client, first, second *servingVM) {
+		first.panics = true
+		for range 3 {
+			conn, err := client.Dial(context.Background(), "s", upstreamAddress)
+			g.Expect(err).NotTo(HaveOccurred())
+			_ = conn.Close()
+		}
+		g.Expect(first.dialCount()).To(BeNumerically(">", 0))
+		g.Expect(second.dialCount()).To(BeNumerically(">=", 3))
+	})
+}
