--- a/internal/gateway/confine.go
+++ b/internal/gateway/confine.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/go-faster/errors"
+
 	"github.com/figfront/figfront/internal/confine"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/telemetry"
@@ -15,7 +17,7 @@
 	if value == nil {
 		return
 	}
-	if value == http.ErrAbortHandler {
+	if err, ok := value.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(value)
 	}
 	confine.Record(c.gateway.options.Log, c.gateway.options.Counters, confine.Call, value, telemetry.FieldRequestID, c.id)
