gateway: rejections of responses are counted by their reason

The log's transfer tells of each failed send which check turned its response down; the counters told only how many connections were discarded.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -123,7 +123,7 @@
 	}
 	if err != nil {
 		defer cancel(nil)
-		c.discardIfForeign(trace, err)
+		c.recordRejection(trace, err)
 		return c.handleSendFailure(ctx, sent, trace, body, err)
 	}
 	bodySent := body.isInMemory() || body.isComplete()
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -51,13 +51,14 @@
 	return h.Get(outcome.HeaderRequestID)
 }
 
-// discardIfForeign discards the connection of a send whose response was rejected and can't
-// be attributed to the call, whose own response may still arrive on it.
-func (c *call) discardIfForeign(trace *sendTrace, err error) {
+// recordRejection counts the rejection of a send's response, if that is its error. It discards the
+// connection if the response can't be attributed to the call, whose own one may still arrive on it.
+func (c *call) recordRejection(trace *sendTrace, err error) {
 	var rejected *callheader.RejectedError
 	if !errors.As(err, &rejected) {
 		return
 	}
+	c.gateway.options.Counters.Add(groupAnswers, "rejected_"+string(rejected.Reason), 1)
 	isOwn := rejected.RequestID == c.id
 	isUnclear := rejected.Reason == callheader.RejectedStale || rejected.Reason == callheader.RejectedContradictory
 	if !isOwn || isUnclear {
--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -131,6 +131,7 @@
 			g.Expect(a.header.Get(outcome.HeaderOutcome)).To(Equal("unknown"))
 		}
 		g.Expect(v.counters.Get("answers", "foreign")).To(BeEquivalentTo(5))
+		g.Expect(v.counters.Get("answers", "rejected_foreign_id")).To(BeEquivalentTo(5))
 	})
 }
 
