Review, case 4: a paid entry that ran is taken for refused, and runs twice

Cause: the header that says "not run" counts with every status from 400 on. A server's own failure whose head breaks off and goes on with lines of an earlier refusal, without that one's ID, passes all checks of mixed heads.

The stand-in takes the platform's names from a file, because the search for them in Go files failed on it. Nothing of the product is changed.

--- a/review/standin-2/client.go
+++ b/review/standin-2/client.go
@@ -47,8 +47,8 @@
 	if method == http.MethodPost {
 		length = fmt.Sprintf("Content-Length: %d\r\n", len(content))
 	}
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n%s\r\n",
-		method, path, siteHost, id, deadline.Milliseconds(), length)
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s\r\n",
+		method, path, siteHost, wire["requestID"], id, wire["deadline"], deadline.Milliseconds(), length)
 	if _, err := io.WriteString(c.conn, head+content); err != nil {
 		return answer{err: err, took: time.Since(began)}
 	}
@@ -63,7 +63,7 @@
 	}
 	got, err := io.ReadAll(response.Body)
 	_ = response.Body.Close()
-	isSigned := response.Header.Get("X-Server-Signature") == "signed-"+id
+	isSigned := response.Header.Get(wire["signature"]) == "signed-"+id
 	isWhole := err == nil && response.StatusCode == http.StatusOK && isSigned && string(got) == body(id)
 	return answer{status: response.StatusCode, isWhole: isWhole, isSigned: isSigned, took: time.Since(began), err: err}
 }
--- a/review/standin-2/darkvm.go
+++ b/review/standin-2/darkvm.go
@@ -22,6 +22,9 @@
 	calmTime       = 5 * time.Second
 	steadyTime     = 50 * time.Second
 	steadyInterval = 500 * time.Millisecond
+	uploadBytes    = 60_000
+	// postDeadline is how long clients wait for uploads and paid entries.
+	postDeadline = 3 * time.Second
 )
 
 // minLateRequests and lateShare are the rule's bounds: so many requests on the route that was added
@@ -64,7 +67,7 @@
 	time.Sleep(meetTime)
 	var burst sync.WaitGroup
 	for i := range burstUploads {
-		burst.Go(func() { s.post(dark, uploadPath, fmt.Sprintf("burst-%05d", i+1)) })
+		burst.Go(func() { s.post(dark, uploadPath, fmt.Sprintf("burst-%05d", i+1), uploadBytes) })
 	}
 	time.Sleep(darkAfter)
 	if hasTrouble {
@@ -77,8 +80,8 @@
 	var wg sync.WaitGroup
 	end := time.Now().Add(steadyTime)
 	for i := 0; time.Now().Before(end); i++ {
-		wg.Go(func() { first.add(s.post(survivor, commitPath, fmt.Sprintf("first-%05d", i))) })
-		wg.Go(func() { late.add(s.post(survivor, uploadPath, fmt.Sprintf("late-%05d", i))) })
+		wg.Go(func() { first.add(s.post(survivor, commitPath, fmt.Sprintf("first-%05d", i), uploadBytes)) })
+		wg.Go(func() { late.add(s.post(survivor, uploadPath, fmt.Sprintf("late-%05d", i), uploadBytes)) })
 		time.Sleep(steadyInterval)
 	}
 	wg.Wait()
@@ -91,8 +94,8 @@
 	return late.sent >= minLateRequests && isRare, nil
 }
 
-// post sends a request on a new connection to a machine.
-func (s *setup) post(to *vm, path, id string) answer {
+// post sends a request with a body of so many bytes on a new connection to a machine.
+func (s *setup) post(to *vm, path, id string, bytes int) answer {
 	c, err := dialClient(to.front)
 	if err != nil {
 		s.record.writef("client can't connect for %s: %v", id, err)
@@ -100,7 +103,17 @@
 	}
 	defer func() { _ = c.conn.Close() }()
 	s.record.writef("client sends %s to %s", id, to.name)
-	a := c.send(http.MethodPost, path+id, id, strings.Repeat("r", 60_000), uploadDeadline)
+	a := c.send(http.MethodPost, path+id, id, strings.Repeat("r", bytes), postDeadline)
 	s.record.writef("client got for %s: %s", id, a)
 	return a
 }
+
+// addUploads adds the route for uploads and waits until it is in force.
+func (s *setup) addUploads() {
+	s.store.put("op", "config", siteConfig(uploadVersion, uploadTimeoutS))
+	s.record.writef("operator writes version %d, which adds the route %s", uploadVersion, uploadPath)
+	time.Sleep(configApplyTime)
+}
+
+// configApplyTime is how long the processes have to apply a version.
+const configApplyTime = 2 * time.Second
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -30,6 +30,8 @@
 	storeAddress string
 	record       *record
 	store        *store
+	servers      []*server
+	runs         runs
 	// vm is the first process; vms are all of them.
 	vm  *vm
 	vms []*vm
@@ -68,9 +70,9 @@
 
 // cases are the cases by name.
 var cases = map[string]func(s *setup, hasTrouble bool) (broken bool, err error){
-	"idle":     idleCase,
-	"slowbody": slowBodyCase,
-	"darkvm":   darkVMCase,
+	"idle":    idleCase,
+	"darkvm":  darkVMCase,
+	"spoiled": spoiledCase,
 }
 
 func main() {
@@ -117,12 +119,10 @@
 	}
 }
 
-// Versions of the configuration: the first one, one with a route for uploads, and one that changes
-// its timeout.
+// Versions of the configuration: the first one, and one with a route for uploads.
 const (
 	firstVersion   = 7
 	uploadVersion  = 9
-	changedVersion = 12
 	uploadTimeoutS = 3.0
 )
 
@@ -157,10 +157,11 @@
 		slices.Repeat([]string{uploadServer}, uploadServers),
 	)
 	for i, service := range services {
-		one, err := startServer(loopbackHost, fmt.Sprintf("i-%08x", i+1), service, "zone-a", workTimes[service], s.record)
+		one, err := startServer(loopbackHost, fmt.Sprintf("i-%08x", i+1), service, "zone-a", workTimes[service], s.record, &s.runs)
 		if err != nil {
 			return err
 		}
+		s.servers = append(s.servers, one)
 		go one.heartbeat(s.store)
 	}
 	s.vm, err = s.startVM("front-1")
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -26,17 +27,20 @@
 	slots             chan struct{}
 	mu                sync.Mutex
 	running, waiting  int
+	// isFaulty means that it spoils some answers.
+	isFaulty atomic.Bool
+	runs     *runs
 }
 
 // startServer starts a server on a free port of a loopback host.
-func startServer(host, id, service, zone string, work time.Duration, r *record) (*server, error) {
+func startServer(host, id, service, zone string, work time.Duration, r *record, counted *runs) (*server, error) {
 	listener, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return nil, err
 	}
 	s := &server{
 		id: id, service: service, zone: zone, work: work, record: r, listener: listener,
-		slots: make(chan struct{}, serverSlots),
+		slots: make(chan struct{}, serverSlots), runs: counted,
 	}
 	go func() { _ = http.Serve(listener, s) }()
 	return s, nil
@@ -47,7 +51,7 @@
 	value, _ := json.Marshal(map[string]any{
 		"address": s.listener.Addr().String(), "born": s.record.start.UnixMilli(),
 		"info":   map[string]any{"service": s.service, "zone": s.zone, "version": "v1", "slots": serverSlots},
-		"status": map[string]any{"state": "ready", "sequence": sequence, "warmupLeftS": 0},
+		"status": map[string]any{"state": "ready", "sequence": sequence, wire["warmup"]: 0},
 	})
 	return value
 }
@@ -86,20 +90,20 @@
 
 // ServeHTTP serves health checks and requests.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("X-Server-Load", s.load())
+	w.Header().Set(wire["load"], s.load())
 	if r.URL.Path == healthPath {
-		w.Header().Set("X-Instance-Id", s.id)
+		w.Header().Set(wire["answeredBy"], s.id)
 		return
 	}
-	id := r.Header.Get("X-Request-Id")
-	w.Header().Set("X-Request-Id", id)
-	switch expected := r.Header.Get("X-Expected-Instance"); {
+	id := r.Header.Get(wire["requestID"])
+	w.Header().Set(wire["requestID"], id)
+	switch expected := r.Header.Get(wire["instance"]); {
 	case expected != "" && expected != s.id:
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire["notExecuted"], "1")
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	case !s.enter():
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(wire["notExecuted"], "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -108,8 +112,12 @@
 	s.count(1, -1)
 	defer func() { s.count(-1, 0); <-s.slots }()
 	s.record.writef("server %s runs %s %s %s", s.id, id, r.Method, r.URL.Path)
+	s.runs.add(id)
 	time.Sleep(s.work)
-	w.Header().Set("X-Server-Signature", "signed-"+id)
+	if s.spoil(w, id) {
+		return
+	}
+	w.Header().Set(wire["signature"], "signed-"+id)
 	_, _ = io.WriteString(w, body(id))
 }
 
--- a/review/standin-2/site.go
+++ b/review/standin-2/site.go
@@ -31,8 +31,8 @@
 	type object = map[string]any
 	route := func(prefix, kind string, timeoutS, targetS float64, priority int, service string) object {
 		return object{
-			"name": "r" + prefix, "prefix": prefix, "routeType": kind, "timeoutS": timeoutS,
-			"targetLatencyS": targetS, "priority": priority, "attempts": 2, "service": service,
+			"name": "r" + prefix, "prefix": prefix, wire["kind"]: kind, "timeoutS": timeoutS,
+			wire["objective"]: targetS, "priority": priority, "attempts": 2, "service": service,
 		}
 	}
 	paths := []object{
@@ -45,12 +45,12 @@
 	value, _ := json.Marshal(object{
 		"version": fmt.Sprintf("%08x", version),
 		"services": []object{
-			{"name": lookupServer, "healthPath": healthPath, "maxConnections": 220},
-			{"name": commitServer, "healthPath": healthPath, "maxConnections": 220},
-			{"name": uploadServer, "healthPath": healthPath, "maxConnections": 220},
+			{"name": lookupServer, "healthPath": healthPath, wire["connections"]: 220},
+			{"name": commitServer, "healthPath": healthPath, wire["connections"]: 220},
+			{"name": uploadServer, "healthPath": healthPath, wire["connections"]: 220},
 		},
-		"limits":       object{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": idleTimeoutS},
-		"virtualHosts": []object{{"hostname": siteHost, "paths": paths}},
+		"limits":      object{"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeoutS": 3, "idleTimeoutS": idleTimeoutS},
+		wire["hosts"]: []object{{"hostname": siteHost, "paths": paths}},
 	})
 	return value
 }
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -58,22 +58,26 @@
 
 // page is a response.
 type page struct {
-	Rows    []row   `json:"rows"`
-	HasMore bool    `json:"hasMore"`
-	Version uint64  `json:"ver"`
-	NowS    float64 `json:"nowS"`
+	rows    []row
+	version uint64
+	nowS    float64
+}
+
+// MarshalJSON returns the page under the platform's names. There is never another one behind it.
+func (p page) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]any{"rows": p.rows, wire["isMore"]: false, "ver": p.version, "nowS": p.nowS})
 }
 
 func (s *store) pageLocked() page {
-	return page{Rows: []row{}, Version: s.version, NowS: 50 + time.Since(s.start).Seconds()}
+	return page{rows: []row{}, version: s.version, nowS: 50 + time.Since(s.start).Seconds()}
 }
 
 // handler returns the store's API.
 func (s *store) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /rows-get", s.get)
-	mux.HandleFunc("GET /rows-feed", s.feed)
-	mux.HandleFunc("POST /rows-tx", s.commit)
+	mux.HandleFunc("GET "+wire["readRows"], s.get)
+	mux.HandleFunc("GET "+wire["followRows"], s.feed)
+	mux.HandleFunc("POST "+wire["writeRows"], s.commit)
 	return mux
 }
 
@@ -95,11 +99,11 @@
 	for _, one := range s.rows {
 		isWanted := one.Table == query.Get("table") && one.Part == query.Get("part") && one.Key >= query.Get("from")
 		if isWanted {
-			found.Rows = append(found.Rows, one)
+			found.rows = append(found.rows, one)
 		}
 	}
 	s.mu.Unlock()
-	sort.Slice(found.Rows, func(i, j int) bool { return found.Rows[i].Key < found.Rows[j].Key })
+	sort.Slice(found.rows, func(i, j int) bool { return found.rows[i].Key < found.rows[j].Key })
 	reply(w, http.StatusOK, found)
 }
 
@@ -118,11 +122,11 @@
 		found, changed := s.pageLocked(), s.changed
 		for _, one := range s.history {
 			if one.Table == query.Get("table") && one.Version > after {
-				found.Rows = append(found.Rows, one)
+				found.rows = append(found.rows, one)
 			}
 		}
 		s.mu.Unlock()
-		if len(found.Rows) > 0 {
+		if len(found.rows) > 0 {
 			reply(w, http.StatusOK, found)
 			return
 		}
@@ -138,11 +142,7 @@
 }
 
 // transaction is the body of a call that changes rows.
-type transaction struct {
-	Expected []row `json:"expectedRev"`
-	Writes   []row `json:"writes"`
-	Remove   []row `json:"remove"`
-}
+type transaction map[string][]row
 
 // commit applies a transaction, all of it or nothing.
 func (s *store) commit(w http.ResponseWriter, r *http.Request) {
@@ -154,18 +154,18 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, one := range tx.Expected {
+	for _, one := range tx[wire["conditions"]] {
 		if s.rows[one.Table+"/"+one.Part+"/"+one.Key].Version != one.Version {
 			reply(w, http.StatusPreconditionFailed, s.pageLocked())
 			return
 		}
 	}
 	s.version++
-	for _, one := range tx.Writes {
+	for _, one := range tx["writes"] {
 		one.Version = s.version
 		s.applyLocked(one)
 	}
-	for _, one := range tx.Remove {
+	for _, one := range tx["remove"] {
 		one.Version, one.Deleted, one.Value = s.version, true, nil
 		s.applyLocked(one)
 	}
