--- a/review/standin-2/spoiled.go
+++ b/review/standin-2/spoiled.go
@@ -10,10 +10,12 @@
 )
 
 // Traffic and disruption of the case. The rate is that of the site's paid entries. Half of the
-// servers spoil a twentieth of their answers.
+// servers spoil a twentieth of their answers, in spells.
 const (
 	commitTime   = 60 * time.Second
 	spoiledShare = 0.05
+	// spellTime is how long answers are spoiled at a time, and then are not.
+	spellTime = 5 * time.Second
 )
 
 // spoiledAnswer returns the answer of a faulty server to a request that it ran: its own failure, which
@@ -61,15 +63,26 @@
 	return r.byID[id]
 }
 
+// spoilInSpells makes every other server of the service spoil answers in one spell after the other.
+func (s *setup) spoilInSpells() {
+	for isSpell := true; ; isSpell = !isSpell {
+		isFaulty := false
+		for _, one := range s.servers {
+			if one.service == commitServer {
+				isFaulty = !isFaulty
+				one.isFaulty.Store(isFaulty && isSpell)
+			}
+		}
+		s.record.writef("half of the servers spoil answers: %v", isSpell)
+		time.Sleep(spellTime)
+	}
+}
+
 // spoiledCase plays paid entries while half of the servers of their service spoil some answers. The
 // rule is broken if one of them runs twice.
 func spoiledCase(s *setup, hasTrouble bool) (broken bool, err error) {
-	isFaulty := false
-	for _, one := range s.servers {
-		if one.service == commitServer {
-			isFaulty = !isFaulty
-			one.isFaulty.Store(isFaulty && hasTrouble)
-		}
+	if hasTrouble {
+		go s.spoilInSpells()
 	}
 	var wg sync.WaitGroup
 	var all tally
@@ -81,7 +94,7 @@
 		sent++
 		id := fmt.Sprintf("commit-%05d", sent)
 		wg.Go(func() {
-			a := s.post(s.vm, commitPath, id, 1200)
+			a := s.post(s.vm, commitPath, id, commitBytes)
 			all.add(a)
 			if a.status == http.StatusServiceUnavailable && s.runs.of(id) > 0 {
 				refused.add(a)
