--- a/review/standin-2/darkvm.go
+++ b/review/standin-2/darkvm.go
@@ -23,6 +23,7 @@
 	steadyTime     = 50 * time.Second
 	steadyInterval = 500 * time.Millisecond
 	uploadBytes    = 60_000
+	commitBytes    = 1200
 	// postDeadline is how long clients wait for uploads and paid entries.
 	postDeadline = 3 * time.Second
 )
@@ -80,7 +81,7 @@
 	var wg sync.WaitGroup
 	end := time.Now().Add(steadyTime)
 	for i := 0; time.Now().Before(end); i++ {
-		wg.Go(func() { first.add(s.post(survivor, commitPath, fmt.Sprintf("first-%05d", i), uploadBytes)) })
+		wg.Go(func() { first.add(s.post(survivor, commitPath, fmt.Sprintf("first-%05d", i), commitBytes)) })
 		wg.Go(func() { late.add(s.post(survivor, uploadPath, fmt.Sprintf("late-%05d", i), uploadBytes)) })
 		time.Sleep(steadyInterval)
 	}
