gateway: a response is a refusal only in the forms in which upstreams refuse

Hypotheses before any change: the refusal is known by its header with any status from 400 on; the status is read too early; the connection serves two calls at a time. The call's log line (transfer: status 500, ID own, outcome "not run") tells the first from the others, so no log was missing.

Cause: what says "not run" was known by a deny list.

Change: callheader.StatementOf decides once, by the exact forms: status 421, 429 or 503 with one value 1 of the header. Everything else that says "not run" contradicts itself and is unclear: 502, not sent again, its connection closed. What follows takes the decision and reads no header for it. 400 isn't among the forms, as every call has an ID, nor 408, which upstreams don't refuse with.

--- a/internal/callheader/callheader.go
+++ b/internal/callheader/callheader.go
@@ -30,7 +30,7 @@
 	// RateLimit holds the rate of calls that an upstream accepts; see Rate.
 	RateLimit = "Figfront-Rate-Limit"
 	// Shed marks a response to a call that the upstream refused and did not run.
-	// Its value is 1.
+	// Its value is 1; see StatementOf.
 	Shed = "Figfront-Shed"
 	// Draining marks a response of an upstream that is leaving. Its value is 1.
 	Draining = "Figfront-Draining"
@@ -154,12 +154,6 @@
 	return number
 }
 
-// IsShed reports whether the response headers say that the upstream refused the
-// call, which proves that the call did not run.
-func IsShed(h http.Header) bool {
-	return h.Get(Shed) == "1"
-}
-
 // IsDraining reports whether the response headers say that the upstream is
 // leaving.
 func IsDraining(h http.Header) bool {
--- a/internal/callheader/rejected.go
+++ b/internal/callheader/rejected.go
@@ -22,8 +22,8 @@
 	// RejectedNoID means that the response carries no request ID, which it needs to be
 	// accepted.
 	RejectedNoID Rejection = "no_id"
-	// RejectedContradictory means that a response with the status of a success or a redirect
-	// says that the call did not run.
+	// RejectedContradictory means that a response says that the call did not run, but is no
+	// refusal; see StatementOf.
 	RejectedContradictory Rejection = "contradictory"
 	// RejectedStale means that the response arrived before the call was sent.
 	RejectedStale Rejection = "stale"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -113,9 +113,10 @@
 	response, err := sent.transport.roundTripper.RoundTrip(
 		request.WithContext(httptrace.WithClientTrace(ctx, trace.clientTrace())))
 	trace.stopSilenceTimer()
+	var statement callheader.Statement
 	if err == nil {
 		c.route.service.recordAnswer(trace)
-		err = c.checkResponse(trace, response)
+		statement, err = c.checkResponse(trace, response)
 	}
 	if err != nil && trace.isUnsentOnDiscardedConn() && body.isInMemory() && c.isActive() {
 		cancel(nil)
@@ -127,7 +128,7 @@
 		return c.handleSendFailure(ctx, sent, trace, body, err)
 	}
 	bodySent := body.isInMemory() || body.isComplete()
-	result := c.readResponse(sent, trace, response)
+	result := c.readResponse(sent, trace, response, statement)
 	result.bodySent = bodySent
 	end := result.transfer.UpstreamEnd
 	result.transfer = c.describeResponse(trace, response)
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -12,32 +12,33 @@
 // A call is reported as not run only on evidence, which this file decides on:
 //
 //   - no byte of the call was given to a connection (failureOutcome), or
-//   - the upstream's response to this call says so (checkResponse, responseOutcome).
+//   - the upstream's response to this call says so (checkResponse).
 //
-// Everything else is reported as unknown or as run.
+// Everything else is reported as unknown or as run. checkResponse alone decides on a response;
+// what follows takes its statement and reads neither the status nor the header for that.
 
-// checkResponse returns a callheader.RejectedError if a response can't be attributed to
-// the call: it arrived before the call was sent, or carries the request ID of another
-// call. A response that says that the call did not run must carry the call's ID, since it
-// could be a late response to another request on the connection, and the status of a failure.
-// It closes the body of a rejected response.
-func (c *call) checkResponse(trace *sendTrace, response *http.Response) error {
+// checkResponse returns what a response says about the call, or a callheader.RejectedError if it
+// can't be attributed to the call: it arrived before the call was sent, carries the request ID of
+// another call, or contradicts itself. A refusal must carry the call's ID, since it could be a late
+// response to another request on the connection. checkResponse closes the body of a rejected response.
+func (c *call) checkResponse(trace *sendTrace, response *http.Response) (callheader.Statement, error) {
 	id := c.statedID(response.Header)
+	statement := callheader.StatementOf(response)
 	var reason callheader.Rejection
 	switch {
 	case trace.isStale():
 		reason = callheader.RejectedStale
 	case id != "" && id != c.id:
 		reason = callheader.RejectedForeignID
-	case id == "" && callheader.IsShed(response.Header):
-		reason = callheader.RejectedNoID
-	case response.StatusCode < http.StatusBadRequest && callheader.IsShed(response.Header):
+	case statement == callheader.Unclear:
 		reason = callheader.RejectedContradictory
+	case id == "" && statement == callheader.Refused:
+		reason = callheader.RejectedNoID
 	default:
-		return nil
+		return statement, nil
 	}
 	_ = response.Body.Close()
-	return &callheader.RejectedError{Status: response.StatusCode, Reason: reason, RequestID: id}
+	return callheader.Unclear, &callheader.RejectedError{Status: response.StatusCode, Reason: reason, RequestID: id}
 }
 
 // statedID returns the request ID in the header of a response; empty if there is none. Of several
@@ -77,11 +78,3 @@
 	}
 	return outcome.NotRun, outcome.ConnectFailed
 }
-
-// responseOutcome returns the outcome that an accepted response states.
-func responseOutcome(h http.Header) (outcome.Outcome, outcome.Reason) {
-	if callheader.IsShed(h) {
-		return outcome.NotRun, outcome.UpstreamShed
-	}
-	return outcome.Ran, ""
-}
--- a/internal/gateway/holdoff.go
+++ b/internal/gateway/holdoff.go
@@ -19,16 +19,16 @@
 // observeHoldOff records what the upstream of a send asked this VM for in a response. If the
 // connection led through another VM that one is told; otherwise the VMs with tunnels through
 // this one are. Status 421 comes from another upstream.
-func (c *call) observeHoldOff(sent send, trace *sendTrace, response *http.Response) {
+func (c *call) observeHoldOff(sent send, trace *sendTrace, response *http.Response, statement callheader.Statement) {
 	s := c.route.service
 	if response.StatusCode == http.StatusMisdirectedRequest {
 		return
 	}
 	asked := tunnel.HoldOff{IsLeaving: s.observeLeaving(sent.choice.Name, response.Header)}
 	switch {
-	case isRefusalWithRest(response):
+	case isUnavailable(response, statement):
 		asked.Rest = s.observeRest(sent.choice.Name, response.Header)
-	case !callheader.IsShed(response.Header):
+	case statement != callheader.Refused:
 		s.observeService(sent.choice.Name)
 	}
 	if asked == (tunnel.HoldOff{}) {
@@ -128,9 +128,9 @@
 	s.holdOffs.Answered(upstream)
 }
 
-// isRefusalWithRest reports whether a response is a refusal that may ask for rest.
-func isRefusalWithRest(response *http.Response) bool {
-	return response.StatusCode == http.StatusServiceUnavailable && callheader.IsShed(response.Header)
+// isUnavailable reports whether a response is a refusal that may ask for rest.
+func isUnavailable(response *http.Response, statement callheader.Statement) bool {
+	return statement == callheader.Refused && response.StatusCode == http.StatusServiceUnavailable
 }
 
 // heldOff returns the upstreams that must not get a request of this VM now.
--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -127,7 +127,7 @@
 func (p *promiseRecord) ranUnlessShed(handler upstreamHandler) upstreamHandler {
 	return func(env *siteTestEnv, w http.ResponseWriter, r *http.Request) {
 		defer func() {
-			if callheader.IsShed(w.Header()) {
+			if w.Header().Get(callheader.Shed) != "" {
 				return
 			}
 			p.mu.Lock()
--- a/internal/gateway/readresponse.go
+++ b/internal/gateway/readresponse.go
@@ -16,8 +16,11 @@
 // after this many bytes; if it is truncated, the caller's connection is aborted.
 const maxBufferedResponseBytes = 1 << 20
 
-// readResponse reads an upstream's response and records how the send ended.
-func (c *call) readResponse(sent send, trace *sendTrace, response *http.Response) attemptResult {
+// readResponse reads an upstream's response, which makes a statement about the call, and records
+// how the send ended.
+func (c *call) readResponse(
+	sent send, trace *sendTrace, response *http.Response, statement callheader.Statement,
+) attemptResult {
 	result := attemptResult{
 		upstream: sent.choice.Name,
 		status:   response.StatusCode,
@@ -30,9 +33,10 @@
 	}
 	sendResult.Report, sendResult.HasReport = callheader.ParseReport(response.Header.Get(callheader.Load))
 	c.observeRate(sent, response, &sendResult)
-	c.observeHoldOff(sent, trace, response)
-	result.outcome, result.reason = responseOutcome(response.Header)
-	if result.outcome == outcome.NotRun {
+	c.observeHoldOff(sent, trace, response, statement)
+	result.outcome = outcome.Ran
+	if statement == callheader.Refused {
+		result.outcome, result.reason = outcome.NotRun, outcome.UpstreamShed
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			sendResult = misdirectedResult()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -113,6 +113,7 @@
 	{"servers succeed in the head of a refusal", serverBehavior(sitetest.MixIntoRefusal)},
 	{"servers leave lines of a refusal in the head of a success", serverBehavior(sitetest.LeftoverInSuccess)},
 	{"servers leave lines of a refusal in the head of a failure", serverBehavior(sitetest.LeftoverInFailure)},
+	{"servers leave lines of a refusal without its ID in the head of a failure", serverBehavior(sitetest.NamelessLeftoverInFailure)},
 }
 
 // answerFaults are added to the selected kinds of a run with Options.WrongAnswers.
