gateway: nothing is taken of a response that holds a header twice

What callers would see, in a test and not in a run of users: a success with two different signatures was passed on with both, and a load, a named rate, a leaving or a rest that an earlier response had left behind the response's own was read from whichever came first.

Cause: each reader takes the first value of its header, although a server sends each at most once, so that a second one shows that the head holds lines of two responses.

Change: a head with a repeated one of these headers is turned down as mixed, for calls and health checks, at sites and for teams. The call is unclear (502; lookups go elsewhere) and the connection is closed. Left as it is, since it can't be told: a single line that took the place of the own one.

--- a/internal/callheader/rejected.go
+++ b/internal/callheader/rejected.go
@@ -17,7 +17,7 @@
 	RejectedUnconfirmed Rejection = "unconfirmed"
 	// RejectedForeignID means that the response carries the request ID of another call.
 	RejectedForeignID Rejection = "foreign_id"
-	// RejectedMixedHead means that the head of the response holds that of another one.
+	// RejectedMixedHead means that the head of the response holds lines of another one.
 	RejectedMixedHead Rejection = "mixed_head"
 	// RejectedNoID means that the response carries no request ID, which it needs to be
 	// accepted.
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -19,8 +19,9 @@
 
 // checkResponse returns what a response says about the call, or a callheader.RejectedError if it
 // can't be attributed to the call: it arrived before the call was sent, carries the request ID of
-// another call, or contradicts itself. A refusal must carry the call's ID, since it could be a late
-// response to another request on the connection. checkResponse closes the body of a rejected response.
+// another call, holds lines of another response, or contradicts itself. A refusal must carry the
+// call's ID, since it could be a late response to another request on the connection. checkResponse
+// closes the body of a rejected response.
 func (c *call) checkResponse(trace *sendTrace, response *http.Response) (callheader.Statement, error) {
 	id := c.statedID(response.Header)
 	statement := callheader.StatementOf(response)
@@ -30,6 +31,8 @@
 		reason = callheader.RejectedStale
 	case id != "" && id != c.id:
 		reason = callheader.RejectedForeignID
+	case callheader.IsRepeated(response.Header, callheader.Single):
+		reason = callheader.RejectedMixedHead
 	case statement == callheader.Unclear:
 		reason = callheader.RejectedContradictory
 	case id == "" && statement == callheader.Refused:
@@ -61,13 +64,23 @@
 	}
 	c.gateway.options.Counters.Add(groupAnswers, "rejected_"+string(rejected.Reason), 1)
 	isOwn := rejected.RequestID == c.id
-	isUnclear := rejected.Reason == callheader.RejectedStale || rejected.Reason == callheader.RejectedContradictory
-	if !isOwn || isUnclear {
+	if !isOwn || isConnUnclear(rejected.Reason) {
 		c.gateway.options.Counters.Add(groupAnswers, "foreign", 1)
 		trace.discardConn()
 	}
 }
 
+// isConnUnclear reports whether the call's own response may still arrive on the connection of a
+// rejected one that carries its ID.
+func isConnUnclear(reason callheader.Rejection) bool {
+	switch reason {
+	case callheader.RejectedStale, callheader.RejectedContradictory, callheader.RejectedMixedHead:
+		return true
+	default:
+		return false
+	}
+}
+
 // failureOutcome returns the outcome of a send without an accepted response. A rejected
 // response never proves that the call did not run. When the round trip failed, net/http
 // has stopped writing to the connection, so the trace holds all that was written.
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -149,7 +149,8 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	s.recordAnswer(trace)
-	if trace.isStale() || response.Header.Get(outcome.HeaderRequestID) != "" {
+	isOther := trace.isStale() || response.Header.Get(outcome.HeaderRequestID) != ""
+	if isOther || callheader.IsRepeated(response.Header, callheader.Single) {
 		trace.discardConn()
 		return loadbalancer.ProbeResult{}, false
 	}
