dispatch: a gauge tells how many calls of other VMs are in flight here

Hypotheses before any change: (1) the coordinator still counts calls of the VM that fell silent as in flight; (2) it holds the servers for suspects or full because of what it last heard of them; (3) it keeps calls of that VM in the queue. The refusal in the log line says only that none of the servers is free, which fits (1) and (2); nothing told how many calls of others a coordinator counts as in flight.

--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -165,6 +165,10 @@
 	}
 }
 
+// counterInFlightOthers is the number of calls of other VMs that this VM has placed and whose end
+// it does not know yet.
+const counterInFlightOthers = "in_flight_others"
+
 // Reasons of replies that are not refusals: the VM does not know the service, has lost its
 // links to the upstreams, or the call waits to be placed.
 const (
@@ -221,6 +225,7 @@
 	}
 	served.grant = grant
 	served.isPlaced = true
+	s.server.counters.Add(telemetry.GroupDispatch, counterInFlightOthers, 1)
 	return true
 }
 
@@ -242,16 +247,17 @@
 		return
 	}
 	delete(s.calls, id)
-	served.finishLocked(end)
+	s.finishLocked(served, end)
 }
 
 // finishLocked ends a call. The caller holds the mutex of the stream.
-func (c *servedCall) finishLocked(end End) {
-	c.cancel()
-	c.isEnded = true
-	c.end = end
-	if c.isPlaced {
-		c.grant.End(end)
+func (s *serverStream) finishLocked(served *servedCall, end End) {
+	served.cancel()
+	served.isEnded = true
+	served.end = end
+	if served.isPlaced {
+		s.server.counters.Add(telemetry.GroupDispatch, counterInFlightOthers, -1)
+		served.grant.End(end)
 	}
 }
 
@@ -263,7 +269,7 @@
 		delete(s.calls, id)
 		end := End{IsCancelled: true}
 		end.Latency = time.Since(served.arrived)
-		served.finishLocked(end)
+		s.finishLocked(served, end)
 	}
 }
 
