--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -101,20 +101,6 @@
 	toldSuspects map[string]uint64
 }
 
-// servedCall is a call of another VM from its arrival to its end. Its fields
-// are guarded by the mutex of the stream.
-type servedCall struct {
-	cancel  context.CancelFunc
-	arrived time.Time
-	// grant is valid once isPlaced is true.
-	grant    Grant
-	isPlaced bool
-	// isEnded means that the call has ended, possibly before its grant was
-	// recorded. Only then end is valid.
-	isEnded bool
-	end     End
-}
-
 // receiveConfined receives a message. If that panics, the stream ends: what it holds may be half
 // done, and its end ends all its calls.
 func (s *serverStream) receiveConfined(message *api.PlaceMessage) {
@@ -145,11 +131,7 @@
 		s.reply(&api.PlaceReply{Id: call.GetId(), Reason: replyNoLinks})
 		return
 	}
-	ctx, cancel := context.WithCancel(s.ctx)
-	served := &servedCall{cancel: cancel, arrived: time.Now()}
-	s.mu.Lock()
-	s.calls[call.GetId()] = served
-	s.mu.Unlock()
+	ctx, served := s.addCall(call)
 	dispatcher.RecordRemoteCall(served.arrived, call.GetVm())
 	dispatcher.LearnRates(decodeRates(call.GetRates()))
 	dispatcher.LearnSuspects(decodeSuspects(call.GetSuspects()))
@@ -165,10 +147,6 @@
 	}
 }
 
-// counterInFlightOthers is the number of calls of other VMs that this VM has placed and whose end
-// it does not know yet.
-const counterInFlightOthers = "in_flight_others"
-
 // Reasons of replies that are not refusals: the VM does not know the service, has lost its
 // links to the upstreams, or the call waits to be placed.
 const (
@@ -186,7 +164,7 @@
 	grant, err := dispatcher.Place(ctx, decodeCall(call, served.arrived))
 	ack.Stop()
 	if err != nil {
-		s.removeCall(call.GetId())
+		s.removeCall(call.GetId(), served)
 		s.replyWithBook(encodeRefusal(call.GetId(), err), dispatcher, call)
 		return
 	}
@@ -213,66 +191,6 @@
 	return records
 }
 
-// recordGrant keeps the grant until the call ends. If the call has already
-// ended, it ends the grant as cancelled and returns false.
-func (s *serverStream) recordGrant(served *servedCall, grant Grant) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if served.isEnded {
-		served.end.IsCancelled = true
-		grant.End(served.end)
-		return false
-	}
-	served.grant = grant
-	served.isPlaced = true
-	s.server.counters.Add(telemetry.GroupDispatch, counterInFlightOthers, 1)
-	return true
-}
-
-func (s *serverStream) removeCall(id uint64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if served, ok := s.calls[id]; ok {
-		served.cancel()
-		delete(s.calls, id)
-	}
-}
-
-// endCall records the end of a call. A call that still waits stops waiting.
-func (s *serverStream) endCall(id uint64, end End) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	served, ok := s.calls[id]
-	if !ok {
-		return
-	}
-	delete(s.calls, id)
-	s.finishLocked(served, end)
-}
-
-// finishLocked ends a call. The caller holds the mutex of the stream.
-func (s *serverStream) finishLocked(served *servedCall, end End) {
-	served.cancel()
-	served.isEnded = true
-	served.end = end
-	if served.isPlaced {
-		s.server.counters.Add(telemetry.GroupDispatch, counterInFlightOthers, -1)
-		served.grant.End(end)
-	}
-}
-
-// cancelCalls cancels the unfinished calls of a VM whose stream has ended.
-func (s *serverStream) cancelCalls() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for id, served := range s.calls {
-		delete(s.calls, id)
-		end := End{IsCancelled: true}
-		end.Latency = time.Since(served.arrived)
-		s.finishLocked(served, end)
-	}
-}
-
 // reply sends a reply. If that fails, it ends the stream.
 func (s *serverStream) reply(reply *api.PlaceReply) {
 	s.sendMu.Lock()
