dispatch: no call waits for a coordinator that has fallen silent

A call that the coordinator had told that it waits was held until its deadline if the coordinator then fell silent without the end of its connections, and a message to one that reads nothing blocked the call, and behind its lock all other calls to that coordinator, without a bound of its own.

The first reply had a timeout, the decision after it and the write before it had none.

Change: the decision takes at most 0.3 of the time to the objective (what the coordinator lets a call wait) and 0.1 s (its probes, one recheck, the messages); a message that can't leave for 75 ms, as long as three missed replies take, closes the stream. The call is then placed by its own VM.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -18,9 +18,15 @@
 	// firstReplyTimeout is how long the coordinator may take to send its first
 	// reply to a call.
 	firstReplyTimeout = 25 * time.Millisecond
+	// decisionMargin is how much longer than a call may wait its decision may take: the probes
+	// before its first and its last attempt, one recheck and the way of the messages.
+	decisionMargin = 2*maxProbeRounds*maxProbeWait + maxRecheckInterval + firstReplyTimeout
 	// maxMissedReplies is the number of calls in a row without a reply after
 	// which the stream is closed.
 	maxMissedReplies = 3
+	// sendTimeout is how long the coordinator may accept no byte of a message, before the stream
+	// is closed.
+	sendTimeout = maxMissedReplies * firstReplyTimeout
 )
 
 // Client asks another VM, over one stream, to place the calls of this VM. It is
@@ -109,7 +115,7 @@
 	if err := c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_Call{Call: call}}); err != nil {
 		return Grant{}, err
 	}
-	reply, err := c.awaitDecision(ctx, replies)
+	reply, err := c.awaitDecision(ctx, replies, maxDecisionTime(time.Until(r.Objective)))
 	if err != nil {
 		c.sendEnd(id, End{IsCancelled: true})
 		return Grant{}, err
@@ -163,18 +169,28 @@
 	delete(c.pending, id)
 }
 
-// awaitDecision waits for the decision on a call.
-func (c *Client) awaitDecision(ctx context.Context, replies <-chan *api.PlaceReply) (*api.PlaceReply, error) {
-	firstReply := time.NewTimer(firstReplyTimeout)
-	defer firstReply.Stop()
+// maxDecisionTime returns how long the coordinator may take to decide on a call with some time
+// left to its objective.
+func maxDecisionTime(toObjective time.Duration) time.Duration {
+	return time.Duration(maxWaitShare*float64(max(toObjective, 0))) + decisionMargin
+}
+
+// awaitDecision waits for the decision on a call: firstReplyTimeout, and once the coordinator has
+// told that the call waits, maxTime in all.
+func (c *Client) awaitDecision(
+	ctx context.Context, replies <-chan *api.PlaceReply, maxTime time.Duration,
+) (*api.PlaceReply, error) {
+	timeout := time.NewTimer(firstReplyTimeout)
+	defer timeout.Stop()
+	began := time.Now()
 	for {
 		select {
 		case reply := <-replies:
 			if reply.GetReason() != replyWaiting {
 				return reply, nil
 			}
-			firstReply.Stop()
-		case <-firstReply.C:
+			timeout.Reset(maxTime - time.Since(began))
+		case <-timeout.C:
 			c.recordMissedReply()
 			return nil, errors.Wrap(ErrUnavailable, "no reply in time")
 		case <-c.done:
@@ -204,7 +220,11 @@
 	_ = c.send(&api.PlaceMessage{Kind: &api.PlaceMessage_End{End: encodeEnd(id, end)}})
 }
 
+// send sends a message. It closes the stream if that takes longer than sendTimeout, the wait for
+// other messages included, so that no call waits for a coordinator that reads nothing.
 func (c *Client) send(message *api.PlaceMessage) error {
+	timeout := time.AfterFunc(sendTimeout, c.Close)
+	defer timeout.Stop()
 	c.sendMu.Lock()
 	defer c.sendMu.Unlock()
 	if err := c.stream.Send(message); err != nil {
--- a/internal/dispatch/silentvm_test.go
+++ b/internal/dispatch/silentvm_test.go
@@ -33,8 +33,8 @@
 	counters *telemetry.Counters
 	vm       *dispatch.Client
 	local    *dispatch.Dispatcher
-	// gate holds up what the VM sends and receives.
-	gate gate
+	// gate holds up what the VM sends and receives, and coordinatorGate what the coordinator does.
+	gate, coordinatorGate gate
 }
 
 // gate holds up those that pass it while it is shut.
@@ -90,6 +90,17 @@
 	return gatedConn{conn, &s.gate}, err
 }
 
+// gatedListener accepts the connections of a coordinator that may stand still.
+type gatedListener struct {
+	net.Listener
+	gate *gate
+}
+
+func (l gatedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return gatedConn{conn, l.gate}, err
+}
+
 // withSilentSite runs a test with a silentSite.
 func withSilentSite(t *testing.T, run func(g *WithT, s *silentSite)) {
 	t.Helper()
@@ -100,7 +111,7 @@
 		s.server = dispatch.NewServer(func(string) (*dispatch.Dispatcher, bool) { return s.coordinator, true }, hclog.NewNullLogger(), s.counters)
 		ctx, cancel := context.WithCancel(context.Background())
 		s.cancel = cancel
-		listener := s.Listen(coordinatorAddress)
+		listener := gatedListener{s.Listen(coordinatorAddress), &s.coordinatorGate}
 		go func() {
 			_ = exchange.ServeDispatch(ctx, listener, &api.DRPCExchangeUnimplementedServer{}, s.server)
 		}()
@@ -250,3 +261,33 @@
 		grant.End(dispatch.End{IsCancelled: true})
 	})
 }
+
+// TestCallThatWaitsAtASilentCoordinatorIsPlacedByItsOwnVM has the coordinator stand still after it
+// has told that a call waits. Nothing that is sent to it is read.
+func TestCallThatWaitsAtASilentCoordinatorIsPlacedByItsOwnVM(t *testing.T) {
+	withSilentSite(t, func(g *WithT, s *silentSite) {
+		s.placeAll(g)
+		time.AfterFunc(20*time.Millisecond, func() { s.coordinatorGate.set(true) })
+		defer s.coordinatorGate.set(false)
+		began := time.Now()
+		_, err := s.vm.Place(context.Background(), "s", s.local, silentRequest())
+		g.Expect(err).To(MatchError(dispatch.ErrUnavailable))
+		g.Expect(time.Since(began)).To(BeNumerically("<=", dispatch.MaxDecisionTime(silentObjective)+dispatch.SendTimeout))
+	})
+}
+
+// TestCallWaitsForNoCoordinatorThatReadsNothing has the coordinator stand still, so that no byte of a
+// message leaves.
+func TestCallWaitsForNoCoordinatorThatReadsNothing(t *testing.T) {
+	withSilentSite(t, func(g *WithT, s *silentSite) {
+		synctest.Wait()
+		s.coordinatorGate.set(true)
+		defer s.coordinatorGate.set(false)
+		began := time.Now()
+		for range 2 {
+			_, err := s.vm.Place(context.Background(), "s", s.local, silentRequest())
+			g.Expect(err).To(MatchError(dispatch.ErrUnavailable))
+		}
+		g.Expect(time.Since(began)).To(BeNumerically("<=", 2*dispatch.SendTimeout))
+	})
+}
