tunnel: a tunnel ends when its VM has fallen silent

A tunnel takes one of the 128 that a VM serves and one of the upstream's connections until the VM that opened it, or the upstream, closes it; a VM that has fallen silent doesn't, and most upstreams keep a connection until they have waited for their own timeout.

Change: a tunnel that carries no call ends after 10 s in which nothing was passed on (the other VM closes its idle connections after 4 s), one that awaits a response after 2 minutes. It breaks, so that the VM, once it goes on, takes it for no end in order.

Evidence: the three cases of the test (after a call, never used, during a call) don't end without the change, and end at the bound with it; a call of one minute is not cut.

--- a/internal/tunnel/drain.go
+++ b/internal/tunnel/drain.go
@@ -7,12 +7,18 @@
 
 	"github.com/go-faster/errors"
 
+	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/wait"
 )
 
 const (
 	// quietTime is how long nothing must have been passed on for a tunnel to count as idle.
 	quietTime = time.Second
+	// idleTimeout is how long a tunnel that carries no call may pass nothing on, and awaitTimeout
+	// one that awaits a response. The other VM closes its idle connections before the first, and its
+	// calls end before the second, so that they pass only if it has fallen silent.
+	idleTimeout  = 10 * time.Second
+	awaitTimeout = 2 * time.Minute
 	// drainInterval is the time between two looks at the tunnels while a Server is drained.
 	drainInterval = 50 * time.Millisecond
 )
@@ -50,6 +56,19 @@
 	a.last = time.Now()
 }
 
+// timeLeft returns how long the tunnel may go on passing nothing on. It ends the tunnel if that is 0.
+func (a *activity) timeLeft() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	limit := idleTimeout
+	if a.isAwaiting {
+		limit = awaitTimeout
+	}
+	left := max(time.Until(a.last.Add(limit)), 0)
+	a.hasEnded = a.hasEnded || left == 0
+	return left
+}
+
 // endIfIdle ends the tunnel if it carries no call, and reports whether it has ended.
 func (a *activity) endIfIdle() bool {
 	a.mu.Lock()
@@ -59,6 +78,22 @@
 	return a.hasEnded
 }
 
+// watch closes a tunnel whose VM has fallen silent: nothing was passed on for too long. It returns
+// when ctx ends.
+func (s *Server) watch(ctx context.Context, t *served) {
+	for {
+		left := t.activity.timeLeft()
+		if left == 0 {
+			s.counters.Add(telemetry.GroupTunnels, "silent", 1)
+			_ = t.upstream.Close()
+			return
+		}
+		if !wait.For(ctx, left) {
+			return
+		}
+	}
+}
+
 // Drain refuses new tunnels from now on and closes each open one once it is idle. It returns nil
 // when none is left, and an error when ctx ends before that.
 func (s *Server) Drain(ctx context.Context) error {
--- /dev/null
+++ b/internal/tunnel/export_test.go
@@ -0,0 +1,7 @@
+package tunnel
+
+// How long tunnels may pass nothing on.
+const (
+	IdleTimeout  = idleTimeout
+	AwaitTimeout = awaitTimeout
+)
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -121,7 +121,10 @@
 	if err := s.announce(t); err != nil {
 		return errors.Wrap(err, "send")
 	}
+	ctx, cancel := context.WithCancel(stream.Context())
+	defer cancel()
 	go s.receiveInto(t)
+	go s.watch(ctx, t)
 	return sendFrom(t)
 }
 
