--- a/internal/tunnel/drain.go
+++ b/internal/tunnel/drain.go
@@ -19,6 +19,8 @@
 	// calls end before the second, so that they pass only if it has fallen silent.
 	idleTimeout  = 10 * time.Second
 	awaitTimeout = 2 * time.Minute
+	// watchInterval is the longest time between two looks at whether a tunnel passes something on.
+	watchInterval = time.Second
 	// drainInterval is the time between two looks at the tunnels while a Server is drained.
 	drainInterval = 50 * time.Millisecond
 )
@@ -88,7 +90,7 @@
 			_ = t.upstream.Close()
 			return
 		}
-		if !wait.For(ctx, left) {
+		if !wait.For(ctx, min(left, watchInterval)) {
 			return
 		}
 	}
