exchange: a process that reads nothing holds up no stream for longer than 10 s

What is sent to a VM that has fallen silent blocks once its window is full: replies of the coordinator behind their lock, frames of tunnels, messages to subscribers. Only the kernel ended that, after minutes, and where the machine still answers for a process that stands still, nothing did.

Change: a write to another process fails after 10 s without progress, on both sides of a connection; its streams end with it. Callers don't wait for these writes: a call's own message has 75 ms.

Evidence: a subscriber that reads nothing keeps its stream for an hour in a test with a bound of an hour, and for 10 s now.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -104,7 +104,7 @@
 	if err != nil {
 		return nil, errors.Wrap(ErrUnreachable, err.Error())
 	}
-	return drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()}), nil
+	return drpcconn.NewWithOptions(stallConn{raw}, drpcconn.Options{Manager: managerOptions()}), nil
 }
 
 // call runs one unary call. After a failed call the connection is closed, so that an
--- a/internal/exchange/server.go
+++ b/internal/exchange/server.go
@@ -74,7 +74,7 @@
 		}
 	}
 	server := drpcserver.NewWithOptions(mux, drpcserver.Options{Manager: managerOptions()})
-	if err := server.Serve(ctx, listener); err != nil && ctx.Err() == nil {
+	if err := server.Serve(ctx, stallListener{listener}); err != nil && ctx.Err() == nil {
 		return errors.Wrap(err, "serve exchange")
 	}
 	return nil
