gateway: responses without end leave the processor to other callers

What callers would see (the report of answers without end): while two of four servers answered without end, the lookups at the same VM, whose own servers are sound, took 241 ms in the median and 710 ms for 99 in 100 instead of 62 and 63; on 0.32 of a processor 460 and 1,078 instead of 123 and 172. Memory is bounded: no process ends.

Hypotheses: memory (ruled out by the measured shapes and by reading), work, connections held until the timeout (true, and bounded). Cause: the bytes of a response above 1 MiB went on as fast as the caller took them, up to 1.7 GB for one call; nothing bounded the processor time of all of them together.

A response that says that it is longer than can be passed on before the deadline is turned down at once.

--- a/internal/callheader/rejected.go
+++ b/internal/callheader/rejected.go
@@ -25,6 +25,8 @@
 	// RejectedContradictory means that a response says that the call did not run, but is no
 	// refusal; see StatementOf.
 	RejectedContradictory Rejection = "contradictory"
+	// RejectedTooLong means that the response says that it is longer than can be passed on in time.
+	RejectedTooLong Rejection = "too_long"
 	// RejectedStale means that the response arrived before the call was sent.
 	RejectedStale Rejection = "stale"
 )
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/go-faster/errors"
 
@@ -19,9 +20,9 @@
 
 // checkResponse returns what a response says about the call, or a callheader.RejectedError if it
 // can't be attributed to the call: it arrived before the call was sent, carries the request ID of
-// another call, holds lines of another response, or contradicts itself. A refusal must carry the
-// call's ID, since it could be a late response to another request on the connection. checkResponse
-// closes the body of a rejected response.
+// another call, holds lines of another response, contradicts itself or is too long. A refusal must
+// carry the call's ID, since it could be a late response to another request on the connection.
+// checkResponse closes the body of a rejected response.
 func (c *call) checkResponse(trace *sendTrace, response *http.Response) (callheader.Statement, error) {
 	id := c.statedID(response.Header)
 	statement := callheader.StatementOf(response)
@@ -35,6 +36,8 @@
 		reason = callheader.RejectedMixedHead
 	case statement == callheader.Unclear:
 		reason = callheader.RejectedContradictory
+	case c.isTooLong(response):
+		reason = callheader.RejectedTooLong
 	case id == "" && statement == callheader.Refused:
 		reason = callheader.RejectedNoID
 	default:
@@ -44,6 +47,15 @@
 	return callheader.Unclear, &callheader.RejectedError{Status: response.StatusCode, Reason: reason, RequestID: id}
 }
 
+// isTooLong reports whether a response says that it is longer than can be passed on before the
+// deadline.
+func (c *call) isTooLong(response *http.Response) bool {
+	if response.Body == http.NoBody {
+		return false
+	}
+	return response.ContentLength > maxBufferedResponseBytes+c.gateway.pacer.maxBytes(time.Until(c.deadline))
+}
+
 // statedID returns the request ID in the header of a response; empty if there is none. Of several
 // IDs the first that isn't the call's is returned: such a response isn't the call's alone.
 func (c *call) statedID(h http.Header) string {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -65,6 +65,8 @@
 	// OnHoldOff is called with what an upstream of the site at an address asked this VM for,
 	// which binds those that have tunnels through it; nil means that there are none.
 	OnHoldOff func(service, address string, h tunnel.HoldOff)
+	// Cores is the processor time available to this VM, in cores; 0 means one.
+	Cores float64
 	// Seed seeds the random number generators.
 	Seed uint64
 	// MaxCalls limits the concurrent calls of all teams; 0 means
@@ -88,6 +90,8 @@
 	rejected  *rejections
 	readiness readiness
 	shares    *teamShares
+	// pacer paces the long responses.
+	pacer *sharedPacer
 
 	// uploads is nil when no uploads are stored.
 	uploads   *upload.Store
@@ -123,6 +127,7 @@
 		configs:  merge.NewStore(),
 		rejected: newRejections(),
 		shares:   newTeamShares(options.MaxCalls),
+		pacer:    newSharedPacer(options.Cores),
 		spools:   upload.NewPool(maxSpools),
 		teams:    make(map[string]*team),
 	}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -70,9 +70,10 @@
 	}
 }
 
-// copyRest streams what follows the buffered part of a large response.
+// copyRest streams what follows the buffered part of a large response, paced with all others.
 func (c *call) copyRest(writer io.Writer, a attemptResult) {
-	if _, err := io.Copy(writer, a.rest); err != nil {
+	rest := &pacedReader{ctx: c.ctx, pacer: c.gateway.pacer, rest: a.rest}
+	if _, err := io.Copy(writer, rest); err != nil {
 		c.gateway.options.Counters.Add(groupAnswers, "cut", 1)
 		c.gateway.options.Log.Warn("upstream response truncated", telemetry.FieldRequestID, c.id,
 			telemetry.FieldUpstream, a.upstream, telemetry.FieldError, err)
