gateway: a response whose status can't be final is none

Cause: net/http hands over any status of three digits, and 101 as a final response; nothing looked whether it can be one (RFC 9110: 200 to 599).

--- a/internal/callheader/rejected.go
+++ b/internal/callheader/rejected.go
@@ -25,6 +25,8 @@
 	// RejectedContradictory means that a response says that the call did not run, but is no
 	// refusal; see StatementOf.
 	RejectedContradictory Rejection = "contradictory"
+	// RejectedNotFinal means that the status can't be that of a final response.
+	RejectedNotFinal Rejection = "not_final"
 	// RejectedTooLong means that the response says that it is longer than can be passed on in time.
 	RejectedTooLong Rejection = "too_long"
 	// RejectedStale means that the response arrived before the call was sent.
--- a/internal/gateway/mixedhead.go
+++ b/internal/gateway/mixedhead.go
@@ -7,26 +7,44 @@
 	"github.com/figfront/figfront/internal/callheader"
 )
 
-// headChecker is a transport that rejects responses whose head holds the status line of
-// another response. An upstream that breaks off within a head and sends another response on
+// headChecker is a transport that rejects responses whose status can't be that of a final response,
+// and those whose head holds the status line of another response. An upstream that breaks off within a head and sends another response on
 // the same connection joins the two: net/http takes both for one, with the status of the first
 // and header lines of both.
 type headChecker struct {
 	next http.RoundTripper
 }
 
-// RoundTrip sends a request. It returns a callheader.RejectedError if the head of the response
-// is mixed.
+// RoundTrip sends a request. It returns a callheader.RejectedError if the response is none, or its
+// head is mixed.
 func (t headChecker) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.next.RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
-	if !isHeadMixed(response) {
+	var reason callheader.Rejection
+	switch {
+	case !isFinalStatus(response.StatusCode):
+		reason = callheader.RejectedNotFinal
+	case isHeadMixed(response):
+		reason = callheader.RejectedMixedHead
+	default:
 		return response, nil
 	}
 	_ = response.Body.Close()
-	return nil, &callheader.RejectedError{Status: response.StatusCode, Reason: callheader.RejectedMixedHead}
+	return nil, &callheader.RejectedError{Status: response.StatusCode, Reason: reason}
+}
+
+// Statuses of final responses (RFC 9110, section 15), from and to. net/http passes on others, and
+// 101 although no request asks for another protocol.
+const (
+	minFinalStatus = 200
+	maxFinalStatus = 599
+)
+
+// isFinalStatus reports whether a status can be that of a final response.
+func isFinalStatus(status int) bool {
+	return status >= minFinalStatus && status <= maxFinalStatus
 }
 
 // isHeadMixed reports whether the reason phrase or a header line of a response holds the
