--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -233,6 +233,7 @@
 	}{
 		{run.options.StoreRestores, []fault{restoreFault}},
 		{run.options.LinkLosses, linkFaults},
+		{run.options.LinkLosses, []fault{standstillFault}},
 		{run.options.RateLimits, []fault{rateLimitFault}},
 		{run.options.DeadlyRequests, []fault{deadlyFault}},
 		{run.options.Asks, askFaults},
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -58,7 +58,7 @@
 	// StoreRestores adds restores of the store from a copy to the faults.
 	StoreRestores bool
 	// LinkLosses adds losses of the links between a VM and all servers, and of links between
-	// VMs, to the faults.
+	// VMs, and VMs that stand still to the faults.
 	LinkLosses bool
 	// RateLimits adds servers that name a rate limit to the faults.
 	RateLimits bool
@@ -111,6 +111,8 @@
 	startedAt time.Time
 	// hasDeadly is set while a deadly request comes.
 	hasDeadly atomic.Bool
+	// standsStill is set while a VM stands still.
+	standsStill atomic.Bool
 	// oddEntries is the number of odd entries under new names so far.
 	oddEntries int
 
