--- a/internal/outcome/problem.go
+++ b/internal/outcome/problem.go
@@ -51,16 +51,16 @@
 // that the call did not run is replaced by 502 unless the outcome is NotRun.
 func (p Problem) WithOutcome(out Outcome) Problem {
 	p.Outcome = out
-	if out != NotRun && impliesNotRun(p.Status) {
+	if out != NotRun && ImpliesNotRun(p.Status) {
 		p.Status = http.StatusBadGateway
 	}
 	p.Title = http.StatusText(p.Status)
 	return p
 }
 
-// impliesNotRun reports whether callers conclude from a status that the call did not run
+// ImpliesNotRun reports whether callers conclude from a status that the call did not run
 // and may be sent again.
-func impliesNotRun(status int) bool {
+func ImpliesNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
 		http.StatusServiceUnavailable:
