--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -36,7 +36,7 @@
 		reason = callheader.RejectedMixedHead
 	case statement == callheader.Unclear:
 		reason = callheader.RejectedContradictory
-	case c.isTooLong(response):
+	case statement == callheader.Ran && c.isTooLong(response):
 		reason = callheader.RejectedTooLong
 	case id == "" && statement == callheader.Refused:
 		reason = callheader.RejectedNoID
--- a/internal/gateway/longresponse_test.go
+++ b/internal/gateway/longresponse_test.go
@@ -15,6 +15,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/pace"
 )
 
@@ -110,6 +111,24 @@
 	})
 }
 
+// TestRefusalThatSaysThatItIsLongIsARefusal has an upstream that refuses with a length of 1 TiB.
+func TestRefusalThatSaysThatItIsLongIsARefusal(t *testing.T) {
+	withTestEnv(t, func(g *WithT, env *testEnv) {
+		env.net.serveRaw(upstream1, func(conn net.Conn, in *bufio.Reader) {
+			r, err := readRequest(in)
+			if err != nil {
+				return
+			}
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%s: %s\r\nContent-Length: 1099511627776\r\n\r\n",
+				callheader.Shed, outcome.HeaderRequestID, r.Header.Get(outcome.HeaderRequestID))
+		})
+		v := env.vm("vm1", teamSettings)
+		a := env.send(request("POST", v, "/t/s/x", strings.NewReader("b")))
+		g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(a.header.Get(outcome.HeaderReason)).To(Equal(string(outcome.UpstreamShed)))
+	})
+}
+
 // TestLongResponseIsPassedOnWhole has a sound response of 20 MB.
 func TestLongResponseIsPassedOnWhole(t *testing.T) {
 	withTestEnv(t, func(g *WithT, env *testEnv) {
--- a/internal/gateway/mixedhead.go
+++ b/internal/gateway/mixedhead.go
@@ -8,9 +8,9 @@
 )
 
 // headChecker is a transport that rejects responses whose status can't be that of a final response,
-// and those whose head holds the status line of another response. An upstream that breaks off within a head and sends another response on
-// the same connection joins the two: net/http takes both for one, with the status of the first
-// and header lines of both.
+// and those whose head holds the status line of another response. An upstream that breaks off
+// within a head and sends another response on the same connection joins the two: net/http takes
+// both for one, with the status of the first and header lines of both.
 type headChecker struct {
 	next http.RoundTripper
 }
