--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -18,15 +18,15 @@
 	// firstReplyTimeout is how long the coordinator may take to send its first
 	// reply to a call.
 	firstReplyTimeout = 25 * time.Millisecond
-	// decisionMargin is how much longer than a call may wait its decision may take: the probes
-	// before its first and its last attempt, one recheck and the way of the messages.
-	decisionMargin = 2*maxProbeRounds*maxProbeWait + maxRecheckInterval + firstReplyTimeout
+	// decisionMargin is how much longer than a call may wait its decision may take. It is longer
+	// than a busy VM stands still.
+	decisionMargin = 500 * time.Millisecond
 	// maxMissedReplies is the number of calls in a row without a reply after
 	// which the stream is closed.
 	maxMissedReplies = 3
 	// sendTimeout is how long the coordinator may accept no byte of a message, before the stream
-	// is closed.
-	sendTimeout = maxMissedReplies * firstReplyTimeout
+	// is closed. It is longer than a busy VM stands still.
+	sendTimeout = 500 * time.Millisecond
 )
 
 // Client asks another VM, over one stream, to place the calls of this VM. It is
