gateway: the log tells which connection carried a send, and whether it carried the ID before

Of a refused request the log told status, response_id and conn (new, reused), which fits all four hypotheses on the copy of a refusal. A failed send now has conn_number, conn_sends and repeats_id, so that two sends of one request over one connection are seen, also by two calls with one ID.

Tests changed: the expected transfer records hold the number of the connection as well.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -107,6 +107,7 @@
 func (c *call) doRoundTrip(callCtx context.Context, sent send, body requestBody) attemptResult {
 	ctx, cancel := context.WithCancelCause(callCtx)
 	trace := &sendTrace{
+		keys:       c.keys(),
 		maxSilence: c.silenceTimeout(), tryReserve: c.route.service.reserveRetry, cancel: cancel, interim: c.forwardInterim,
 	}
 	request := c.upstreamRequest(sent, body)
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -6,12 +6,19 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 // transfer records what one send wrote to a connection and received from it. It belongs
 // to the send and not to the connection, which net/http may give to the next send before
 // the response to this one has been judged. It is safe for concurrent use.
 type transfer struct {
+	// sendsBefore is the number of sends that the connection carried before, and isRepeat means
+	// that one of them was of the same request.
+	sendsBefore int
+	isRepeat    bool
+
 	mu sync.Mutex
 	// wrote means that a byte of the send may have left this VM.
 	wrote bool
@@ -40,28 +47,55 @@
 	t.received = t.wrote
 }
 
+// connStats counts the connections to one upstream.
+type connStats struct {
+	// opened counts the connections that were opened, open those that are open.
+	opened, open atomic.Int64
+	// counters counts the connections to all upstreams.
+	counters *telemetry.Counters
+}
+
+// begin counts a connection that was opened and returns its number, from 1 on.
+func (s *connStats) begin() int64 {
+	s.open.Add(1)
+	s.counters.Add(telemetry.GroupConns, "opened", 1)
+	return s.opened.Add(1)
+}
+
+// end counts a connection that was closed.
+func (s *connStats) end() {
+	s.open.Add(-1)
+	s.counters.Add(telemetry.GroupConns, "closed", 1)
+}
+
 // trackedConn is a connection to an upstream that records in the transfer of its current
 // send what is written and received.
 type trackedConn struct {
 	net.Conn
 
-	// open counts the open connections to the upstream, this one among them.
-	open *atomic.Int64
-	// closeOnce takes this connection out of the count.
+	stats *connStats
+	// number tells the connections to the upstream from each other, in the order in which they
+	// were opened.
+	number int64
+	// closeOnce takes this connection out of the count of those that are open.
 	closeOnce sync.Once
 
 	mu sync.Mutex
+	// history holds the requests that were sent.
+	history sendHistory
 	// current is the transfer of the latest send; nil before the first one.
 	current *transfer
 	// isDiscarded means that discard closed the connection.
 	isDiscarded bool
 }
 
-// beginSend returns the transfer of a new send on the connection.
-func (c *trackedConn) beginSend() *transfer {
+// beginSend returns the transfer of a new send on the connection, of the request with the given
+// keys. A health check has none.
+func (c *trackedConn) beginSend(keys []requestKey) *transfer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current = &transfer{}
+	c.current = &transfer{sendsBefore: c.history.sends, isRepeat: c.history.contains(keys)}
+	c.history.add(keys)
 	return c.current
 }
 
@@ -83,6 +117,7 @@
 		}
 	}
 	c.isDiscarded = true
+	c.stats.counters.Add(telemetry.GroupConns, "discarded", 1)
 	_ = c.Close()
 }
 
@@ -133,19 +168,17 @@
 
 // Close closes the connection.
 func (c *trackedConn) Close() error {
-	c.closeOnce.Do(func() { c.open.Add(-1) })
+	c.closeOnce.Do(c.stats.end)
 	return c.Conn.Close()
 }
 
-// trackDial wraps a dial function so that its connections are tracked; open counts those that
-// are open.
-func trackDial(dial DialFunc, open *atomic.Int64) DialFunc {
+// trackDial wraps a dial function so that its connections are tracked and counted in stats.
+func trackDial(dial DialFunc, stats *connStats) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		open.Add(1)
-		return &trackedConn{Conn: conn, open: open}, nil
+		return &trackedConn{Conn: conn, stats: stats, number: stats.begin()}, nil
 	}
 }
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -4,20 +4,25 @@
 	"context"
 	"net"
 	"net/http/httptrace"
-	"sync/atomic"
 	"testing"
 
 	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 // tracedPipe returns a tracked connection, its remote end and a trace for a send
 // on it.
 func tracedPipe() (*trackedConn, net.Conn, *sendTrace) {
 	near, far := net.Pipe()
-	conn := &trackedConn{Conn: near, open: new(atomic.Int64)}
+	conn := &trackedConn{Conn: near, stats: newConnStats()}
 	return conn, far, &sendTrace{cancel: func(error) {}}
 }
 
+func newConnStats() *connStats {
+	return &connStats{counters: telemetry.NewCounters()}
+}
+
 // transferByte writes one byte at one end of a pipe and reads it at the other.
 func transferByte(g *WithT, from, to net.Conn) {
 	done := make(chan error, 1)
@@ -71,7 +76,7 @@
 
 func TestTrackDialReturnsErrors(t *testing.T) {
 	g := NewWithT(t)
-	dial := trackDial(func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }, new(atomic.Int64))
+	dial := trackDial(func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }, newConnStats())
 	_, err := dial(context.Background(), "tcp", "10.0.0.1:1")
 	g.Expect(err).To(MatchError(net.ErrClosed))
 }
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -56,7 +56,7 @@
 func (s *service) checkEnd(t *transport, via string) upstreamEnd {
 	time.Sleep(endCheckDelay)
 	end := upstreamLives
-	if t.openConns.Load() == 0 {
+	if t.conns.open.Load() == 0 {
 		end = s.tryConnect(t.address, via != "")
 	}
 	s.counters.Add(groupEnds, string(end), 1)
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -67,6 +67,18 @@
 	return h.Get(outcome.HeaderRequestID)
 }
 
+// keys returns the keys of the IDs by which an upstream may name the call in a response: the call's,
+// and the caller's own if the gateway has replaced it.
+func (c *call) keys() []requestKey {
+	keys := []requestKey{keyOf(c.id)}
+	for _, id := range c.r.Header.Values(outcome.HeaderRequestID) {
+		if id != c.id {
+			keys = append(keys, keyOf(id))
+		}
+	}
+	return keys
+}
+
 // recordRejection counts the rejection of a send's response, if that is its error. It discards the
 // connection if the response can't be attributed to the call, whose own one may still arrive on it.
 func (c *call) recordRejection(trace *sendTrace, err error) {
--- a/internal/gateway/resend_test.go
+++ b/internal/gateway/resend_test.go
@@ -74,7 +74,7 @@
 }
 
 func gatewayTransport(network *pipenet.Network) *http.Transport {
-	return newTransport(resendAddress, 2, idleConnTimeout, network.Dial, nil).base
+	return newTransport(resendAddress, 2, idleConnTimeout, network.Dial, nil, telemetry.NewCounters()).base
 }
 
 // TestTransportResendsABookingByItself demonstrates why nonRewindableBody exists:
--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -20,6 +20,8 @@
 // sendTrace traces one send across its connections. It is safe for concurrent
 // use.
 type sendTrace struct {
+	// keys stand for the IDs of the request; a health check has none.
+	keys []requestKey
 	// maxSilence is how long the connection may receive nothing; 0 means no
 	// limit.
 	maxSilence time.Duration
@@ -71,7 +73,7 @@
 		return
 	}
 	t.conn = conn
-	t.transfer = conn.beginSend()
+	t.transfer = conn.beginSend(t.keys)
 	if t.maxSilence > 0 && t.timer == nil {
 		t.timer = time.AfterFunc(t.maxSilence, t.cancelIfSilent)
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -186,7 +186,7 @@
 		s.addresses[u.Name] = u.Address
 		known, ok := s.transports[u.Address]
 		if !ok || known.maxConnections != u.MaxConnections {
-			known = newTransport(u.Address, u.MaxConnections, s.idleTimeout, s.dialUpstream(), s.wrap)
+			known = newTransport(u.Address, u.MaxConnections, s.idleTimeout, s.dialUpstream(), s.wrap, s.counters)
 		}
 		transports[u.Address] = known
 	}
--- a/internal/gateway/transferlog.go
+++ b/internal/gateway/transferlog.go
@@ -32,6 +32,12 @@
 type transferRecord struct {
 	// Conn is empty when the send had no connection.
 	Conn connKind `json:"conn,omitempty"`
+	// ConnNumber tells the connections to the upstream from each other, and ConnSends is the number
+	// of sends that the connection carried before. RepeatsID means that one of them was of a request
+	// with the same ID.
+	ConnNumber int64 `json:"conn_number,omitempty"`
+	ConnSends  int   `json:"conn_sends,omitempty"`
+	RepeatsID  bool  `json:"repeats_id,omitempty"`
 	// Via is the VM that the connection led through; empty if it was direct.
 	Via string `json:"via,omitempty"`
 	// Written means that a byte of the call may have left this VM.
@@ -51,9 +57,22 @@
 // maxLoggedRetryAfter limits a logged Retry-After, in bytes.
 const maxLoggedRetryAfter = 40
 
+// describe returns what is known of a send's connection and of what was written to it.
+func (t *sendTrace) describe() transferRecord {
+	record := transferRecord{Conn: t.connKind(), Via: t.via(), Written: t.mayHaveSent()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conn != nil {
+		record.ConnNumber = t.conn.number
+		record.ConnSends = t.transfer.sendsBefore
+		record.RepeatsID = t.transfer.isRepeat
+	}
+	return record
+}
+
 // describeError returns the record of a send whose round trip failed.
 func (c *call) describeError(trace *sendTrace, err error) transferRecord {
-	record := transferRecord{Conn: trace.connKind(), Via: trace.via(), Written: trace.mayHaveSent()}
+	record := trace.describe()
 	var rejected *callheader.RejectedError
 	if errors.As(err, &rejected) {
 		record.Status = rejected.Status
@@ -65,15 +84,12 @@
 
 // describeResponse returns the record of a send whose response was accepted.
 func (c *call) describeResponse(trace *sendTrace, response *http.Response) transferRecord {
-	return transferRecord{
-		Conn:       trace.connKind(),
-		Via:        trace.via(),
-		Written:    trace.mayHaveSent(),
-		Status:     response.StatusCode,
-		ResponseID: c.responseID(response.Header.Get(outcome.HeaderRequestID)),
-		RetryAfter: cutText(response.Header.Get("Retry-After"), maxLoggedRetryAfter),
-		Leaving:    callheader.IsDraining(response.Header),
-	}
+	record := trace.describe()
+	record.Status = response.StatusCode
+	record.ResponseID = c.responseID(response.Header.Get(outcome.HeaderRequestID))
+	record.RetryAfter = cutText(response.Header.Get("Retry-After"), maxLoggedRetryAfter)
+	record.Leaving = callheader.IsDraining(response.Header)
+	return record
 }
 
 // cutText returns the first bytes of a text.
--- a/internal/gateway/transferlog_test.go
+++ b/internal/gateway/transferlog_test.go
@@ -39,25 +39,25 @@
 	}{
 		"shed with ID": {
 			sheds, siteUpstreams(),
-			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"own"}`,
+			`"transfer":{"conn":"new","conn_number":1,"written":true,"status":503,"response_id":"own"}`,
 		},
 		"shed with a rest": {
 			shedsWithRest, siteUpstreams(),
-			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"own","retry_after":"2.5","leaving":true}`,
+			`"transfer":{"conn":"new","conn_number":1,"written":true,"status":503,"response_id":"own","retry_after":"2.5","leaving":true}`,
 		},
 		"shed without ID": {
 			shedsWithID(""), siteUpstreams(),
-			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"none","rejected":"no_id"}`,
+			`"transfer":{"conn":"new","conn_number":1,"written":true,"status":503,"response_id":"none","rejected":"no_id"}`,
 		},
 		"response to another call": {
 			shedsWithID("call-0"), siteUpstreams(),
-			`"transfer":{"conn":"new","written":true,"status":503,"response_id":"foreign","rejected":"foreign_id"}`,
+			`"transfer":{"conn":"new","conn_number":1,"written":true,"status":503,"response_id":"foreign","rejected":"foreign_id"}`,
 		},
 		"connection broke": {
-			abortsConnection, siteUpstreams(), `"transfer":{"conn":"new","written":true,"upstream_end":"lives"}`,
+			abortsConnection, siteUpstreams(), `"transfer":{"conn":"new","conn_number":1,"written":true,"upstream_end":"lives"}`,
 		},
 		"upstream ended": {
-			endsUpstream, siteUpstreams(), `"transfer":{"conn":"new","written":true,"upstream_end":"ended"}`,
+			endsUpstream, siteUpstreams(), `"transfer":{"conn":"new","conn_number":1,"written":true,"upstream_end":"ended"}`,
 		},
 		"not connected": {respondAtOnce, unreachable, `"transfer":{"written":false}`},
 	}
--- a/internal/gateway/transport.go
+++ b/internal/gateway/transport.go
@@ -4,8 +4,9 @@
 	"context"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
+
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 // DialFunc opens a connection, as net.Dialer.DialContext does.
@@ -40,22 +41,23 @@
 	address        string
 	maxConnections int
 	base           *http.Transport
-	// openConns counts the open connections.
-	openConns atomic.Int64
+	// conns counts the connections.
+	conns connStats
 	// roundTripper sends calls through base.
 	roundTripper http.RoundTripper
 }
 
 // newTransport returns a transport without connections. A nil wrap means no wrapper.
 func newTransport(
-	address string, maxConnections int, idle time.Duration, dial DialFunc, wrap WrapFunc,
+	address string, maxConnections int, idle time.Duration, dial DialFunc, wrap WrapFunc, counters *telemetry.Counters,
 ) *transport {
 	t := &transport{
 		address:        address,
 		maxConnections: maxConnections,
+		conns:          connStats{counters: counters},
 	}
 	t.base = &http.Transport{
-		DialContext:            trackDial(dial, &t.openConns),
+		DialContext:            trackDial(dial, &t.conns),
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    maxConnections,
 		MaxConnsPerHost:        maxConnections,
--- a/internal/telemetry/counters.go
+++ b/internal/telemetry/counters.go
@@ -41,6 +41,7 @@
 	GroupDispatch = "dispatch"
 	GroupLinks    = "links"
 	GroupTunnels  = "tunnels"
+	GroupConns    = "conns"
 	GroupLog      = "log"
 	// GroupHoldOff counts what upstreams asked for: rest, or nothing as they leave.
 	GroupHoldOff = "holdoff"
