gateway: no connection carries a request ID twice

Cause: a response was taken for the call's if it came after the send's first byte, named no other ID and did not contradict itself. The copy of a refusal meets all of that when its request is under way again on the same connection. Connections are kept by address, and a call avoids upstreams by their IDs; an upstream that ended and started again at its address is listed under two until the first one lapses, so that the call goes back to the connection that has just carried its refusal. A caller that repeats an ID gets there with one upstream.

The change: a connection knows the IDs that were sent on it, as 8 bytes each, from before the first byte of each send. It closes itself, with nothing written, when a request comes with one of them, and after 1,024 requests; the send takes another connection, within the same attempt. So a response with a call's ID on a connection is the answer to the only send of it there, or a copy that comes behind that answer and meets another ID. This needs no judgement of any response, no guess at delays, and no exclusion in the paths that send again: all calls go over tryRoundTrip, directly and through tunnels. Recording only refusals was ruled out: net/http gives a connection to the next call before the refusal is judged. The IDs on the wire are compared, so that one that the gateway replaces by its own counts as well.

A streamed body goes to the next connection if nothing of it was read; uploads send their head first (Expect), and bodies in memory begin again. Otherwise the result is "not run", as before.

New ones, red without the change: a streamed upload (503 after it ran), and calls beyond what one connection carries (one connection instead of two).

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -58,9 +58,10 @@
 	// length is in bytes; -1 means unknown.
 	length  int64
 	trailer http.Header
-	// isComplete reports whether the body was read to its end; nil means that
-	// the body is in memory.
+	// isComplete reports whether the body was read to its end, and isUnread whether nothing of it was
+	// read; nil means that the body is in memory.
 	isComplete func() bool
+	isUnread   func() bool
 	// isTruncated reports whether the body ended early on its way from the
 	// caller; nil means that the body is in memory.
 	isTruncated func() bool
@@ -71,6 +72,11 @@
 	return b.isComplete == nil
 }
 
+// canBeginAgain reports whether the body can be sent from its first byte.
+func (b requestBody) canBeginAgain() bool {
+	return b.isInMemory() || b.isUnread()
+}
+
 // memoryBody returns a request body that reads from c.body.
 func (c *call) memoryBody() requestBody {
 	return requestBody{reader: nonRewindableBody{bytes.NewReader(c.body)}, length: int64(len(c.body))}
@@ -102,9 +108,24 @@
 	return result
 }
 
-// doRoundTrip sends the call once. If its connection was discarded, because of the send
-// before it, when no byte had been written, it takes another connection.
-func (c *call) doRoundTrip(callCtx context.Context, sent send, body requestBody) attemptResult {
+// doRoundTrip sends the call once. It takes another connection as long as the one that it got is
+// closed before a byte of the send was written: to the call's ID, or because of the send before it.
+func (c *call) doRoundTrip(ctx context.Context, sent send, body requestBody) attemptResult {
+	for skipped := 0; ; skipped++ {
+		result, isUnsent := c.tryRoundTrip(ctx, sent, body)
+		if !isUnsent {
+			result.transfer.SkippedConns = skipped
+			return result
+		}
+		if body.isInMemory() {
+			body = c.memoryBody()
+		}
+	}
+}
+
+// tryRoundTrip sends the call on one connection. It returns true, and no result, if nothing was
+// written because the connection was discarded and the send may take another one.
+func (c *call) tryRoundTrip(callCtx context.Context, sent send, body requestBody) (attemptResult, bool) {
 	ctx, cancel := context.WithCancelCause(callCtx)
 	trace := &sendTrace{
 		keys:       c.keys(),
@@ -119,14 +140,14 @@
 		c.route.service.recordAnswer(trace)
 		statement, err = c.checkResponse(trace, response)
 	}
-	if err != nil && trace.isUnsentOnDiscardedConn() && body.isInMemory() && c.isActive() {
+	if err != nil && trace.isUnsentOnDiscardedConn() && body.canBeginAgain() && c.isActive() {
 		cancel(nil)
-		return c.doRoundTrip(callCtx, sent, c.memoryBody())
+		return attemptResult{}, true
 	}
 	if err != nil {
 		defer cancel(nil)
 		c.recordRejection(trace, err)
-		return c.handleSendFailure(ctx, sent, trace, body, err)
+		return c.handleSendFailure(ctx, sent, trace, body, err), false
 	}
 	bodySent := body.isInMemory() || body.isComplete()
 	result := c.readResponse(sent, trace, response, statement)
@@ -134,7 +155,7 @@
 	end := result.transfer.UpstreamEnd
 	result.transfer = c.describeResponse(trace, response)
 	result.transfer.UpstreamEnd = end
-	return result
+	return result, false
 }
 
 // silenceTimeout returns how long the connection of a send may receive nothing;
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -14,10 +14,8 @@
 // to the send and not to the connection, which net/http may give to the next send before
 // the response to this one has been judged. It is safe for concurrent use.
 type transfer struct {
-	// sendsBefore is the number of sends that the connection carried before, and isRepeat means
-	// that one of them was of the same request.
+	// sendsBefore is the number of sends that the connection carried before.
 	sendsBefore int
-	isRepeat    bool
 
 	mu sync.Mutex
 	// wrote means that a byte of the send may have left this VM.
@@ -85,17 +83,20 @@
 	history sendHistory
 	// current is the transfer of the latest send; nil before the first one.
 	current *transfer
-	// isDiscarded means that discard closed the connection.
+	// isDiscarded means that the connection was closed so that no further send is written to it.
 	isDiscarded bool
 }
 
 // beginSend returns the transfer of a new send on the connection, of the request with the given
-// keys. A health check has none.
+// keys. It closes the connection, so that nothing of the send is written, if its history forbids it
+// to carry the request.
 func (c *trackedConn) beginSend(keys []requestKey) *transfer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.current = &transfer{sendsBefore: c.history.sends, isRepeat: c.history.contains(keys)}
-	c.history.add(keys)
+	c.current = &transfer{sendsBefore: c.history.sends}
+	if verdict := c.history.add(keys); verdict != mayCarry {
+		c.discardLocked(string(verdict))
+	}
 	return c.current
 }
 
@@ -116,12 +117,17 @@
 			return
 		}
 	}
+	c.discardLocked("discarded")
+}
+
+// discardLocked closes the connection to further sends and increments a counter.
+func (c *trackedConn) discardLocked(counter string) {
 	c.isDiscarded = true
-	c.stats.counters.Add(telemetry.GroupConns, "discarded", 1)
+	c.stats.counters.Add(telemetry.GroupConns, counter, 1)
 	_ = c.Close()
 }
 
-// wasDiscarded reports whether discard closed the connection.
+// wasDiscarded reports whether the connection was closed to further sends.
 func (c *trackedConn) wasDiscarded() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -89,6 +89,7 @@
 		reader:     nonRewindableBody{counted},
 		length:     r.Body.Size,
 		isComplete: func() bool { return counted.read.Load() == r.Body.Size },
+		isUnread:   func() bool { return counted.read.Load() == 0 },
 	}
 	a := c.confineSend(sent, func() attemptResult { return c.roundTrip(ctx, sent, delivered) })
 	closeRest(a.rest)
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -68,7 +68,7 @@
 }
 
 // keys returns the keys of the IDs by which an upstream may name the call in a response: the call's,
-// and the caller's own if the gateway has replaced it.
+// and the caller's own where the gateway uses another one.
 func (c *call) keys() []requestKey {
 	keys := []requestKey{keyOf(c.id)}
 	for _, id := range c.r.Header.Values(outcome.HeaderRequestID) {
--- /dev/null
+++ b/internal/gateway/refusalcopy_test.go
@@ -0,0 +1,112 @@
+package gateway_test
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/outcome"
+)
+
+// copyingUpstream refuses each call when it arrives for the first time. When it arrives again on the
+// same connection the upstream runs it and repeats the refusal, on another one it serves the call.
+type copyingUpstream struct {
+	mu sync.Mutex
+	// refusedOn holds the connection on which each call was refused, by its ID.
+	refusedOn map[string]net.Conn
+	// ran holds the bodies of the calls that ran.
+	ran [][]byte
+}
+
+// serve serves the calls on a connection.
+func (u *copyingUpstream) serve(conn net.Conn, in *bufio.Reader) {
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if r.Header.Get("Expect") != "" {
+			_, _ = io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n")
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get(outcome.HeaderRequestID)
+		if u.refuses(conn, id, body) {
+			_, _ = fmt.Fprintf(conn, "HTTP/1.1 503 Service Unavailable\r\n%s: %s\r\n%s: 1\r\nContent-Length: 0\r\n\r\n",
+				outcome.HeaderRequestID, id, callheader.Shed)
+			continue
+		}
+		_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", outcome.HeaderRequestID, id)
+	}
+}
+
+// refuses reports whether the response to a call is a refusal, and records the call if it runs.
+func (u *copyingUpstream) refuses(conn net.Conn, id string, body []byte) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	refusedOn, ok := u.refusedOn[id]
+	if !ok {
+		u.refusedOn[id] = conn
+		return true
+	}
+	u.ran = append(u.ran, body)
+	return refusedOn == conn
+}
+
+// TestStreamedUploadDoesNotGetTheCopyOfItsRefusal guards against an upload that ran, was told as not
+// run, or lost the beginning of its body because its connection could not carry its ID again.
+func TestStreamedUploadDoesNotGetTheCopyOfItsRefusal(t *testing.T) {
+	data := randomBytes(3<<20, 1)
+	upstream := &copyingUpstream{refusedOn: make(map[string]net.Conn)}
+	var results []callResult
+	var dials int
+	withTestEnv(t, func(_ *WithT, env *testEnv) {
+		env.net.serveRaw(upstream1, upstream.serve)
+		v := env.vm("vm1", strings.Replace(teamSettings, "max_body", "park = false\nmax_body", 1))
+		for range 2 {
+			r := request("PUT", v, "/t/s/files/1", io.MultiReader(bytes.NewReader(data)))
+			r.Header.Set(outcome.HeaderRequestID, "own")
+			results = append(results, env.send(r))
+		}
+		dials = env.net.dials(upstream1)
+	})
+	g := NewWithT(t)
+	g.Expect(results[0].status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(results[1].status).To(Equal(http.StatusOK))
+	g.Expect(upstream.ran).To(HaveLen(1))
+	g.Expect(hexSHA256(upstream.ran[0])).To(Equal(hexSHA256(data)))
+	g.Expect(dials).To(Equal(2))
+}
+
+// TestCallsGoOnWhenTheirConnectionHasCarriedAllItMay guards against a call that fails because its
+// connection carries no further request.
+func TestCallsGoOnWhenTheirConnectionHasCarriedAllItMay(t *testing.T) {
+	const calls = 1100
+	failed, dials := 0, 0
+	withTestEnv(t, func(_ *WithT, env *testEnv) {
+		env.serve(upstream1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		v := env.vm("vm1", teamSettings)
+		client := env.net.client()
+		defer client.CloseIdleConnections()
+		for range calls {
+			if a := sendWith(client, request("POST", v, "/t/s/x", bytes.NewReader([]byte("b")))); a.status != http.StatusOK {
+				failed++
+			}
+		}
+		dials = env.net.dials(upstream1)
+	})
+	g := NewWithT(t)
+	g.Expect(failed).To(BeZero())
+	g.Expect(dials).To(Equal(2))
+}
--- a/internal/gateway/sendhistory.go
+++ b/internal/gateway/sendhistory.go
@@ -14,20 +14,42 @@
 	return requestKey(xxhash.Sum64String(id))
 }
 
-// sendHistory holds the requests that were sent on one connection.
+// maxHistoryKeys limits the requests that one connection carries. A key takes 8 bytes.
+const maxHistoryKeys = 1024
+
+// sendHistory holds the requests that were sent on one connection, so that none is sent on it again:
+// an upstream may repeat any earlier response, at any time, and the request ID is all that tells the
+// response to a request from a response to another one.
 type sendHistory struct {
 	// sends counts the requests.
 	sends int
 	keys  []requestKey
 }
 
-// contains reports whether a request with one of the keys was sent before.
-func (h *sendHistory) contains(keys []requestKey) bool {
-	return slices.ContainsFunc(keys, func(key requestKey) bool { return slices.Contains(h.keys, key) })
-}
+// historyVerdict tells whether a connection may carry a request. Its value names a counter of the
+// group conns.
+type historyVerdict string
+
+// The verdicts of a sendHistory.
+const (
+	// mayCarry means that the request may be sent.
+	mayCarry historyVerdict = ""
+	// hasCarried means that a request with the same ID was sent before.
+	hasCarried historyVerdict = "closed_repeated_id"
+	// isHistoryFull means that maxHistoryKeys is reached.
+	isHistoryFull historyVerdict = "closed_history_full"
+)
 
-// add records a send of the request with the keys.
-func (h *sendHistory) add(keys []requestKey) {
+// add records a request with the given keys, unless the connection may not carry it. A health check,
+// which has no key, may always be sent.
+func (h *sendHistory) add(keys []requestKey) historyVerdict {
+	switch {
+	case slices.ContainsFunc(keys, func(key requestKey) bool { return slices.Contains(h.keys, key) }):
+		return hasCarried
+	case len(h.keys)+len(keys) > maxHistoryKeys:
+		return isHistoryFull
+	}
 	h.sends++
 	h.keys = append(h.keys, keys...)
+	return mayCarry
 }
--- a/internal/gateway/transferlog.go
+++ b/internal/gateway/transferlog.go
@@ -33,11 +33,11 @@
 	// Conn is empty when the send had no connection.
 	Conn connKind `json:"conn,omitempty"`
 	// ConnNumber tells the connections to the upstream from each other, and ConnSends is the number
-	// of sends that the connection carried before. RepeatsID means that one of them was of a request
-	// with the same ID.
-	ConnNumber int64 `json:"conn_number,omitempty"`
-	ConnSends  int   `json:"conn_sends,omitempty"`
-	RepeatsID  bool  `json:"repeats_id,omitempty"`
+	// of sends that the connection carried before. SkippedConns counts the connections that were
+	// closed instead of carrying this send.
+	ConnNumber   int64 `json:"conn_number,omitempty"`
+	ConnSends    int   `json:"conn_sends,omitempty"`
+	SkippedConns int   `json:"skipped_conns,omitempty"`
 	// Via is the VM that the connection led through; empty if it was direct.
 	Via string `json:"via,omitempty"`
 	// Written means that a byte of the call may have left this VM.
@@ -65,7 +65,6 @@
 	if t.conn != nil {
 		record.ConnNumber = t.conn.number
 		record.ConnSends = t.transfer.sendsBefore
-		record.RepeatsID = t.transfer.isRepeat
 	}
 	return record
 }
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -132,6 +132,7 @@
 		length:      u.r.ContentLength,
 		trailer:     u.r.Trailer,
 		isComplete:  reader.IsComplete,
+		isUnread:    reader.IsUnread,
 		isTruncated: func() bool { return u.source.Err() != nil },
 	}
 	a := u.confineSend(sent, func() attemptResult { return u.roundTrip(ctx, sent, body) })
