--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -1,19 +1,14 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/dynamic"
-	"github.com/figfront/figfront/internal/loadbalancer"
 	"github.com/figfront/figfront/internal/outcome"
 )
 
@@ -51,37 +46,6 @@
 	transfer transferRecord
 }
 
-// requestBody is the request body of one send.
-type requestBody struct {
-	// reader is nil when there is no body.
-	reader io.ReadCloser
-	// length is in bytes; -1 means unknown.
-	length  int64
-	trailer http.Header
-	// isComplete reports whether the body was read to its end, and isUnread whether nothing of it was
-	// read; nil means that the body is in memory.
-	isComplete func() bool
-	isUnread   func() bool
-	// isTruncated reports whether the body ended early on its way from the
-	// caller; nil means that the body is in memory.
-	isTruncated func() bool
-}
-
-// isInMemory reports whether the body can be sent again.
-func (b requestBody) isInMemory() bool {
-	return b.isComplete == nil
-}
-
-// canBeginAgain reports whether the body can be sent from its first byte.
-func (b requestBody) canBeginAgain() bool {
-	return b.isInMemory() || b.isUnread()
-}
-
-// memoryBody returns a request body that reads from c.body.
-func (c *call) memoryBody() requestBody {
-	return requestBody{reader: nonRewindableBody{bytes.NewReader(c.body)}, length: int64(len(c.body))}
-}
-
 // attempt sends a call whose body is in memory once and reads the response. It
 // cancels the send if the deadline has passed.
 func (c *call) attempt(sent send) attemptResult {
@@ -169,82 +133,3 @@
 	}
 	return max(time.Until(c.deadline)/silenceTimeoutDivisor, time.Millisecond)
 }
-
-func (c *call) upstreamRequest(sent send, body requestBody) *http.Request {
-	request := &http.Request{
-		Method: c.r.Method,
-		URL: &url.URL{
-			Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery,
-		},
-		Host:       c.r.Host,
-		Header:     upstreamHeader(c.r, c.id, c.attemptNumber(), c.deadline),
-		Proto:      "HTTP/1.1",
-		ProtoMajor: 1,
-		ProtoMinor: 1,
-	}
-	request.URL.Path, request.URL.RawPath = splitPath(c.route.path)
-	if body.reader != nil {
-		request.Body = body.reader
-		request.ContentLength = body.length
-		request.Trailer = body.trailer
-	}
-	request.Header.Set(callheader.Upstream, sent.choice.Name)
-	if c.uploadID != "" {
-		request.Header.Set(callheader.UploadID, c.uploadID)
-		// Lets an upstream that sheds the upload refuse it before the body is sent.
-		request.Header.Set("Expect", "100-continue")
-	}
-	return request
-}
-
-// splitPath returns the decoded path and its escaped form, as in url.URL.
-func splitPath(escaped string) (path, rawPath string) {
-	decoded, err := url.PathUnescape(escaped)
-	if err != nil {
-		return escaped, ""
-	}
-	return decoded, escaped
-}
-
-// handleSendFailure returns the result of a send without an accepted response and
-// records the failure. A silent connection, the loss of this VM's links, a truncated request body, or a send that was
-// cancelled by its caller or by the response to another send is not held against the
-// upstream.
-func (c *call) handleSendFailure(
-	ctx context.Context, sent send, trace *sendTrace, body requestBody, err error,
-) attemptResult {
-	result := attemptResult{upstream: sent.choice.Name, transfer: c.describeError(trace, err)}
-	if isConnBroken(ctx, trace, err) {
-		result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport, trace.via())
-	}
-	result.outcome, result.reason = failureOutcome(trace, err)
-	isSilenceTimeout := errors.Is(context.Cause(ctx), errConnSilent)
-	isLate := errors.Is(ctx.Err(), context.DeadlineExceeded)
-	isSilent := trace.isSilent() && (isSilenceTimeout || isLate)
-	result.isConnectionSilent = isSilent
-	result.retryReserved = trace.isRetryReserved()
-	if isSilent {
-		c.gateway.options.Counters.Add(groupAnswers, "connection_silent", 1)
-		sent.transport.base.CloseIdleConnections()
-	}
-	isCancelled := ctx.Err() != nil && !isSilenceTimeout
-	switch {
-	case c.r.Context().Err() != nil:
-		result.reason = outcome.CallerGone
-	case isCancelled:
-		result.reason = outcome.DeadlinePassed
-	}
-	isAborted := isCancelled && !isLate
-	isTruncated := body.isTruncated != nil && body.isTruncated()
-	switch {
-	case result.transfer.UpstreamEnd == upstreamEnded:
-	case isSilent || c.route.service.isPathAtFault(trace, err):
-		c.route.service.abandonSend(sent)
-		return result
-	case isAborted || isTruncated:
-		c.route.service.cancelSend(sent)
-		return result
-	}
-	c.route.service.endSend(sent, loadbalancer.Result{Failed: true}, result.transfer.UpstreamEnd.runResult())
-	return result
-}
--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -106,8 +106,8 @@
 // errInterimFlood ends a send whose upstream sends interim responses without end.
 var errInterimFlood = errors.New("gateway: too many interim responses")
 
-// got1xx forwards an interim response unless its head is mixed with another. After maxInterimResponses it returns an error, which
-// closes the connection.
+// got1xx forwards an interim response unless its head is mixed with another. After
+// maxInterimResponses it returns an error, which closes the connection.
 func (t *sendTrace) got1xx(status int, header textproto.MIMEHeader) error {
 	t.mu.Lock()
 	t.interimCount++
--- /dev/null
+++ b/internal/gateway/upstreamrequest.go
@@ -0,0 +1,78 @@
+package gateway
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"net/url"
+
+	"github.com/figfront/figfront/internal/callheader"
+)
+
+// requestBody is the request body of one send.
+type requestBody struct {
+	// reader is nil when there is no body.
+	reader io.ReadCloser
+	// length is in bytes; -1 means unknown.
+	length  int64
+	trailer http.Header
+	// isComplete reports whether the body was read to its end, and isUnread whether nothing of it was
+	// read; nil means that the body is in memory.
+	isComplete func() bool
+	isUnread   func() bool
+	// isTruncated reports whether the body ended early on its way from the
+	// caller; nil means that the body is in memory.
+	isTruncated func() bool
+}
+
+// isInMemory reports whether the body can be sent again.
+func (b requestBody) isInMemory() bool {
+	return b.isComplete == nil
+}
+
+// canBeginAgain reports whether the body can be sent from its first byte.
+func (b requestBody) canBeginAgain() bool {
+	return b.isInMemory() || b.isUnread()
+}
+
+// memoryBody returns a request body that reads from c.body.
+func (c *call) memoryBody() requestBody {
+	return requestBody{reader: nonRewindableBody{bytes.NewReader(c.body)}, length: int64(len(c.body))}
+}
+
+// upstreamRequest returns the request of one send.
+func (c *call) upstreamRequest(sent send, body requestBody) *http.Request {
+	request := &http.Request{
+		Method: c.r.Method,
+		URL: &url.URL{
+			Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery,
+		},
+		Host:       c.r.Host,
+		Header:     upstreamHeader(c.r, c.id, c.attemptNumber(), c.deadline),
+		Proto:      "HTTP/1.1",
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+	request.URL.Path, request.URL.RawPath = splitPath(c.route.path)
+	if body.reader != nil {
+		request.Body = body.reader
+		request.ContentLength = body.length
+		request.Trailer = body.trailer
+	}
+	request.Header.Set(callheader.Upstream, sent.choice.Name)
+	if c.uploadID != "" {
+		request.Header.Set(callheader.UploadID, c.uploadID)
+		// Lets an upstream that sheds the upload refuse it before the body is sent.
+		request.Header.Set("Expect", "100-continue")
+	}
+	return request
+}
+
+// splitPath returns the decoded path and its escaped form, as in url.URL.
+func splitPath(escaped string) (path, rawPath string) {
+	decoded, err := url.PathUnescape(escaped)
+	if err != nil {
+		return escaped, ""
+	}
+	return decoded, escaped
+}
