gateway: each connection of a send reads the body from its first byte

Cause: for such methods net/http reads one byte of a body of unknown length in a goroutine before it writes the head. The goroutine outlives the send that can't be written, and takes the byte from the reader that the next connection's send uses as well; nothing had been read yet when that was decided.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,20 +76,18 @@
 // closed before a byte of the send was written: to the call's ID, or because of the send before it.
 func (c *call) doRoundTrip(ctx context.Context, sent send, body requestBody) attemptResult {
 	for skipped := 0; ; skipped++ {
-		result, isUnsent := c.tryRoundTrip(ctx, sent, body)
-		if !isUnsent {
+		result, next := c.tryRoundTrip(ctx, sent, body)
+		if next == nil {
 			result.transfer.SkippedConns = skipped
 			return result
 		}
-		if body.isInMemory() {
-			body = c.memoryBody()
-		}
+		body = *next
 	}
 }
 
-// tryRoundTrip sends the call on one connection. It returns true, and no result, if nothing was
-// written because the connection was discarded and the send may take another one.
-func (c *call) tryRoundTrip(callCtx context.Context, sent send, body requestBody) (attemptResult, bool) {
+// tryRoundTrip sends the call on one connection. If nothing was written because the connection was
+// discarded, it returns the body for another one instead of a result.
+func (c *call) tryRoundTrip(callCtx context.Context, sent send, body requestBody) (attemptResult, *requestBody) {
 	ctx, cancel := context.WithCancelCause(callCtx)
 	trace := &sendTrace{
 		keys:       c.keys(),
@@ -104,14 +102,16 @@
 		c.route.service.recordAnswer(trace)
 		statement, err = c.checkResponse(trace, response)
 	}
-	if err != nil && trace.isUnsentOnDiscardedConn() && body.canBeginAgain() && c.isActive() {
-		cancel(nil)
-		return attemptResult{}, true
+	if err != nil && trace.isUnsentOnDiscardedConn() && c.isActive() {
+		if next, ok := body.restart(); ok {
+			cancel(nil)
+			return attemptResult{}, &next
+		}
 	}
 	if err != nil {
 		defer cancel(nil)
 		c.recordRejection(trace, err)
-		return c.handleSendFailure(ctx, sent, trace, body, err), false
+		return c.handleSendFailure(ctx, sent, trace, body, err), nil
 	}
 	bodySent := body.isInMemory() || body.isComplete()
 	result := c.readResponse(sent, trace, response, statement)
@@ -119,7 +119,7 @@
 	end := result.transfer.UpstreamEnd
 	result.transfer = c.describeResponse(trace, response)
 	result.transfer.UpstreamEnd = end
-	return result, false
+	return result, nil
 }
 
 // silenceTimeout returns how long the connection of a send may receive nothing;
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -85,13 +85,7 @@
 		return upload.Result{}
 	}
 	counted := &countingBody{Reader: body}
-	delivered := requestBody{
-		reader:     nonRewindableBody{counted},
-		length:     r.Body.Size,
-		isComplete: func() bool { return counted.read.Load() == r.Body.Size },
-		isUnread:   func() bool { return counted.read.Load() == 0 },
-	}
-	a := c.confineSend(sent, func() attemptResult { return c.roundTrip(ctx, sent, delivered) })
+	a := c.confineSend(sent, func() attemptResult { return c.roundTrip(ctx, sent, storedBody(counted, r.Body.Size)) })
 	closeRest(a.rest)
 	if a.reason != "" {
 		return upload.Result{Upstream: a.upstream, UpstreamEnded: a.transfer.UpstreamEnd == upstreamEnded}
@@ -99,6 +93,16 @@
 	return upload.Result{Status: a.status, BodySent: a.bodySent, Upstream: a.upstream}
 }
 
+// storedBody returns a request body that reads a stored body with a size in bytes, once.
+func storedBody(body *countingBody, size int64) requestBody {
+	return requestBody{
+		reader:     nonRewindableBody{body},
+		length:     size,
+		isComplete: func() bool { return body.read.Load() == size },
+		restart:    func() (requestBody, bool) { return storedBody(body, size), body.read.Load() == 0 },
+	}
+}
+
 // startDelivery chooses an upstream, avoiding the given one if possible.
 func (c *call) startDelivery(avoid string) (send, bool) {
 	if avoid != "" {
--- a/internal/gateway/refusalcopy_test.go
+++ b/internal/gateway/refusalcopy_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -89,6 +90,50 @@
 	g.Expect(dials).To(Equal(2))
 }
 
+// slowBody is a body whose first byte comes late.
+type slowBody struct {
+	io.Reader
+	delay time.Duration
+}
+
+// Read waits before the first byte.
+func (b *slowBody) Read(p []byte) (int, error) {
+	time.Sleep(b.delay)
+	b.delay = 0
+	return b.Reader.Read(p)
+}
+
+// TestStreamedUploadIsWholeOnItsNextConnection guards against an upload without its first byte, which
+// net/http reads ahead for some methods, also when the connection can't carry the upload.
+func TestStreamedUploadIsWholeOnItsNextConnection(t *testing.T) {
+	settings := strings.Replace(teamSettings, "max_body", "park = false\nmethods = PUT, POST, DELETE, GET\nmax_body", 1)
+	settings = strings.Replace(settings, "methods = POST\n", "methods = PATCH\n", 1)
+	settings = strings.Replace(settings, "deadline = 900ms\n", "deadline = 900ms\nmethods = HEAD\n", 1)
+	data := randomBytes(100_000, 1)
+	for _, method := range []string{http.MethodPut, http.MethodPost, http.MethodDelete, http.MethodGet} {
+		for _, delay := range []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, 450 * time.Millisecond} {
+			t.Run(fmt.Sprint(method, " ", delay), func(t *testing.T) {
+				upstream := &copyingUpstream{refusedOn: make(map[string]net.Conn)}
+				var last callResult
+				withTestEnv(t, func(_ *WithT, env *testEnv) {
+					env.net.serveRaw(upstream1, upstream.serve)
+					v := env.vm("vm1", settings)
+					for range 2 {
+						r := request(method, v, "/t/s/files/1", &slowBody{bytes.NewReader(data), delay})
+						r.TransferEncoding = []string{"chunked"}
+						r.Header.Set(outcome.HeaderRequestID, "own")
+						last = env.send(r)
+					}
+				})
+				g := NewWithT(t)
+				g.Expect(last.status).To(Equal(http.StatusOK))
+				g.Expect(upstream.ran).To(HaveLen(1))
+				g.Expect(hexSHA256(upstream.ran[0])).To(Equal(hexSHA256(data)))
+			})
+		}
+	}
+}
+
 // TestCallsGoOnWhenTheirConnectionHasCarriedAllItMay guards against a call that fails because its
 // connection carries no further request.
 func TestCallsGoOnWhenTheirConnectionHasCarriedAllItMay(t *testing.T) {
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -99,7 +99,7 @@
 	context.AfterFunc(u.ctx, cancel)
 	var last attemptResult
 	for {
-		reader, ok := u.source.Attach()
+		body, ok := u.streamedBody()
 		if !ok {
 			return last, nil
 		}
@@ -107,7 +107,7 @@
 		if problem != nil {
 			return last, u.problemIfUnsent(last, problem)
 		}
-		last = u.sendOnce(ctx, sent, reader)
+		last = u.sendOnce(ctx, sent, body)
 		if u.isConclusive(last) || u.source.Err() != nil || !u.canResend(last) || ctx.Err() != nil {
 			return last, nil
 		}
@@ -124,17 +124,26 @@
 	return problem
 }
 
-// sendOnce sends the upload to one upstream. A 2xx response that arrives before
-// the whole body was sent counts as a failure with an unknown outcome.
-func (u *uploadCall) sendOnce(ctx context.Context, sent send, reader *upload.Reader) attemptResult {
-	body := requestBody{
+// streamedBody returns the upload's body from its first byte. It returns false if that is no longer
+// in memory.
+func (u *uploadCall) streamedBody() (requestBody, bool) {
+	reader, ok := u.source.Attach()
+	if !ok {
+		return requestBody{}, false
+	}
+	return requestBody{
 		reader:      reader,
 		length:      u.r.ContentLength,
 		trailer:     u.r.Trailer,
 		isComplete:  reader.IsComplete,
-		isUnread:    reader.IsUnread,
+		restart:     u.streamedBody,
 		isTruncated: func() bool { return u.source.Err() != nil },
-	}
+	}, true
+}
+
+// sendOnce sends the upload to one upstream. A 2xx response that arrives before
+// the whole body was sent counts as a failure with an unknown outcome.
+func (u *uploadCall) sendOnce(ctx context.Context, sent send, body requestBody) attemptResult {
 	a := u.confineSend(sent, func() attemptResult { return u.roundTrip(ctx, sent, body) })
 	if a.outcome != outcome.NotRun {
 		u.mayHaveRun = true
--- a/internal/gateway/upstreamrequest.go
+++ b/internal/gateway/upstreamrequest.go
@@ -16,10 +16,12 @@
 	// length is in bytes; -1 means unknown.
 	length  int64
 	trailer http.Header
-	// isComplete reports whether the body was read to its end, and isUnread whether nothing of it was
-	// read; nil means that the body is in memory.
+	// isComplete reports whether the body was read to its end; nil means that the
+	// body is in memory.
 	isComplete func() bool
-	isUnread   func() bool
+	// restart returns the same body from its first byte, and false if that was passed on already;
+	// the earlier one is not read any more.
+	restart func() (requestBody, bool)
 	// isTruncated reports whether the body ended early on its way from the
 	// caller; nil means that the body is in memory.
 	isTruncated func() bool
@@ -30,14 +32,13 @@
 	return b.isComplete == nil
 }
 
-// canBeginAgain reports whether the body can be sent from its first byte.
-func (b requestBody) canBeginAgain() bool {
-	return b.isInMemory() || b.isUnread()
-}
-
 // memoryBody returns a request body that reads from c.body.
 func (c *call) memoryBody() requestBody {
-	return requestBody{reader: nonRewindableBody{bytes.NewReader(c.body)}, length: int64(len(c.body))}
+	return requestBody{
+		reader:  nonRewindableBody{bytes.NewReader(c.body)},
+		length:  int64(len(c.body)),
+		restart: func() (requestBody, bool) { return c.memoryBody(), true },
+	}
 }
 
 // upstreamRequest returns the request of one send.
@@ -57,6 +58,10 @@
 	if body.reader != nil {
 		request.Body = body.reader
 		request.ContentLength = body.length
+		if body.length < 0 {
+			// Without it net/http reads a byte ahead of the request, for some methods.
+			request.TransferEncoding = []string{"chunked"}
+		}
 		request.Trailer = body.trailer
 	}
 	request.Header.Set(callheader.Upstream, sent.choice.Name)
--- a/internal/upload/source.go
+++ b/internal/upload/source.go
@@ -150,13 +150,6 @@
 	return nil
 }
 
-// IsUnread reports whether nothing was read with the reader.
-func (r *Reader) IsUnread() bool {
-	r.source.mu.Lock()
-	defer r.source.mu.Unlock()
-	return r.offset == 0
-}
-
 // IsComplete reports whether the reader has read the complete body.
 func (r *Reader) IsComplete() bool {
 	s := r.source
