gateway: a new connection carries a call with any number of IDs

And calls with an empty ID, or one that the gateway replaces by its own, opened a connection each: the keys held IDs that are not sent.

The keys are those of the IDs on the wire now: for a team's upstreams the gateway's own, for a site's also the caller's. A history without sends takes any request, so that the next connection is the last.

--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -67,12 +67,15 @@
 	return h.Get(outcome.HeaderRequestID)
 }
 
-// keys returns the keys of the IDs by which an upstream may name the call in a response: the call's,
-// and the caller's own where the gateway uses another one.
+// keys returns the keys of the IDs that are sent to an upstream, by which it names the call in its
+// response. A site's upstreams get the caller's own, also where the gateway uses another one.
 func (c *call) keys() []requestKey {
 	keys := []requestKey{keyOf(c.id)}
+	if !c.route.isSite {
+		return keys
+	}
 	for _, id := range c.r.Header.Values(outcome.HeaderRequestID) {
-		if id != c.id {
+		if id != c.id && id != "" {
 			keys = append(keys, keyOf(id))
 		}
 	}
--- a/internal/gateway/refusalcopy_test.go
+++ b/internal/gateway/refusalcopy_test.go
@@ -134,6 +134,44 @@
 	}
 }
 
+// TestCallWithManyIDsTakesOneConnection guards against a call with more IDs than a connection may
+// carry, for which connections were opened without end.
+func TestCallWithManyIDsTakesOneConnection(t *testing.T) {
+	var status, dials int
+	withTestEnv(t, func(_ *WithT, env *testEnv) {
+		env.serve(upstream1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		v := env.vm("vm1", teamSettings)
+		r := request("POST", v, "/t/s/x", strings.NewReader("b"))
+		for i := range 1030 {
+			r.Header.Add(outcome.HeaderRequestID, fmt.Sprint(i))
+		}
+		status = env.send(r).status
+		dials = env.net.dials(upstream1)
+	})
+	g := NewWithT(t)
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(dials).To(Equal(1))
+}
+
+// TestCallsWithoutAnIDShareAConnection guards against a connection for each call whose caller names an
+// empty ID, or one that the gateway replaces by its own.
+func TestCallsWithoutAnIDShareAConnection(t *testing.T) {
+	dials := make(map[string]int)
+	for _, id := range []string{" ", strings.Repeat("x", 300)} {
+		withTestEnv(t, func(_ *WithT, env *testEnv) {
+			env.serve(upstream1, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			v := env.vm("vm1", teamSettings)
+			for range 20 {
+				r := request("POST", v, "/t/s/x", strings.NewReader("b"))
+				r.Header[outcome.HeaderRequestID] = []string{id}
+				env.send(r)
+			}
+			dials[id] = env.net.dials(upstream1)
+		})
+	}
+	NewWithT(t).Expect(dials).To(HaveEach(1))
+}
+
 // TestCallsGoOnWhenTheirConnectionHasCarriedAllItMay guards against a call that fails because its
 // connection carries no further request.
 func TestCallsGoOnWhenTheirConnectionHasCarriedAllItMay(t *testing.T) {
--- a/internal/gateway/sendhistory.go
+++ b/internal/gateway/sendhistory.go
@@ -14,7 +14,8 @@
 	return requestKey(xxhash.Sum64String(id))
 }
 
-// maxHistoryKeys limits the requests that one connection carries. A key takes 8 bytes.
+// maxHistoryKeys limits the keys of the requests that one connection carries, but for those of its
+// first request. A key takes 8 bytes.
 const maxHistoryKeys = 1024
 
 // sendHistory holds the requests that were sent on one connection, so that none is sent on it again:
@@ -40,13 +41,13 @@
 	isHistoryFull historyVerdict = "closed_history_full"
 )
 
-// add records a request with the given keys, unless the connection may not carry it. A health check,
-// which has no key, may always be sent.
+// add records a request with the given keys, unless the connection may not carry it. A new connection
+// carries any request, and each one carries health checks, which have no key.
 func (h *sendHistory) add(keys []requestKey) historyVerdict {
 	switch {
 	case slices.ContainsFunc(keys, func(key requestKey) bool { return slices.Contains(h.keys, key) }):
 		return hasCarried
-	case len(h.keys)+len(keys) > maxHistoryKeys:
+	case h.sends > 0 && len(h.keys)+len(keys) > maxHistoryKeys:
 		return isHistoryFull
 	}
 	h.sends++
--- a/internal/gateway/sendhistory_test.go
+++ b/internal/gateway/sendhistory_test.go
@@ -46,3 +46,11 @@
 	g.Expect(history.add([]requestKey{keyOf("another")})).To(Equal(isHistoryFull))
 	g.Expect(history.keys).To(HaveLen(maxHistoryKeys))
 }
+
+func TestNewConnectionCarriesARequestWithAnyNumberOfIDs(t *testing.T) {
+	g := NewWithT(t)
+	var history sendHistory
+	keys := make([]requestKey, 2*maxHistoryKeys)
+	g.Expect(history.add(keys)).To(Equal(mayCarry))
+	g.Expect(history.add([]requestKey{keyOf("another")})).To(Equal(isHistoryFull))
+}
