gateway, platform: an interim response to another request is not passed on

A caller got the 103 of another caller's request, with its Link lines and ID (a site, directly and through a tunnel; a team).

A site's interim response has to hold the request's ID once, as its servers return it; a team's must not name another call (answers.interim_foreign_id).

--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -141,8 +141,12 @@
 // writeChunkBytes is the number of bytes that one write deadline covers.
 const writeChunkBytes = 64 << 10
 
-// forwardInterim forwards an upstream's interim response to the caller.
+// forwardInterim forwards an upstream's interim response to the caller, unless it names another call.
 func (c *call) forwardInterim(status int, header http.Header) {
+	if id := c.statedID(header); id != "" && id != c.id {
+		c.gateway.options.Counters.Add(groupAnswers, "interim_foreign_id", 1)
+		return
+	}
 	c.interim.forward(c.w, status, header)
 }
 
--- a/internal/gateway/response_test.go
+++ b/internal/gateway/response_test.go
@@ -263,6 +263,30 @@
 	})
 }
 
+// TestInterimResponseToAnotherCallIsNotForwarded guards against a caller that gets the hints of another
+// call's response.
+func TestInterimResponseToAnotherCallIsNotForwarded(t *testing.T) {
+	var hints []string
+	withTestEnv(t, func(_ *WithT, env *testEnv) {
+		env.serve(upstream1, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(outcome.HeaderRequestID, r.URL.Query().Get("id"))
+			w.WriteHeader(http.StatusEarlyHints)
+			w.Header().Del(outcome.HeaderRequestID)
+		}))
+		v := env.vm("vm1", teamSettings)
+		for _, id := range []string{"own", "another"} {
+			trace := &httptrace.ClientTrace{Got1xxResponse: func(int, textproto.MIMEHeader) error {
+				hints = append(hints, id)
+				return nil
+			}}
+			r := request("GET", v, "/t/s/x?id="+id, nil)
+			r.Header.Set(outcome.HeaderRequestID, "own")
+			env.send(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+		}
+	})
+	NewWithT(t).Expect(hints).To(Equal([]string{"own"}))
+}
+
 // TestUpstreamIsCancelledWhenTheCallerLeaves: the upstream's request is cancelled
 // as soon as the caller disconnects.
 func TestUpstreamIsCancelledWhenTheCallerLeaves(t *testing.T) {
