gateway: a call whose idle connection closes unsent takes another connection

A send of which nothing was written, and nothing will be (its connection is closed to it first), takes another connection now, as after a discarded one. A new connection is never skipped, so that it ends.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -73,7 +73,8 @@
 }
 
 // doRoundTrip sends the call once. It takes another connection as long as the one that it got is
-// closed before a byte of the send was written: to the call's ID, or because of the send before it.
+// closed before a byte of the send was written: it carried the call's ID before, its last response
+// could be another call's, or it closed while it was idle.
 func (c *call) doRoundTrip(ctx context.Context, sent send, body requestBody) attemptResult {
 	for skipped := 0; ; skipped++ {
 		result, next := c.tryRoundTrip(ctx, sent, body)
@@ -86,7 +87,7 @@
 }
 
 // tryRoundTrip sends the call on one connection. If nothing was written because the connection was
-// discarded, it returns the body for another one instead of a result.
+// closed before, it returns the body for another one instead of a result.
 func (c *call) tryRoundTrip(callCtx context.Context, sent send, body requestBody) (attemptResult, *requestBody) {
 	ctx, cancel := context.WithCancelCause(callCtx)
 	trace := &sendTrace{
@@ -102,15 +103,12 @@
 		c.route.service.recordAnswer(trace)
 		statement, err = c.checkResponse(trace, response)
 	}
-	if err != nil && trace.isUnsentOnDiscardedConn() && c.isActive() {
-		if next, ok := body.restart(); ok {
-			cancel(nil)
-			return attemptResult{}, &next
-		}
-	}
 	if err != nil {
 		defer cancel(nil)
 		c.recordRejection(trace, err)
+		if next, ok := c.restartUnsent(trace, body); ok {
+			return attemptResult{}, &next
+		}
 		return c.handleSendFailure(ctx, sent, trace, body, err), nil
 	}
 	bodySent := body.isInMemory() || body.isComplete()
@@ -122,6 +120,15 @@
 	return result, nil
 }
 
+// restartUnsent returns the body of a send that may take another connection, because nothing of it was
+// written to the one that it got; false if it may not.
+func (c *call) restartUnsent(trace *sendTrace, body requestBody) (requestBody, bool) {
+	if !c.isActive() || !trace.abandonUnsent() {
+		return requestBody{}, false
+	}
+	return body.restart()
+}
+
 // silenceTimeout returns how long the connection of a send may receive nothing;
 // 0 means until the deadline. Only lookups of teams have a silence timeout. The
 // upstreams of a site are probed right before each send and late lookups are
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -88,8 +88,8 @@
 }
 
 // beginSend returns the transfer of a new send on the connection, of the request with the given
-// keys. It closes the connection, so that nothing of the send is written, if its history forbids it
-// to carry the request.
+// keys. If its history forbids the connection to carry the request, it is closed, and what the send
+// writes fails.
 func (c *trackedConn) beginSend(keys []requestKey) *transfer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,13 +120,31 @@
 	c.discardLocked("discarded")
 }
 
-// discardLocked closes the connection to further sends and increments a counter.
+// discardLocked closes the connection to further sends and increments a counter, unless it was
+// discarded before.
 func (c *trackedConn) discardLocked(counter string) {
+	if c.isDiscarded {
+		return
+	}
 	c.isDiscarded = true
 	c.stats.counters.Add(telemetry.GroupConns, counter, 1)
 	_ = c.Close()
 }
 
+// abandonUnsent reports whether nothing of the send with the given transfer was written, and makes
+// sure that nothing will be. The connection stays open if a later send has taken it.
+func (c *trackedConn) abandonUnsent(t *transfer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if wrote, _ := t.progress(); wrote {
+		return false
+	}
+	if c.current == t {
+		c.discardLocked("abandoned")
+	}
+	return true
+}
+
 // wasDiscarded reports whether the connection was closed to further sends.
 func (c *trackedConn) wasDiscarded() bool {
 	c.mu.Lock()
--- a/internal/gateway/sendhistory_test.go
+++ b/internal/gateway/sendhistory_test.go
@@ -19,7 +19,7 @@
 	second.gotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
 	_, err := conn.Write([]byte{1})
 	g.Expect(err).To(MatchError(net.ErrClosed))
-	g.Expect(second.isUnsentOnDiscardedConn()).To(BeTrue())
+	g.Expect(second.abandonUnsent()).To(BeTrue())
 	g.Expect(trace.mayHaveSent()).To(BeTrue(), "the first send was written")
 	g.Expect(conn.stats.counters.Get("conns", "closed_repeated_id")).To(BeEquivalentTo(1))
 }
--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -60,7 +60,8 @@
 }
 
 // gotConn records the connection that the send uses from now on and starts the
-// silence timer. It is called again if http.Transport moves the send to another
+// silence timer. A connection that must not carry the request is closed before the
+// send is written. It is called again if http.Transport moves the send to another
 // connection.
 func (t *sendTrace) gotConn(info httptrace.GotConnInfo) {
 	t.mu.Lock()
@@ -157,12 +158,15 @@
 	return t.mayHaveSentLocked()
 }
 
-// isUnsentOnDiscardedConn reports whether no byte of the send has left this VM because its
-// connection was discarded.
-func (t *sendTrace) isUnsentOnDiscardedConn() bool {
+// abandonUnsent reports whether no byte of the send has left this VM, nor will, because its connection
+// was closed before: one that was discarded, or that had been idle. The send may take another one.
+func (t *sendTrace) abandonUnsent() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.conn != nil && t.conn.wasDiscarded() && !t.mayHaveSentLocked()
+	if t.conn == nil || t.wroteBefore || !t.reused && !t.conn.wasDiscarded() {
+		return false
+	}
+	return t.conn.abandonUnsent(t.transfer)
 }
 
 // connKind returns whether the send's connection was opened for it or reused; empty
