--- a/Makefile
+++ b/Makefile
@@ -34,6 +34,7 @@
 
 vet:
 	go vet ./...
+	go vet -tags processes ./platform/restarttest
 
 # tools builds the tools at the versions pinned in tools/ and tools/lint.
 tools:
