soak: the ledger follows a request that its caller sends again

A caller that repeats the ID of a refused request sends one request several times. The ledger replaced the record of the first send by that of the next, so that the checks that count all runs and answers lost it.

A request now has its sends. A run belongs to the newest send that began before it. A send that is told as not run is broken if a run belongs to it, before or after the answer; so is a second run of the same send. That is stricter than more runs than sends: a request is only sent again after a refusal, so that each send but the last must have no run. Requests that are sent once are judged as before.

Evidence: the cases of the ledger's test, with ten new ones, pass with -race.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -18,16 +18,32 @@
 	Detail string `json:"detail"`
 }
 
-// record holds one request, its executions on servers and its response.
+// record holds one request and its sends by the caller, in their order.
 type record struct {
-	request    sitetest.Request
-	vm         *VM
+	request sitetest.Request
+	vm      *VM
+	sends   []*callerSend
+}
+
+// latest returns the latest send.
+func (r *record) latest() *callerSend {
+	return r.sends[len(r.sends)-1]
+}
+
+// callerSend is one send of a request by its caller. executions are those that began after it and
+// before the next one.
+type callerSend struct {
 	sentAt     time.Time
 	executions []execution
 	response   sitetest.Response
 	isFinished bool
 }
 
+// isRefused reports whether the caller got a response that promises that the request did not run.
+func (s *callerSend) isRefused() bool {
+	return s.isFinished && s.response.PromisesNotRun()
+}
+
 // execution is one run of a request on a server.
 type execution struct {
 	server string
@@ -53,11 +69,16 @@
 }
 
 // Sent records that a request is about to be sent to a VM. It must be called before the
-// request is sent.
+// request is sent. A request may be sent again, to the same VM, once the send before was refused.
 func (l *Ledger) Sent(request sitetest.Request, vm *VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.records[request.ID] = &record{request: request, vm: vm, sentAt: time.Now()}
+	r, ok := l.records[request.ID]
+	if !ok {
+		r = &record{request: request, vm: vm}
+		l.records[request.ID] = r
+	}
+	r.sends = append(r.sends, &callerSend{sentAt: time.Now()})
 }
 
 // Ran records that a server runs a request with the given body.
@@ -69,34 +90,37 @@
 		l.addViolationLocked("asked", id, "server "+server+" ran a request that no caller sent")
 		return
 	}
-	r.executions = append(r.executions, execution{server: server, at: time.Now(), body: body})
+	send := r.latest()
+	send.executions = append(send.executions, execution{server: server, at: time.Now(), body: body})
 	if body != r.request.Body {
 		l.addViolationLocked("whole request", id, fmt.Sprintf("server %s received %d bytes of %d", server, len(body), len(r.request.Body)))
 	}
-	if r.request.Kind != sitetest.Safe && len(r.executions) > 1 {
-		l.addViolationLocked("at most once", id, fmt.Sprintf("ran %d times: %v", len(r.executions), r.servers()))
+	// All sends before were refused, so that a second run breaks a promise whichever send it is of.
+	if r.request.Kind != sitetest.Safe && len(send.executions) > 1 {
+		l.addViolationLocked("at most once", id, fmt.Sprintf("ran %d times: %v", len(send.executions), send.servers()))
 	}
-	if r.isFinished && r.response.PromisesNotRun() {
-		l.addViolationLocked("not run", id, fmt.Sprintf("server %s ran it after the caller had received status %d", server, r.response.Status))
+	if send.isRefused() {
+		l.addViolationLocked("not run", id, fmt.Sprintf("server %s ran it after the caller had received status %d", server, send.response.Status))
 	}
 }
 
-func (r *record) servers() []string {
+func (s *callerSend) servers() []string {
 	var servers []string
-	for _, run := range r.executions {
+	for _, run := range s.executions {
 		servers = append(servers, run.server)
 	}
 	return servers
 }
 
-// Finished records the response to a request or the error instead of one. The request
-// must have been recorded by Sent.
+// Finished records the response to the latest send of a request or the error instead of one.
+// The send must have been recorded by Sent.
 func (l *Ledger) Finished(id string, response sitetest.Response) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	r := l.records[id]
-	r.response = response
-	r.isFinished = true
+	send := r.latest()
+	send.response = response
+	send.isFinished = true
 	l.finished++
 	if response.IsSuccess() {
 		l.served++
@@ -105,10 +129,10 @@
 	switch {
 	case response.IsSuccess() && response.Err == nil && !response.IsComplete:
 		l.addViolationLocked("whole answer", id, fmt.Sprintf("status %d without the complete response of the server", response.Status))
-	case response.IsSuccess() && len(r.executions) == 0:
+	case response.IsSuccess() && len(send.executions) == 0:
 		l.addViolationLocked("delivered", id, "reported as successful but no server ran it")
-	case response.PromisesNotRun() && len(r.executions) > 0 && !isIdempotent:
-		l.addViolationLocked("not run", id, fmt.Sprintf("status %d although it ran on %v", response.Status, r.servers()))
+	case response.PromisesNotRun() && len(send.executions) > 0 && !isIdempotent:
+		l.addViolationLocked("not run", id, fmt.Sprintf("send %d, status %d although it ran on %v", len(r.sends), response.Status, send.servers()))
 	}
 }
 
@@ -127,19 +151,31 @@
 type sentRun struct {
 	id     string
 	vm     *VM
+	server string
 	sentAt time.Time
 	at     time.Time
 }
 
+// runs returns the runs of the request, which has the given ID.
+func (r *record) runs(id string) []sentRun {
+	var found []sentRun
+	for _, send := range r.sends {
+		for _, run := range send.executions {
+			found = append(found, sentRun{id: id, vm: r.vm, server: run.server, sentAt: send.sentAt, at: run.at})
+		}
+	}
+	return found
+}
+
 // runsAfter returns the runs that a server started after a time.
 func (l *Ledger) runsAfter(server string, after time.Time) []sentRun {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var found []sentRun
 	for id, r := range l.records {
-		for _, run := range r.executions {
+		for _, run := range r.runs(id) {
 			if run.server == server && run.at.After(after) {
-				found = append(found, sentRun{id: id, vm: r.vm, sentAt: r.sentAt, at: run.at})
+				found = append(found, run)
 			}
 		}
 	}
@@ -152,11 +188,8 @@
 	defer l.mu.Unlock()
 	var found []sentRun
 	for id, r := range l.records {
-		if r.request.Path != path {
-			continue
-		}
-		for _, run := range r.executions {
-			found = append(found, sentRun{id: id, vm: r.vm, at: run.at})
+		if r.request.Path == path {
+			found = append(found, r.runs(id)...)
 		}
 	}
 	return found
@@ -190,12 +223,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, r := range l.records {
-		if r.vm != vm || !r.isFinished || r.sentAt.Before(from) || r.sentAt.After(to) {
+		if r.vm != vm {
 			continue
 		}
-		finished++
-		if r.response.IsSuccess() {
-			served++
+		for _, send := range r.sends {
+			if !send.isFinished || send.sentAt.Before(from) || send.sentAt.After(to) {
+				continue
+			}
+			finished++
+			if send.response.IsSuccess() {
+				served++
+			}
 		}
 	}
 	return finished, served
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -46,6 +46,32 @@
 		"response of another request": {[]step{sent(sitetest.Safe), ran("body"), finished(sitetest.Response{Status: http.StatusOK})}, []string{"whole answer"}},
 		"incomplete request body":     {[]step{sent(sitetest.Upload), ran("bo"), finished(served)}, []string{"whole request"}},
 		"run without a request":       {[]step{ran("body")}, []string{"asked"}},
+		"refused, sent again, served": {[]step{sent(sitetest.Unsafe), finished(refused), sent(sitetest.Unsafe), ran("body"), finished(served)}, nil},
+		"refused twice":               {[]step{sent(sitetest.Unsafe), finished(refused), sent(sitetest.Unsafe), finished(refused)}, nil},
+		"refused, sent again, unknown": {
+			[]step{sent(sitetest.Upload), finished(refused), sent(sitetest.Upload), ran("body"), finished(sitetest.Response{})}, nil,
+		},
+		"refused, sent again, refused though run": {
+			[]step{sent(sitetest.Unsafe), finished(refused), sent(sitetest.Unsafe), ran("body"), finished(refused)}, []string{"not run"},
+		},
+		"refused though run, sent again, served": {
+			[]step{sent(sitetest.Unsafe), ran("body"), finished(refused), sent(sitetest.Unsafe), ran("body"), finished(served)}, []string{"not run"},
+		},
+		"refused, ran, sent again": {
+			[]step{sent(sitetest.Unsafe), finished(refused), ran("body"), sent(sitetest.Unsafe), finished(refused)}, []string{"not run"},
+		},
+		"refused twice, ran": {
+			[]step{sent(sitetest.Unsafe), finished(refused), sent(sitetest.Unsafe), finished(refused), ran("body")}, []string{"not run"},
+		},
+		"refused, sent again, ran twice": {
+			[]step{sent(sitetest.Unsafe), finished(refused), sent(sitetest.Unsafe), ran("body"), ran("body"), finished(served)}, []string{"at most once"},
+		},
+		"refused, sent again, served without a run": {
+			[]step{sent(sitetest.Unsafe), finished(refused), sent(sitetest.Unsafe), finished(served)}, []string{"delivered"},
+		},
+		"lookup refused though run, sent again, served": {
+			[]step{sent(sitetest.Safe), ran("body"), finished(refused), sent(sitetest.Safe), ran("body"), finished(served)}, nil,
+		},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
