soak: refused requests come back to the connection of their refusal

Besides met, a result tells the requests that callers repeated and those that came back to their server on another connection.

--- a/cmd/figfront-soak/main.go
+++ b/cmd/figfront-soak/main.go
@@ -28,7 +28,7 @@
 	Calm     time.Duration `help:"Time without faults before and after them." default:"4s"`
 	Jobs     int           `help:"Runs at the same time; each has four processes." default:"2"`
 	Callers  int           `help:"Callers for each VM." default:"4"`
-	Only     string        `help:"Inject only the kinds of faults whose name contains this text."`
+	Only     string        `help:"Inject only the kinds of faults whose name contains this text, or one of several separated by |."`
 	Restores bool          `help:"Let the store come back from older copies." default:"true" negatable:""`
 	Limits   bool          `help:"Let servers name rate limits." default:"true" negatable:""`
 	Links    bool          `help:"Let VMs lose their links to servers and to each other." default:"true" negatable:""`
@@ -38,6 +38,7 @@
 	Heads    bool          `help:"Let servers break off within the head of a response, and send another behind it." default:"true" negatable:""`
 	Answers  bool          `help:"Let servers repeat answers, or answer as to another request, before the body or with a reset." default:"true" negatable:""`
 	Odd      bool          `help:"Leave odd entries among those of the servers." default:"true" negatable:""`
+	SameIDs  bool          `name:"same-ids" help:"Let refused requests come back to the connections of their refusals, and servers copy refusals there." default:"true" negatable:""`
 	Slots    int           `help:"Slots of each server." default:"2"`
 	Untimed  bool          `help:"Check only promises that have no time."`
 	Verbose  bool          `help:"Print each fault." short:"v"`
@@ -80,7 +81,7 @@
 				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm,
 				CheckTimed: !args.Untimed, Callers: args.Callers, Only: args.Only, StoreRestores: args.Restores, RateLimits: args.Limits, LinkLosses: args.Links,
 				DeadlyRequests: args.Deadly, Asks: args.Asks, SilentLeaves: args.Silent, BrokenHeads: args.Heads,
-				WrongAnswers: args.Answers, OddEntries: args.Odd, Slots: args.Slots, Log: log,
+				WrongAnswers: args.Answers, OddEntries: args.Odd, SameIDs: args.SameIDs, Slots: args.Slots, Log: log,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -34,6 +34,8 @@
 	random *rand.Rand
 	client *http.Client
 	sent   int
+	// refused is the request that may be repeated; nil if there is none.
+	refused *sitetest.Request
 	// seenStart identifies a process of the VM by the value of VM.Starts, and seenVersion
 	// is the newest version that this process has served.
 	seenStart   int
@@ -51,9 +53,12 @@
 func (c *caller) sendUntilDone(ctx context.Context) {
 	defer c.client.CloseIdleConnections()
 	for ctx.Err() == nil {
-		if c.random.Float64() < versionCheckShare {
+		switch {
+		case c.repeatsRefused():
+			c.repeat()
+		case c.random.Float64() < versionCheckShare:
 			c.checkVersion()
-		} else {
+		default:
 			c.call()
 		}
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxThinkTime))))
@@ -74,15 +79,20 @@
 	c.send(kind, sitetest.Prefix(kind)+"x", body)
 }
 
-// send sends a request and records it and its response in the ledger.
+// send sends a new request.
 func (c *caller) send(kind sitetest.Kind, path, body string) sitetest.Response {
 	c.sent++
-	request := sitetest.Request{
+	return c.sendRequest(sitetest.Request{
 		ID: fmt.Sprintf("%s-%d", c.name, c.sent), Kind: kind, Path: path, Body: body, Timeout: callTimeout,
-	}
+	})
+}
+
+// sendRequest sends a request and records it and its response in the ledger.
+func (c *caller) sendRequest(request sitetest.Request) sitetest.Response {
 	c.run.ledger.Sent(request, c.vm)
 	response := sitetest.Send(context.Background(), c.client, c.vm.ListenAddress, request)
 	c.run.ledger.Finished(request.ID, response)
+	c.keepRefused(request, response)
 	return response
 }
 
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -30,9 +30,9 @@
 	begin func(run *Run, random *rand.Rand) (end func(), err error)
 }
 
-// matches reports whether the fault's name contains a text.
-func (f fault) matches(text string) bool {
-	return strings.Contains(f.name, text)
+// matches reports whether the fault's name contains one of the texts that "|" separates.
+func (f fault) matches(texts string) bool {
+	return slices.ContainsFunc(strings.Split(texts, "|"), func(text string) bool { return strings.Contains(f.name, text) })
 }
 
 // faults are all kinds of faults but restoreFault. A run uses a random subset of them.
@@ -241,6 +241,7 @@
 		{run.options.BrokenHeads, headFaults},
 		{run.options.WrongAnswers, answerFaults},
 		{run.options.OddEntries, oddEntryFaults},
+		{run.options.SameIDs, sameIDFaults},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
@@ -255,7 +256,7 @@
 // minKinds is the smallest number of kinds of faults in a run.
 const minKinds = 3
 
-// pickKinds selects the kinds of faults of a run: those whose name contains only, or a
+// pickKinds selects the kinds of faults of a run: those that match only, or a
 // random selection if only is empty. With only a few kinds their interactions are easier to
 // see, and guarantees that require the absence of other faults are actually checked.
 func pickKinds(random *rand.Rand, only string) []fault {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -35,10 +35,10 @@
 // concurrent use.
 type Proxy struct {
 	listener net.Listener
-	target   string
 
-	mu    sync.Mutex
-	state LinkState
+	mu     sync.Mutex
+	target string
+	state  LinkState
 	// hostStates holds the states of the links of single client hosts, where they differ
 	// from state.
 	hostStates map[string]LinkState
@@ -61,6 +61,21 @@
 	return p.listener.Addr().String()
 }
 
+// SetTarget sets the target (host:port) of new connections.
+func (p *Proxy) SetTarget(target string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.target = target
+}
+
+// dialTarget opens a connection to the target.
+func (p *Proxy) dialTarget() (net.Conn, error) {
+	p.mu.Lock()
+	target := p.target
+	p.mu.Unlock()
+	return net.Dial("tcp", target)
+}
+
 // Set sets the state of the link; it also applies to open connections.
 func (p *Proxy) Set(state LinkState) {
 	p.mu.Lock()
@@ -133,7 +148,7 @@
 		reset(client)
 		return
 	}
-	target, err := net.Dial("tcp", p.target)
+	target, err := p.dialTarget()
 	if err != nil {
 		_ = client.Close()
 		return
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -52,8 +52,8 @@
 	CheckTimed bool
 	// Callers is the number of callers for each VM, at least 1.
 	Callers int
-	// Only limits the faults to the kinds whose name contains this text; empty means all
-	// kinds.
+	// Only limits the faults to the kinds whose name contains one of these texts, separated by
+	// "|"; empty means all kinds.
 	Only string
 	// StoreRestores adds restores of the store from a copy to the faults.
 	StoreRestores bool
@@ -77,6 +77,10 @@
 	WrongAnswers bool
 	// OddEntries adds a writer that leaves odd entries among those of the servers.
 	OddEntries bool
+	// SameIDs adds to the faults what leads a refused request to the connection of its refusal again:
+	// servers that copy refusals then, servers that start again at their addresses under new IDs, and
+	// callers that repeat refused requests.
+	SameIDs bool
 	// Slots is the number of slots of each server, at least 1.
 	Slots int
 	// Log receives a line for each fault.
@@ -92,6 +96,10 @@
 	Served   int    `json:"served"`
 	// Met counts the requests that met each faulty behavior of servers, by its name.
 	Met map[string]int `json:"met,omitempty"`
+	// Repeats counts the requests that callers sent again, and ReturnedElsewhere those that came back to
+	// the server that had refused them on another connection, where no copy of the refusal comes.
+	Repeats           int64 `json:"repeats,omitempty"`
+	ReturnedElsewhere int64 `json:"returned_elsewhere,omitempty"`
 	// OddReads counts how often rows with each kind of odd entry were read.
 	OddReads   map[string]int `json:"odd_reads,omitempty"`
 	Violations []Violation    `json:"violations"`
@@ -115,6 +123,9 @@
 	standsStill atomic.Bool
 	// oddEntries is the number of odd entries under new names so far.
 	oddEntries int
+	// repeating counts the active faults in which callers repeat refused requests, repeats the
+	// requests that they sent again.
+	repeating, repeats atomic.Int64
 
 	mu sync.Mutex
 	// err is the first failure of the test itself, as opposed to a broken guarantee.
@@ -139,7 +150,7 @@
 	finished, served := run.ledger.counts()
 	result := Result{
 		Seed: options.Seed, Faults: injected, Requests: finished, Served: served, Met: run.fleet.metCounts(), OddReads: run.oddReads(),
-		Violations: run.ledger.Violations(),
+		Repeats: run.repeats.Load(), ReturnedElsewhere: run.fleet.returnedElsewhere.Load(), Violations: run.ledger.Violations(),
 	}
 	if err == nil {
 		err = run.err
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -52,8 +52,11 @@
 		o.Only, o.WrongAnswers, o.Slots = "answer", true, manySlots
 	},
 	"server starts again under its name": func(o *soak.Options) { o.Only, o.WrongAnswers = "under its name", true },
-	"odd entries":                        func(o *soak.Options) { o.Only, o.OddEntries = "odd entr", true },
-	"servers leave without a report":     func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
+	"refused requests come back to the same connections": func(o *soak.Options) {
+		o.Only, o.SameIDs, o.LinkLosses, o.Slots = "same ID|vm's links to servers", true, true, manySlots
+	},
+	"odd entries":                    func(o *soak.Options) { o.Only, o.OddEntries = "odd entr", true },
+	"servers leave without a report": func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
 }
 
 // TestGuaranteesUnderFaults executes a short run with chosen faults and of each regression
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -59,6 +59,9 @@
 	linkStates map[string]LinkState
 	// isClosed is set at the end of the run.
 	isClosed bool
+	// returnedElsewhere counts the requests that came back to the server that had refused them, but on
+	// another connection.
+	returnedElsewhere atomic.Int64
 }
 
 // member is a server behind its proxy.
@@ -113,10 +116,16 @@
 	if err != nil {
 		return err
 	}
+	return f.serve(listener, proxy, func(server *sitetest.Server) { server.ID = cmp.Or(id, server.ID) })
+}
+
+// serve starts a server, which adapt changes first, behind a proxy and writes its entry.
+func (f *fleet) serve(listener net.Listener, proxy *Proxy, adapt func(server *sitetest.Server)) error {
 	server := sitetest.NewServer(serviceTime, f.slots, f.ledger.Ran, f.nextBehavior)
-	server.ID = cmp.Or(id, server.ID)
+	adapt(server)
 	server.OnMeet = f.countMet
-	m := &member{server: server, http: &http.Server{Handler: server}, proxy: proxy, entry: sitetest.Entry{
+	server.OnReturnElsewhere = f.countReturnElsewhere
+	m := &member{server: server, http: &http.Server{Handler: server, ConnContext: sitetest.ConnContext}, proxy: proxy, entry: sitetest.Entry{
 		ID: server.ID, Service: serviceName, Zone: zones[0], Address: proxy.Address(), Slots: f.slots, Born: time.Now(),
 	}}
 	server.IsDeadly = isDeadly
