soak, sitetest: tests of what the tests of the copied refusals missed

Changing the code on purpose showed three changes that no test noticed: a request that returns to a connection of its refusal is also counted as one on another connection, the ledger forgets the runs of earlier sends, and a server that started again goes on renewing its old entry. Each now has a test that fails with it. A fourth, a server that keeps its connections, made a test wait without end; its reads now have a time limit.

--- a/internal/soak/sameid_internal_test.go
+++ b/internal/soak/sameid_internal_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"testing"
 	"time"
 
@@ -18,6 +20,17 @@
 	"github.com/figfront/figfront/platform/storetest"
 )
 
+// readTimeout limits the wait for what a server sends.
+const readTimeout = 5 * time.Second
+
+// dial opens a connection on which reads wait for readTimeout at most.
+func dial(g *WithT, address string) net.Conn {
+	conn, err := net.Dial("tcp", address)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(conn.SetReadDeadline(time.Now().Add(readTimeout))).To(Succeed())
+	return conn
+}
+
 // addressesOf returns the addresses of the servers' entries in a store by their IDs.
 func addressesOf(g *WithT, store *storetest.Store) map[string]string {
 	recorder := httptest.NewRecorder()
@@ -55,28 +68,30 @@
 	defer f.close()
 	g.Expect(f.add()).To(Succeed())
 	old := f.members[0]
-	before, err := net.Dial("tcp", old.entry.Address)
-	g.Expect(err).NotTo(HaveOccurred())
+	before := dial(g, old.entry.Address)
+	defer func() { _ = before.Close() }()
 	responses := bufio.NewReader(before)
 	ledger.Sent(sitetest.Request{ID: "id", Kind: sitetest.Safe}, nil)
 	g.Expect(statusOf(g, before, responses, old.server.ID)).To(Equal(http.StatusOK))
 
 	g.Expect(f.replaceAtAddress(old)).To(Succeed())
-	_, err = responses.ReadByte()
+	_, err := responses.ReadByte()
 	g.Expect(err).To(HaveOccurred())
+	g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(BeFalse())
 	fresh := f.members[1]
 	g.Expect(addressesOf(g, store)).To(Equal(map[string]string{old.server.ID: old.entry.Address, fresh.server.ID: old.entry.Address}))
-	after, err := net.Dial("tcp", old.entry.Address)
-	g.Expect(err).NotTo(HaveOccurred())
+	after := dial(g, old.entry.Address)
+	defer func() { _ = after.Close() }()
 	responses = bufio.NewReader(after)
 	g.Expect(statusOf(g, after, responses, old.server.ID)).To(Equal(http.StatusMisdirectedRequest))
 	g.Expect(statusOf(g, after, responses, fresh.server.ID)).To(Equal(http.StatusMisdirectedRequest))
 	g.Expect(f.metCounts()).To(Equal(map[string]int{sitetest.CopyWrongInstance.String(): 1}))
 	g.Expect(ledger.runsAfter(fresh.server.ID, time.Time{})).To(HaveLen(1))
 
-	g.Expect(f.writeAll()).To(Succeed())
-	g.Eventually(func() map[string]string { return addressesOf(g, store) }, 2*entryTTL).
-		Should(Equal(map[string]string{fresh.server.ID: old.entry.Address}))
+	g.Eventually(func() map[string]string {
+		g.Expect(f.writeAll()).To(Succeed())
+		return addressesOf(g, store)
+	}, 2*entryTTL).Should(Equal(map[string]string{fresh.server.ID: old.entry.Address}))
 }
 
 // TestServerThatHasEndedDoesNotStartAgain checks that a server that ended meanwhile stays away.
@@ -90,6 +105,23 @@
 	g.Expect(f.members).To(HaveLen(1))
 }
 
+// TestRunsOfEarlierSendsStayInTheLedger checks that sending a request again hides no run of it.
+func TestRunsOfEarlierSendsStayInTheLedger(t *testing.T) {
+	g := NewWithT(t)
+	request := sitetest.Request{ID: "id", Kind: sitetest.Safe, Path: "/safe/x"}
+	vm := &VM{}
+	ledger := NewLedger()
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusOK} {
+		ledger.Sent(request, vm)
+		ledger.Ran("id", "i-1", "")
+		ledger.Finished("id", sitetest.Response{Status: status, IsComplete: true})
+	}
+	g.Expect(ledger.runsAfter("i-1", time.Time{})).To(HaveLen(2))
+	g.Expect(ledger.runsOf("/safe/x")).To(HaveLen(2))
+	finished, served := ledger.servedBy(vm, time.Time{}, time.Now())
+	g.Expect([]int{finished, served}).To(Equal([]int{2, 1}))
+}
+
 // TestOnlySelectsKindsByAnyOfItsTexts checks the selection of kinds by several texts.
 func TestOnlySelectsKindsByAnyOfItsTexts(t *testing.T) {
 	kind := fault{name: "vm's links to servers reset"}
