gateway: a reset of a new connection is no end of an upstream

After a send has broken, the VM opens a connection to see whether the upstream has ended. A reset counted as that, also at the VMs that it asked for tunnels, which told any failure to connect as "not connected". Full upstreams reset new connections. At overload VMs slow down by that, more sends break, and more upstreams seem to have ended.

Only a refused connection counts as an end now. A VM that serves tunnels tells a connection that was reset or not answered by the new refusal connect_failed; an older VM avoids it for a second then, as for any refusal that it doesn't know. Two refusals make an upstream ended only if both say that nothing accepts connections or that the upstream is unknown.

The test environment of sites can now fail new connections; nothing else in it has changed.

--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -22,7 +22,8 @@
 	upstreamEnded upstreamEnd = "ended"
 	// upstreamLives means that another connection is open or a new one was accepted.
 	upstreamLives upstreamEnd = "lives"
-	// upstreamEndUnknown means that a new connection was neither accepted nor refused.
+	// upstreamEndUnknown means that a new connection was neither accepted nor refused. An upstream
+	// that has as many connections as it accepts resets it.
 	upstreamEndUnknown upstreamEnd = "unknown"
 )
 
@@ -90,14 +91,14 @@
 	}
 }
 
-// isRefused reports whether nothing accepts connections at the address that was dialed. An
-// upstream counts as refused, too, if two other VMs could not connect to it.
+// isRefused reports whether nothing accepts connections at the address that was dialed, as this VM
+// or two other ones have found. A reset shows nothing: it comes from an upstream that is full.
 func isRefused(err error) bool {
 	var refused tunnel.RefusedError
 	if errors.As(err, &refused) {
 		return refused.Refusal == tunnel.NotConnected
 	}
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
 // isConnBroken reports whether a send that may have reached its upstream ended because its
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -42,6 +42,8 @@
 	stop atomic.Pointer[drain.Window]
 	// coordinator holds the dispatch.CoordinatorFunc in use.
 	coordinator atomic.Value
+	// newConns holds the error with which the gateway's new connections fail, if they do.
+	newConns atomic.Value
 
 	mu       sync.Mutex
 	received map[string]int
@@ -107,7 +109,7 @@
 			return env.coordinator.Load().(func(string, func(string) bool) (dispatch.VM, bool))(service, isAvoided)
 		}
 		env.gateway = gateway.New(gateway.Options{
-			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &env.log), Counters: env.counters, Dial: env.network.Dial, Seed: 1,
+			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &env.log), Counters: env.counters, Dial: env.dial, Seed: 1,
 			RetryLimits: retry.Limits{Share: 0.1}, ProbesPerUpstream: siteProbesPerSecond,
 			Router:     dispatch.NewRouter(coordinator, nil, hclog.NewNullLogger(), env.counters),
 			StopWindow: env.stopWindow,
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -105,7 +105,8 @@
 	if len(untried) == 0 {
 		return nil, c.failure(service)
 	}
-	pending, refusals := 0, 0
+	pending := 0
+	var refusals []Refusal
 	next := time.NewTimer(nextAttemptDelay)
 	defer next.Stop()
 	tryNext := func() {
@@ -131,18 +132,19 @@
 				c.counters.Add(telemetry.GroupTunnels, "opened", 1)
 				return result.conn, nil
 			}
-			refusals += c.recordFailure(service, result)
+			if refusal, ok := c.recordFailure(service, result); ok {
+				refusals = append(refusals, refusal)
+			}
 		case <-ctx.Done():
 			go closeLater(results, pending)
 			return nil, errors.Wrap(ErrNoTunnel, ctx.Err().Error())
 		}
+		isLast := pending == 0 && len(untried) == 0
 		switch {
-		case refusals >= maxRefusals:
+		case c.isRefused(service, refusals, isLast):
 			go closeLater(results, pending)
-			return nil, RefusedError{NotConnected}
-		case pending == 0 && len(untried) == 0 && refusals > 0 && c.noOtherHasLinks(service):
-			return nil, RefusedError{NotConnected}
-		case pending == 0 && len(untried) == 0:
+			return nil, RefusedError{combine(refusals)}
+		case isLast:
 			return nil, c.failure(service)
 		default:
 			tryNext()
@@ -150,6 +152,23 @@
 	}
 }
 
+// isRefused reports whether the VMs that refused an upstream of a service are enough to give it up;
+// isLast means that no other is left.
+func (c *Client) isRefused(service string, refusals []Refusal, isLast bool) bool {
+	return len(refusals) >= maxRefusals || isLast && len(refusals) > 0 && c.noOtherHasLinks(service)
+}
+
+// combine returns what the refusals of several VMs tell about an upstream: it is gone only if all of
+// them show that.
+func combine(refusals []Refusal) Refusal {
+	for _, r := range refusals {
+		if !r.isOfGoneUpstream() {
+			return ConnectFailed
+		}
+	}
+	return NotConnected
+}
+
 // closeLater closes the tunnels of attempts that end later.
 func closeLater(results <-chan attempt, pending int) {
 	for range pending {
@@ -203,20 +222,20 @@
 	return true
 }
 
-// recordFailure records a failed attempt. It returns 1 if the VM refused the upstream,
-// otherwise 0, and then the VM is avoided for a while.
-func (c *Client) recordFailure(service string, result attempt) int {
+// recordFailure records a failed attempt. It returns the refusal if the VM refused the upstream,
+// otherwise false, and then the VM is avoided for a while.
+func (c *Client) recordFailure(service string, result attempt) (Refusal, bool) {
 	c.counters.Add(telemetry.GroupTunnels, "failed", 1)
 	var refused RefusedError
 	if errors.As(result.err, &refused) && refused.Refusal.isOfUpstream() {
-		return 1
+		return refused.Refusal, true
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.avoided[avoidedVM{result.vm.Name, service}] = avoidance{
 		until: time.Now().Add(avoidDuration), hasNoLinks: refused.Refusal == NoLinks,
 	}
-	return 0
+	return "", false
 }
 
 // try opens a tunnel through one VM.
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -36,8 +37,11 @@
 	Full Refusal = "full"
 	// UnknownUpstream means that the VM knows no such upstream that may get calls.
 	UnknownUpstream Refusal = "unknown_upstream"
-	// NotConnected means that the upstream could not be connected to.
+	// NotConnected means that nothing accepts connections at the upstream's address.
 	NotConnected Refusal = "not_connected"
+	// ConnectFailed means that the upstream could not be connected to for another reason. It may be
+	// full, which it shows by a reset, or out of reach.
+	ConnectFailed Refusal = "connect_failed"
 	// HeldOff means that the upstream asked the VM for no requests.
 	HeldOff Refusal = "held_off"
 	// Stopping means that the VM is being stopped.
@@ -46,7 +50,25 @@
 
 // isOfUpstream reports whether the refusal concerns the upstream and not the VM.
 func (r Refusal) isOfUpstream() bool {
-	return r == NotConnected || r == UnknownUpstream || r == HeldOff
+	return r == NotConnected || r == ConnectFailed || r == UnknownUpstream || r == HeldOff
+}
+
+// isOfGoneUpstream reports whether the refusal shows that the upstream is gone.
+func (r Refusal) isOfGoneUpstream() bool {
+	return r == NotConnected || r == UnknownUpstream
+}
+
+// refusalOf returns the refusal that tells of the failure to connect to an upstream.
+func refusalOf(err error) Refusal {
+	var refused RefusedError
+	switch {
+	case errors.As(err, &refused):
+		return refused.Refusal
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return NotConnected
+	default:
+		return ConnectFailed
+	}
 }
 
 // Upstreams tells a Server about the upstreams of this VM.
@@ -146,11 +168,10 @@
 
 // refuse tells the other VM why no tunnel is opened.
 func (s *Server) refuse(stream api.DRPCTunnel_OpenStream, err error) error {
-	refused := RefusedError{NotConnected}
-	_ = errors.As(err, &refused)
-	s.counters.Add(telemetry.GroupTunnels, "refused_"+string(refused.Refusal), 1)
-	s.log.Debug("tunnel refused", telemetry.FieldReason, refused.Refusal, telemetry.FieldError, err)
-	return stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{Refusal: string(refused.Refusal)}})
+	refusal := refusalOf(err)
+	s.counters.Add(telemetry.GroupTunnels, "refused_"+string(refusal), 1)
+	s.log.Debug("tunnel refused", telemetry.FieldReason, refusal, telemetry.FieldError, err)
+	return stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{Refusal: string(refusal)}})
 }
 
 // receiveInto passes what the other VM sends to the upstream. When the tunnel ends it closes
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -206,6 +207,32 @@
 	})
 }
 
+// TestRefusalsOfTwoVMsTellWhetherTheUpstreamIsGone checks that two VMs show that nothing accepts
+// connections at an upstream's address only if both were refused there, or know no such upstream.
+func TestRefusalsOfTwoVMsTellWhetherTheUpstreamIsGone(t *testing.T) {
+	unknown := tunnel.RefusedError{Refusal: tunnel.UnknownUpstream}
+	heldOff := tunnel.RefusedError{Refusal: tunnel.HeldOff}
+	for name, c := range map[string]struct {
+		first, second error
+		want          tunnel.Refusal
+	}{
+		"both refused":          {pipenet.ErrRefused, pipenet.ErrRefused, tunnel.NotConnected},
+		"refused and unknown":   {pipenet.ErrRefused, unknown, tunnel.NotConnected},
+		"both reset":            {syscall.ECONNRESET, syscall.ECONNRESET, tunnel.ConnectFailed},
+		"refused and reset":     {pipenet.ErrRefused, syscall.ECONNRESET, tunnel.ConnectFailed},
+		"refused and timed out": {pipenet.ErrRefused, context.DeadlineExceeded, tunnel.ConnectFailed},
+		"refused and held off":  {pipenet.ErrRefused, heldOff, tunnel.ConnectFailed},
+	} {
+		withTunnels(t, answerOnce, func(g *WithT, client *tunnel.Client, first, second *servingVM) {
+			first.err, second.err = c.first, c.second
+			_, err := client.Dial(context.Background(), "s", upstreamAddress)
+			var refused tunnel.RefusedError
+			g.Expect(errors.As(err, &refused)).To(BeTrue(), name)
+			g.Expect(refused.Refusal).To(Equal(c.want), name)
+		})
+	}
+}
+
 // answerAfter answers each piece of bytes with itself after a time, until the other side closes.
 func answerAfter(d time.Duration) func(net.Conn) {
 	return func(conn net.Conn) {
