gateway: counters tell why connections to upstreams were closed

Now each closed one is counted by one reason: discarded, closed_repeated_id, closed_history_full, closed_by_upstream, closed_broken, closed_unused, closed_unanswered, closed_answered.

Test: a connection in each state counts for its reason alone, and once.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -60,12 +63,33 @@
 	return s.opened.Add(1)
 }
 
-// end counts a connection that was closed.
-func (s *connStats) end() {
+// end counts a connection that was closed for a reason.
+func (s *connStats) end(reason closeReason) {
 	s.open.Add(-1)
 	s.counters.Add(telemetry.GroupConns, "closed", 1)
+	s.counters.Add(telemetry.GroupConns, string(reason), 1)
 }
 
+// closeReason is why a connection was closed, as the name of a counter.
+type closeReason string
+
+// The reasons, besides the verdicts on a connection's history.
+const (
+	// closeDiscarded means that a response can't be told from others on the connection.
+	closeDiscarded closeReason = "discarded"
+	// closeByUpstream means that the upstream closed it in order.
+	closeByUpstream closeReason = "closed_by_upstream"
+	// closeBroken means that it could not be read or written any more.
+	closeBroken closeReason = "closed_broken"
+	// closeUnused means that it has carried no send.
+	closeUnused closeReason = "closed_unused"
+	// closeUnanswered means that its last send was given up before a byte of a response came.
+	closeUnanswered closeReason = "closed_unanswered"
+	// closeAnswered means that a response came to its last send. It was idle for too long, the
+	// response asked for it, or was not read to its end.
+	closeAnswered closeReason = "closed_answered"
+)
+
 // trackedConn is a connection to an upstream that records in the transfer of its current
 // send what is written and received.
 type trackedConn struct {
@@ -75,10 +99,12 @@
 	// number tells the connections to the upstream from each other, in the order in which they
 	// were opened.
 	number int64
-	// closeOnce takes this connection out of the count of those that are open.
-	closeOnce sync.Once
 
 	mu sync.Mutex
+	// isClosed means that this side has closed the connection.
+	isClosed bool
+	// failure is the first error of a read or write; nil before it.
+	failure error
 	// history holds the requests that were sent.
 	history sendHistory
 	// current is the transfer of the latest send; nil before the first one.
@@ -95,7 +121,7 @@
 	defer c.mu.Unlock()
 	c.current = &transfer{sendsBefore: c.history.sends}
 	if verdict := c.history.add(keys); verdict != mayCarry {
-		c.discardLocked(string(verdict))
+		c.discardLocked(closeReason(verdict))
 	}
 	return c.current
 }
@@ -117,14 +143,51 @@
 			return
 		}
 	}
-	c.discardLocked("discarded")
+	c.discardLocked(closeDiscarded)
 }
 
-// discardLocked closes the connection to further sends and increments a counter.
-func (c *trackedConn) discardLocked(counter string) {
+// discardLocked closes the connection to further sends for a reason.
+func (c *trackedConn) discardLocked(reason closeReason) {
 	c.isDiscarded = true
-	c.stats.counters.Add(telemetry.GroupConns, counter, 1)
-	_ = c.Close()
+	c.countCloseLocked(reason)
+	_ = c.Conn.Close()
+}
+
+// countCloseLocked counts the close of the connection, once.
+func (c *trackedConn) countCloseLocked(reason closeReason) {
+	if c.isClosed {
+		return
+	}
+	c.isClosed = true
+	c.stats.end(reason)
+}
+
+// closeReasonLocked returns why a connection that was not discarded is closed.
+func (c *trackedConn) closeReasonLocked() closeReason {
+	switch {
+	case errors.Is(c.failure, io.EOF):
+		return closeByUpstream
+	case c.failure != nil:
+		return closeBroken
+	case c.current == nil:
+		return closeUnused
+	}
+	if _, received := c.current.progress(); received {
+		return closeAnswered
+	}
+	return closeUnanswered
+}
+
+// recordFailure records the error of a read or write; nil is none.
+func (c *trackedConn) recordFailure(err error) {
+	if err == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failure == nil {
+		c.failure = err
+	}
 }
 
 // wasDiscarded reports whether the connection was closed to further sends.
@@ -158,7 +221,9 @@
 	if err := c.SetWriteDeadline(time.Now().Add(upstreamStallTimeout)); err != nil {
 		return 0, err
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.recordFailure(err)
+	return n, err
 }
 
 // Read reads bytes and records that some arrived.
@@ -169,12 +234,15 @@
 			t.addReceived()
 		}
 	}
+	c.recordFailure(err)
 	return n, err
 }
 
 // Close closes the connection.
 func (c *trackedConn) Close() error {
-	c.closeOnce.Do(c.stats.end)
+	c.mu.Lock()
+	c.countCloseLocked(c.closeReasonLocked())
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http/httptrace"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -74,6 +75,55 @@
 	g.Expect(trace.isStale()).To(BeFalse())
 }
 
+// TestClosedConnectionsAreCountedByTheirReason closes a connection in each state and checks that
+// its counter, and no other one of a reason, counts it once.
+func TestClosedConnectionsAreCountedByTheirReason(t *testing.T) {
+	send := func(g *WithT, conn *trackedConn, far net.Conn, trace *sendTrace) {
+		trace.gotConn(httptrace.GotConnInfo{Conn: conn})
+		transferByte(g, conn, far)
+	}
+	answer := func(g *WithT, conn *trackedConn, far net.Conn, trace *sendTrace) {
+		send(g, conn, far, trace)
+		transferByte(g, far, conn)
+	}
+	read := func(conn *trackedConn) { _, _ = conn.Read(make([]byte, 1)) }
+	for want, prepare := range map[closeReason]func(g *WithT, conn *trackedConn, far net.Conn, trace *sendTrace){
+		closeUnused:     func(*WithT, *trackedConn, net.Conn, *sendTrace) {},
+		closeUnanswered: send,
+		closeAnswered:   answer,
+		closeByUpstream: func(g *WithT, conn *trackedConn, far net.Conn, trace *sendTrace) {
+			answer(g, conn, far, trace)
+			_ = far.Close()
+			read(conn)
+		},
+		closeBroken: func(g *WithT, conn *trackedConn, far net.Conn, trace *sendTrace) {
+			send(g, conn, far, trace)
+			g.Expect(conn.SetReadDeadline(time.Unix(1, 0))).To(Succeed())
+			read(conn)
+		},
+		closeDiscarded: func(g *WithT, conn *trackedConn, far net.Conn, trace *sendTrace) {
+			answer(g, conn, far, trace)
+			trace.discardConn()
+		},
+	} {
+		g := NewWithT(t)
+		conn, far, trace := tracedPipe()
+		prepare(g, conn, far, trace)
+		_ = conn.Close()
+		_ = conn.Close()
+		for _, reason := range []closeReason{
+			closeUnused, closeUnanswered, closeAnswered, closeByUpstream, closeBroken, closeDiscarded,
+		} {
+			expected := int64(0)
+			if reason == want {
+				expected = 1
+			}
+			g.Expect(conn.stats.counters.Get(telemetry.GroupConns, string(reason))).To(Equal(expected), "%s: %s", want, reason)
+		}
+		g.Expect(conn.stats.counters.Get(telemetry.GroupConns, "closed")).To(Equal(int64(1)), string(want))
+	}
+}
+
 func TestTrackDialReturnsErrors(t *testing.T) {
 	g := NewWithT(t)
 	dial := trackDial(func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }, newConnStats())
