--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -5,91 +5,9 @@
 	"io"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
-
-	"github.com/figfront/figfront/internal/telemetry"
-)
-
-// transfer records what one send wrote to a connection and received from it. It belongs
-// to the send and not to the connection, which net/http may give to the next send before
-// the response to this one has been judged. It is safe for concurrent use.
-type transfer struct {
-	// sendsBefore is the number of sends that the connection carried before.
-	sendsBefore int
-
-	mu sync.Mutex
-	// wrote means that a byte of the send may have left this VM.
-	wrote bool
-	// received means that a byte arrived after the send's first byte was written.
-	received bool
-}
-
-// progress returns what the send wrote and received.
-func (t *transfer) progress() (wrote, received bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.wrote, t.received
-}
-
-// beginWrite records that a byte of the send may leave this VM from now on.
-func (t *transfer) beginWrite() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.wrote = true
-}
-
-// addReceived records that bytes arrived.
-func (t *transfer) addReceived() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.received = t.wrote
-}
-
-// connStats counts the connections to one upstream.
-type connStats struct {
-	// opened counts the connections that were opened, open those that are open.
-	opened, open atomic.Int64
-	// counters counts the connections to all upstreams.
-	counters *telemetry.Counters
-}
-
-// begin counts a connection that was opened and returns its number, from 1 on.
-func (s *connStats) begin() int64 {
-	s.open.Add(1)
-	s.counters.Add(telemetry.GroupConns, "opened", 1)
-	return s.opened.Add(1)
-}
-
-// end counts a connection that was closed for a reason.
-func (s *connStats) end(reason closeReason) {
-	s.open.Add(-1)
-	s.counters.Add(telemetry.GroupConns, "closed", 1)
-	s.counters.Add(telemetry.GroupConns, string(reason), 1)
-}
-
-// closeReason is why a connection was closed, as the name of a counter.
-type closeReason string
-
-// The reasons, besides the verdicts on a connection's history.
-const (
-	// closeDiscarded means that a response can't be told from others on the connection.
-	closeDiscarded closeReason = "discarded"
-	// closeAbandoned means that it failed before anything of a send was written.
-	closeAbandoned closeReason = "abandoned"
-	// closeByUpstream means that the upstream closed it in order.
-	closeByUpstream closeReason = "closed_by_upstream"
-	// closeBroken means that it could not be read or written any more.
-	closeBroken closeReason = "closed_broken"
-	// closeUnused means that it has carried no send.
-	closeUnused closeReason = "closed_unused"
-	// closeUnanswered means that its last send was given up before a byte of a response came.
-	closeUnanswered closeReason = "closed_unanswered"
-	// closeAnswered means that a response came to its last send. It was idle for too long, the
-	// response asked for it, or was not read to its end.
-	closeAnswered closeReason = "closed_answered"
 )
 
 // trackedConn is a connection to an upstream that records in the transfer of its current
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/evidence.go
@@ -15,6 +15,9 @@
 //   - no byte of the call was given to a connection (failureOutcome), or
 //   - the upstream's response to this call says so (checkResponse).
 //
+// A response is the call's by its ID, which names one send because a connection carries each ID once
+// (sendHistory).
+//
 // Everything else is reported as unknown or as run. checkResponse alone decides on a response;
 // what follows takes its statement and reads neither the status nor the header for that.
 
