gateway: a send takes another connection only in place of one that was used before

It is now so: only a reused connection is skipped, and each skip uses one up. The test failed before.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -120,8 +120,8 @@
 	return result, nil
 }
 
-// restartUnsent returns the body of a send that may take another connection, because nothing of it was
-// written to the one that it got; false if it may not.
+// restartUnsent gives up the connection of a send if nothing was written to it, and returns the body for
+// another one; false if the send may not take one.
 func (c *call) restartUnsent(trace *sendTrace, body requestBody) (requestBody, bool) {
 	if !c.isActive() || !trace.abandonUnsent() {
 		return requestBody{}, false
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -111,7 +111,7 @@
 }
 
 // abandonUnsent reports whether nothing of the send with the given transfer was written, and makes
-// sure that nothing will be. The connection stays open if a later send has taken it.
+// sure that nothing will be.
 func (c *trackedConn) abandonUnsent(t *transfer) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -124,13 +124,6 @@
 	return true
 }
 
-// wasDiscarded reports whether the connection was closed to further sends.
-func (c *trackedConn) wasDiscarded() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.isDiscarded
-}
-
 // beginWrite records the write in the current transfer. It returns false, and records
 // nothing, if the connection was discarded.
 func (c *trackedConn) beginWrite() bool {
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -130,3 +130,11 @@
 	_, err := dial(context.Background(), "tcp", "10.0.0.1:1")
 	g.Expect(err).To(MatchError(net.ErrClosed))
 }
+
+func TestNewConnectionIsNeverSkipped(t *testing.T) {
+	g := NewWithT(t)
+	conn, _, trace := tracedPipe()
+	trace.gotConn(httptrace.GotConnInfo{Conn: conn})
+	trace.discardConn()
+	g.Expect(trace.abandonUnsent()).To(BeFalse(), "the next connection could go the same way, without end")
+}
--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -158,12 +158,13 @@
 	return t.mayHaveSentLocked()
 }
 
-// abandonUnsent reports whether no byte of the send has left this VM, nor will, because its connection
-// was closed before: one that was discarded, or that had been idle. The send may take another one.
+// abandonUnsent reports whether no byte of the send has left this VM, nor will, because its connection,
+// which was used before, was closed. The send may take another one. A new connection is never skipped,
+// so that the last one is reached.
 func (t *sendTrace) abandonUnsent() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.conn == nil || t.wroteBefore || !t.reused && !t.conn.wasDiscarded() {
+	if t.conn == nil || t.wroteBefore || !t.reused {
 		return false
 	}
 	return t.conn.abandonUnsent(t.transfer)
