gateway: what meets a connection that this VM has closed counts as not written

The write failed on the VM's own closed socket but was booked as begun, so that a booking was told as unknown (502) although nothing of it had left. The flag under which a connection is closed is read at each write now, as it was for discarded ones; it is set before the socket is closed, under the same lock, so that a write that began before counts as written, as before. The test failed before.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -21,7 +21,7 @@
 	number int64
 
 	mu sync.Mutex
-	// isClosed means that this side has closed the connection.
+	// isClosed means that this side has closed the connection, and nothing is written to it any more.
 	isClosed bool
 	// failure is the first error of a read or write; nil before it.
 	failure error
@@ -29,8 +29,6 @@
 	history sendHistory
 	// current is the transfer of the latest send; nil before the first one.
 	current *transfer
-	// isDiscarded means that the connection was closed so that no further send is written to it.
-	isDiscarded bool
 }
 
 // beginSend returns the transfer of a new send on the connection, of the request with the given
@@ -68,7 +66,6 @@
 
 // discardLocked closes the connection to further sends for a reason.
 func (c *trackedConn) discardLocked(reason closeReason) {
-	c.isDiscarded = true
 	c.countCloseLocked(reason)
 	_ = c.Conn.Close()
 }
@@ -125,11 +122,11 @@
 }
 
 // beginWrite records the write in the current transfer. It returns false, and records
-// nothing, if the connection was discarded.
+// nothing, if this side has closed the connection.
 func (c *trackedConn) beginWrite() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.isDiscarded {
+	if c.isClosed {
 		return false
 	}
 	if c.current != nil {
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -138,3 +138,14 @@
 	trace.discardConn()
 	g.Expect(trace.abandonUnsent()).To(BeFalse(), "the next connection could go the same way, without end")
 }
+
+func TestNothingLeavesAConnectionThatIsClosed(t *testing.T) {
+	g := NewWithT(t)
+	conn, _, trace := tracedPipe()
+	trace.gotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
+	g.Expect(conn.Close()).To(Succeed())
+	_, err := conn.Write([]byte{1})
+	g.Expect(err).To(MatchError(net.ErrClosed))
+	g.Expect(trace.mayHaveSent()).To(BeFalse())
+	g.Expect(trace.abandonUnsent()).To(BeTrue())
+}
