--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"testing"
 	"time"
@@ -149,3 +150,15 @@
 	g.Expect(trace.mayHaveSent()).To(BeFalse())
 	g.Expect(trace.abandonUnsent()).To(BeTrue())
 }
+
+func TestInterimResponseFromBeforeTheSendIsNotForwarded(t *testing.T) {
+	g := NewWithT(t)
+	conn, far, trace := tracedPipe()
+	forwarded := 0
+	trace.interim = func(int, http.Header) { forwarded++ }
+	trace.gotConn(httptrace.GotConnInfo{Conn: conn, Reused: true})
+	transferByte(g, far, conn)
+	trace.gotFirstByte()
+	g.Expect(trace.got1xx(http.StatusEarlyHints, nil)).To(Succeed())
+	g.Expect(forwarded).To(BeZero())
+}
--- a/internal/gateway/sendtrace.go
+++ b/internal/gateway/sendtrace.go
@@ -107,7 +107,8 @@
 // errInterimFlood ends a send whose upstream sends interim responses without end.
 var errInterimFlood = errors.New("gateway: too many interim responses")
 
-// got1xx forwards an interim response unless its head is mixed with another. After
+// got1xx forwards an interim response unless its head is mixed with another, or it arrived before the
+// send was written. After
 // maxInterimResponses it returns an error, which closes the connection.
 func (t *sendTrace) got1xx(status int, header textproto.MIMEHeader) error {
 	t.mu.Lock()
@@ -117,7 +118,7 @@
 	if isFlood {
 		return errInterimFlood
 	}
-	if hasStatusLine(http.Header(header)) {
+	if t.isStale() || hasStatusLine(http.Header(header)) {
 		return nil
 	}
 	t.interim(status, http.Header(header))
