--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -92,7 +92,7 @@
 }
 
 // isRefused reports whether nothing accepts connections at the address that was dialed, as this VM
-// or two other ones have found. A reset shows nothing: it comes from an upstream that is full.
+// or two other ones have found. A reset shows nothing: an upstream that is full sends one, too.
 func isRefused(err error) bool {
 	var refused tunnel.RefusedError
 	if errors.As(err, &refused) {
--- a/internal/gateway/sendhistory.go
+++ b/internal/gateway/sendhistory.go
@@ -37,7 +37,7 @@
 	mayCarry historyVerdict = ""
 	// hasCarried means that a request with the same ID was sent before.
 	hasCarried historyVerdict = "closed_repeated_id"
-	// isHistoryFull means that maxHistoryKeys is reached.
+	// isHistoryFull means that maxHistoryKeys would be exceeded.
 	isHistoryFull historyVerdict = "closed_history_full"
 )
 
--- a/internal/gateway/upstreamrequest.go
+++ b/internal/gateway/upstreamrequest.go
@@ -19,8 +19,8 @@
 	// isComplete reports whether the body was read to its end; nil means that the
 	// body is in memory.
 	isComplete func() bool
-	// restart returns the same body from its first byte, and false if that was passed on already;
-	// the earlier one is not read any more.
+	// restart returns the same body for another connection of the send, and false if its first byte
+	// was passed on already. This body must not be read after that.
 	restart func() (requestBody, bool)
 	// isTruncated reports whether the body ended early on its way from the
 	// caller; nil means that the body is in memory.
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -24,7 +24,7 @@
 	// not tried again.
 	avoidDuration = time.Second
 	// maxRefusals is the number of VMs that have to refuse the upstream, because they can't
-	// connect to it or don't know it, before no other is tried.
+	// connect to it, don't know it or hold it off, before no other is tried.
 	maxRefusals = 2
 )
 
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -53,7 +53,8 @@
 	return r == NotConnected || r == ConnectFailed || r == UnknownUpstream || r == HeldOff
 }
 
-// isOfGoneUpstream reports whether the refusal shows that the upstream is gone.
+// isOfGoneUpstream reports whether the refusal means that the upstream is taken for gone: nothing accepts
+// connections at its address, or the VM knows no such upstream.
 func (r Refusal) isOfGoneUpstream() bool {
 	return r == NotConnected || r == UnknownUpstream
 }
