gateway: the request bodies of all calls share a bounded memory

Callers saw: a crowd of clients that send large bodies and stop before their end, or announce them and send nothing, ended a VM; all other calls on it ended with it.

Cause: each call read its whole body into one growing buffer, sized by the length that the head announced, before any admission. The number of connections bounded the number of buffers, and nothing bounded their sum. A body took up to four times its size: the buffer doubles, and a claim copied it once more.

Change: package bodymemory grants the bytes as they arrive. The first 16 KiB of each body come from a share that large bodies can't take, so that ordinary calls are served; bodies that have stopped or arrive slowly give way, and are refused with 503 body_memory. Nothing of such a body was sent, so that "not run" is true; one that has arrived whole never gives way. A body is a list of pieces, which does not double and is not copied for claims and resends.

A limit on the number of calls was ruled out: it would have to be as small as the memory divided by the largest legal body.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 VERSION ?= $(shell git describe --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/figfront/figfront/internal/process.Version=$(VERSION)
 
-.PHONY: all build demo test check lint format vet tools gopls packages generate bench capacity clean
+.PHONY: all build demo test check crowd lint format vet tools gopls packages generate bench capacity clean
 
 all: build
 
@@ -23,6 +23,12 @@
 check: tools
 	cd tools && go test -count=1 ./...
 	go test -count=1 -race -json ./... 2>&1 | $(TOOLS)/knownred -list KNOWN-RED.txt
+	$(MAKE) crowd
+
+# crowd plays crowds of callers that nobody controls against real processes, one test
+# at a time and after all others, since they measure the memory of a process.
+crowd: tools
+	go test -count=1 -tags crowd -json ./platform/crowdtest 2>&1 | $(TOOLS)/knownred -list KNOWN-RED.txt
 
 lint: tools vet
 	@unformatted=$$($(TOOLS)/gofumpt -l $$(git ls-files '*.go' | grep -v '\.pb\.go$$')); \
@@ -35,6 +41,7 @@
 vet:
 	go vet ./...
 	go vet -tags processes ./platform/restarttest
+	go vet -tags crowd ./platform/crowdtest
 
 # tools builds the tools at the versions pinned in tools/ and tools/lint.
 tools:
--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -37,6 +37,7 @@
 		VM: settings.VM.Name, Zone: settings.VM.Zone, SubsetSize: settings.SubsetSize, MaxCalls: settings.MaxCalls,
 		Log: parts.Log, Counters: parts.Counters, Claims: claims, Table: store, Objects: store,
 		Seed: uint64(time.Now().UnixNano()), StopWindow: parts.Lifecycle.StopWindow,
+		BodyMemory: int64(settings.BodyMemoryMB) << 20,
 	})
 	listener, err := process.Listen(settings.Listen, settings.Limits.MaxConnections)
 	if err != nil {
--- a/internal/claim/key.go
+++ b/internal/claim/key.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"io"
 	"strconv"
 )
 
@@ -33,7 +34,16 @@
 	Method string
 	// Path is the escaped path, including the query string.
 	Path string
-	Body []byte
+	// Body is nil if there is none.
+	Body Body
+}
+
+// Body is the body of a call.
+type Body interface {
+	// WriteTo writes the whole body, each time it is called.
+	io.WriterTo
+	// Size returns the length of the body, in bytes.
+	Size() int64
 }
 
 // fingerprint returns a hash of the call, its team and its service. Each field
@@ -41,8 +51,19 @@
 // encodings.
 func (k Key) fingerprint(call Call) string {
 	hash := sha256.New()
-	for _, field := range []string{k.Team, k.Service, call.Method, call.Path, string(call.Body)} {
+	for _, field := range []string{k.Team, k.Service, call.Method, call.Path} {
 		hash.Write([]byte(strconv.Itoa(len(field)) + ":" + field))
 	}
+	writeBody(hash, call.Body)
 	return hex.EncodeToString(hash.Sum(nil))
 }
+
+// writeBody adds a body to a hash, in the encoding of the other fields. Writes to a hash do not fail.
+func writeBody(hash io.Writer, body Body) {
+	if body == nil {
+		_, _ = io.WriteString(hash, "0:")
+		return
+	}
+	_, _ = io.WriteString(hash, strconv.FormatInt(body.Size(), 10)+":")
+	_, _ = body.WriteTo(hash)
+}
--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -54,6 +54,8 @@
 	LinkMbps float64
 	// MemoryMB is the memory that the process may use, in megabytes.
 	MemoryMB int
+	// BodyMemoryMB is the part of it that the request bodies of all calls may take, in megabytes.
+	BodyMemoryMB int
 	// StopLag is how long the platform's balancer may keep sending new connections
 	// after the process reports that it is not ready.
 	StopLag time.Duration
@@ -64,6 +66,16 @@
 // MaxCores is the largest number of cores of a VM.
 const MaxCores = 1024
 
+// processMemoryMB is the memory that figfront-entry takes without calls, in megabytes.
+const processMemoryMB = 24
+
+// defaultBodyMemoryMB returns the memory for request bodies on a VM with a memory, both in megabytes: half
+// of what the process does not take itself. The other half is for connections, the bytes that their
+// sockets have received, responses and the slack of the garbage collector.
+func defaultBodyMemoryMB(memoryMB int) int {
+	return max((memoryMB-processMemoryMB)/2, 1)
+}
+
 // LoadEntry reads the settings of figfront-entry from the file at path. It returns
 // inifile.Faults if they are invalid.
 func LoadEntry(path string) (*Entry, error) {
@@ -87,10 +99,11 @@
 	section.Float("retry_slack", &e.RetrySlack, 0, 0, 1e6)
 	section.Duration("drain_bound", &e.DrainBound, 2*time.Second, 200*time.Millisecond, time.Minute)
 	section.Duration("config_bound", &e.ConfigBound, 2*time.Second, 200*time.Millisecond, time.Minute)
-	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
 	section.Float("cores", &e.Cores, 1, 0, MaxCores)
 	section.Float("link_mbps", &e.LinkMbps, 1000, 0, 1e6)
 	section.Int("memory_mb", &e.MemoryMB, 256, 32, 1<<20)
+	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
+	section.Int("body_memory_mb", &e.BodyMemoryMB, defaultBodyMemoryMB(e.MemoryMB), 1, 1<<20)
 	section.Duration("stop_lag", &e.StopLag, 2500*time.Millisecond, 0, time.Minute)
 	section.Duration("stop_timeout", &e.StopTimeout, 5*time.Second, time.Second, time.Hour)
 	return e, file.Finish()
--- a/internal/config/static/static.go
+++ b/internal/config/static/static.go
@@ -78,6 +78,8 @@
 	Limits Limits
 	// MaxCalls limits the concurrent calls of all teams together.
 	MaxCalls int
+	// BodyMemoryMB limits the memory for the bodies of all lookups and bookings together, in megabytes.
+	BodyMemoryMB int
 	// StopLag is how long the platform's balancer may keep sending new calls after
 	// the process reports that it is not ready.
 	StopLag time.Duration
@@ -100,6 +102,7 @@
 	g.Endpoints = readEndpoints(section)
 	section.RequiredAddress("agent", &g.Agent)
 	section.Int("max_calls", &g.MaxCalls, 4096, 1, 100000)
+	section.Int("body_memory_mb", &g.BodyMemoryMB, 256, 1, 1<<20)
 	section.Duration("stop_lag", &g.StopLag, 3*time.Second, 0, time.Minute)
 	section.Duration("stop_timeout", &g.StopTimeout, 5*time.Minute, time.Second, time.Hour)
 	section.Int("subset_size", &g.SubsetSize, 0, 0, 1000)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -129,7 +129,7 @@
 			e.tunnels.TellHoldOff(service, address, h)
 		},
 		VM: settings.VM.Name, Zone: settings.VM.Zone, Log: parts.Log, Counters: parts.Counters,
-		Dial: upstreamDialer(settings.Source), Cores: settings.Cores,
+		Dial: upstreamDialer(settings.Source), Cores: settings.Cores, BodyMemory: int64(settings.BodyMemoryMB) << 20,
 		Seed: uint64(time.Now().UnixNano()), WrapTransport: adapter.UpstreamTransport, RequireRequestID: true,
 		ProbesPerUpstream: settings.ProbesPerUpstream, Router: e.router,
 		Tunnels: tunnel.NewClient(settings.VM.Name, func(service string) []tunnel.VM {
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -1,13 +1,16 @@
 package gateway
 
 import (
-	"bytes"
+	"context"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/bodymemory"
 )
 
 // nonRewindableBody hides that a body can be rewound. http.Transport resends a
@@ -25,34 +28,95 @@
 // errBodyTooLarge means that a request body exceeds its limit.
 var errBodyTooLarge = errors.New("gateway: body too large")
 
-// readBody reads a whole request body of at most limit bytes. It returns
-// errBodyTooLarge for a longer one.
-func readBody(r *http.Request, limit int) ([]byte, error) {
-	if r.ContentLength > int64(limit) {
-		return nil, errBodyTooLarge
+// bodyRead reads the body of one call into memory.
+type bodyRead struct {
+	memory *sharedBodyMemory
+	// held is the memory of the body.
+	held *bodymemory.Body
+	// limit is the largest allowed length, in bytes.
+	limit int64
+	body  heldBody
+}
+
+// readWhole reads a whole body, whose announced length is below 0 if it is unknown. The memory is taken as
+// the bytes arrive. It returns errBodyTooLarge for a body above the limit, and errNoBodyMemory if the
+// body has to give way to others.
+func (b *bodyRead) readWhole(ctx context.Context, reader io.Reader, announced int64) error {
+	if announced > b.limit {
+		return errBodyTooLarge
 	}
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
+	for {
+		if err := b.ensureFree(ctx, announced); err != nil {
+			return err
+		}
+		n, err := b.readNext(reader)
+		if n > 0 {
+			b.memory.receive(b.held, n)
+		}
+		switch {
+		case b.memory.isEvicted(b.held):
+			return errNoBodyMemory
+		case b.body.length > b.limit:
+			return errBodyTooLarge
+		case errors.Is(err, io.EOF):
+			return b.end()
+		case err != nil:
+			return errors.Wrap(err, "read body")
+		}
+	}
+}
+
+// ensureFree takes the memory for the next piece if the last one is full. A body of known length that is
+// complete needs none.
+func (b *bodyRead) ensureFree(ctx context.Context, announced int64) error {
+	if len(b.body.free()) > 0 {
+		return nil
 	}
-	var buffer bytes.Buffer
-	if r.ContentLength > 0 {
-		buffer.Grow(int(r.ContentLength))
+	size := b.body.nextPieceBytes(announced)
+	if size == 0 {
+		return nil
 	}
-	n, err := io.Copy(&buffer, io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		return nil, errors.Wrap(err, "read body")
+	if err := b.memory.grow(ctx, b.held, size); err != nil {
+		return err
 	}
-	if n > int64(limit) {
-		return nil, errBodyTooLarge
+	b.body.addPiece(size)
+	return nil
+}
+
+// readNext reads the next bytes into the last piece, or the end of a body that has its announced length.
+func (b *bodyRead) readNext(reader io.Reader) (int, error) {
+	free := b.body.free()
+	if len(free) == 0 {
+		var beyond [1]byte
+		n, err := reader.Read(beyond[:])
+		if n > 0 {
+			return 0, errBodyTooLarge
+		}
+		return 0, err
+	}
+	n, err := reader.Read(free)
+	b.body.fill(n)
+	return n, err
+}
+
+// end ends the reading of a body that has arrived whole.
+func (b *bodyRead) end() error {
+	if !b.memory.complete(b.held) {
+		return errNoBodyMemory
 	}
-	return buffer.Bytes(), nil
+	return nil
 }
 
-// readStallTimeout is how long a caller may send no byte of its body.
-const readStallTimeout = 30 * time.Second
+// Timeouts of reading a caller's body.
+const (
+	// readStallTimeout is how long a caller may send no byte of its body.
+	readStallTimeout = 30 * time.Second
+	// deadlineSlack is how much a read deadline may be behind, so that not every read sets one.
+	deadlineSlack = time.Second
+)
 
 // stallReader reads a caller's body and fails when the caller sends no byte for
-// readStallTimeout.
+// readStallTimeout, or the reading is interrupted.
 type stallReader struct {
 	io.ReadCloser
 	controller *http.ResponseController
@@ -60,12 +124,18 @@
 	readDeadline time.Time
 	// reachedEOF means that the body was read to its end.
 	reachedEOF atomic.Bool
+
+	// mu guards the read deadline of the connection.
+	mu sync.Mutex
+	// extendedAt is when the deadline was set.
+	extendedAt    time.Time
+	isInterrupted bool
 }
 
 // Read reads the next bytes. At EOF it clears the read deadline: from then on
 // the connection is read only to notice that the caller disconnects.
 func (s *stallReader) Read(p []byte) (int, error) {
-	_ = s.controller.SetReadDeadline(s.nextDeadline())
+	s.extendDeadline(time.Now())
 	n, err := s.ReadCloser.Read(p)
 	if errors.Is(err, io.EOF) {
 		s.reachedEOF.Store(true)
@@ -74,8 +144,28 @@
 	return n, err
 }
 
-func (s *stallReader) nextDeadline() time.Time {
-	stalled := time.Now().Add(readStallTimeout)
+// extendDeadline sets the deadline of the next reads, unless it was set lately or the reading was
+// interrupted.
+func (s *stallReader) extendDeadline(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isInterrupted || now.Sub(s.extendedAt) < deadlineSlack {
+		return
+	}
+	s.extendedAt = now
+	_ = s.controller.SetReadDeadline(s.nextDeadline(now))
+}
+
+// interrupt makes a read that is going on, and all later ones, fail.
+func (s *stallReader) interrupt() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isInterrupted = true
+	_ = s.controller.SetReadDeadline(time.Unix(1, 0))
+}
+
+func (s *stallReader) nextDeadline(now time.Time) time.Time {
+	stalled := now.Add(readStallTimeout)
 	if !s.readDeadline.IsZero() && s.readDeadline.Before(stalled) {
 		return s.readDeadline
 	}
--- a/internal/gateway/booking.go
+++ b/internal/gateway/booking.go
@@ -46,7 +46,7 @@
 	}
 	result := c.gateway.options.Claims.Claim(c.ctx, claim.Request{
 		Key:      claim.Key{Team: c.route.service.team, Service: c.route.service.name, Idempotency: key},
-		Call:     claim.Call{Method: c.r.Method, Path: c.pathWithQuery(), Body: c.body},
+		Call:     claim.Call{Method: c.r.Method, Path: c.pathWithQuery(), Body: &c.body},
 		Deadline: c.deadline,
 	})
 	switch result.Verdict {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/google/uuid"
 
+	"github.com/figfront/figfront/internal/bodymemory"
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/limit"
@@ -35,8 +36,10 @@
 	ctx context.Context
 	// bodyReader reads the caller's body; nil when there is none.
 	bodyReader *stallReader
-	// body is the whole request body of a call that is buffered in memory.
-	body []byte
+	// body is the whole request body of a call that is buffered in memory, and bodyMemory the memory that
+	// it takes; nil if there is none.
+	body       heldBody
+	bodyMemory *bodymemory.Body
 	// identity identifies the request; zero until the body has been read.
 	identity quarantine.Identity
 	// uploadID identifies an upload across its sends; empty for other traffic.
@@ -213,27 +216,52 @@
 // readBody reads the whole request body into c.body. It returns false when the
 // body could not be read and the call has been refused.
 func (c *call) readBody() bool {
-	c.setBodyDeadline()
-	body, err := readBody(c.r, c.route.rule.settings.MaxBody)
-	if errors.Is(err, errBodyTooLarge) {
-		c.refuse(outcome.New(http.StatusRequestEntityTooLarge, outcome.NotRun, outcome.BodyTooLarge,
-			"the request body is above the limit"))
-		return false
+	if c.bodyReader == nil {
+		c.identify()
+		return true
 	}
-	if err != nil {
-		c.refuse(outcome.New(http.StatusBadRequest, outcome.NotRun, outcome.BodyBroken,
-			"the request body ended early"))
+	c.setBodyDeadline()
+	c.bodyMemory = c.gateway.bodies.begin(c.bodyReader.interrupt)
+	read := bodyRead{memory: c.gateway.bodies, held: c.bodyMemory, limit: int64(c.route.rule.settings.MaxBody)}
+	if err := read.readWhole(c.ctx, c.r.Body, c.r.ContentLength); err != nil {
+		c.releaseBody()
+		c.refuse(bodyProblem(err))
 		return false
 	}
-	c.body = body
+	c.body = read.body
 	c.identify()
 	return true
 }
 
+// bodyProblem returns the problem of a call whose body could not be read, and was not sent.
+func bodyProblem(err error) outcome.Problem {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		return outcome.New(http.StatusRequestEntityTooLarge, outcome.NotRun, outcome.BodyTooLarge,
+			"the request body is above the limit")
+	case errors.Is(err, errNoBodyMemory):
+		return outcome.New(http.StatusServiceUnavailable, outcome.NotRun, outcome.BodyMemory,
+			"the memory of this VM for request bodies is used up").WithRetryAfter(retryAfter)
+	default:
+		return outcome.New(http.StatusBadRequest, outcome.NotRun, outcome.BodyBroken,
+			"the request body ended early")
+	}
+}
+
+// releaseBody gives back the memory of the call's body.
+func (c *call) releaseBody() {
+	if c.bodyMemory == nil {
+		return
+	}
+	c.body = heldBody{}
+	c.gateway.bodies.release(c.bodyMemory)
+	c.bodyMemory = nil
+}
+
 // identify computes the identity of the call, whose body has been read.
 func (c *call) identify() {
 	hasher := quarantine.NewHasher(c.digestHead())
-	_, _ = hasher.Write(c.body)
+	_, _ = c.body.WriteTo(hasher)
 	c.identity = hasher.Identity()
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -72,6 +72,9 @@
 	// MaxCalls limits the concurrent calls of all teams; 0 means
 	// defaultMaxCalls.
 	MaxCalls int
+	// BodyMemory limits the memory for the request bodies of all calls, in bytes; 0 means
+	// defaultBodyMemory.
+	BodyMemory int64
 	// Claims stores the claims of bookings with an idempotency key; if it is
 	// nil, such bookings are refused.
 	Claims *claim.Store
@@ -90,6 +93,8 @@
 	rejected  *rejections
 	readiness readiness
 	shares    *teamShares
+	// bodies is the memory for the bodies of calls.
+	bodies *sharedBodyMemory
 	// pacer paces the long responses.
 	pacer *sharedPacer
 
@@ -119,6 +124,9 @@
 	if options.StopWindow == nil {
 		options.StopWindow = func() (drain.Window, bool) { return drain.Window{}, false }
 	}
+	if options.BodyMemory == 0 {
+		options.BodyMemory = defaultBodyMemory
+	}
 	if options.MaxCalls == 0 {
 		options.MaxCalls = defaultMaxCalls
 	}
@@ -128,6 +136,7 @@
 		rejected: newRejections(),
 		shares:   newTeamShares(options.MaxCalls),
 		pacer:    newSharedPacer(options.Cores),
+		bodies:   newSharedBodyMemory(options.BodyMemory, options.Counters),
 		spools:   upload.NewPool(maxSpools),
 		teams:    make(map[string]*team),
 	}
@@ -202,6 +211,7 @@
 // ServeHTTP serves one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(g, w, r)
+	defer c.releaseBody()
 	defer c.confinePanic()
 	if g.isUploadStatus(r) {
 		c.serveUploadStatus()
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -56,7 +56,7 @@
 		VM:        c.gateway.options.VM,
 		Zone:      c.gateway.options.Zone,
 		Bulk:      c.route.rule.settings.Traffic == dynamic.Upload,
-		Bytes:     len(c.body),
+		Bytes:     int(c.body.length),
 		NoTrial:   c.route.rule.settings.Traffic != dynamic.Lookup,
 		Tried:     c.excluded(),
 		Priority:  c.route.rule.priority,
--- a/internal/gateway/promises_test.go
+++ b/internal/gateway/promises_test.go
@@ -25,7 +25,7 @@
 	"internal/gateway (Gateway).ServeHTTP":            "no configuration: nothing was sent",
 	"internal/gateway (call).serveSite":               "no such status",
 	"internal/gateway (call).confinePanic":            "used as an answer only if no send had begun",
-	"internal/gateway (call).readBody":                "no such status",
+	"internal/gateway bodyProblem":                    "the body is not in memory as a whole: nothing was sent",
 	"internal/gateway (call).refuseLimit":             "not admitted: nothing was sent",
 	"internal/gateway (call).stopProblem":             "asked before each send; used as an answer only if nothing was sent",
 	"internal/gateway (call).noUpstreamProblem":       "not placed: used as an answer only if nothing was sent",
--- a/internal/gateway/site_test.go
+++ b/internal/gateway/site_test.go
@@ -56,6 +56,8 @@
 	siteMaxBodyBytes = 1000
 	// siteProbesPerSecond limits the probes of one upstream.
 	siteProbesPerSecond = 60
+	// siteBodyMemory limits the memory for bodies, in bytes.
+	siteBodyMemory = 2 << 20
 	// siteMaxHeaderBytes limits request headers.
 	siteMaxHeaderBytes = 2000
 )
@@ -112,7 +114,7 @@
 			VM: "vm", Zone: "z", Log: telemetry.NewLogger("test", "info", &env.log), Counters: env.counters, Dial: env.dial, Seed: 1,
 			RetryLimits: retry.Limits{Share: 0.1}, ProbesPerUpstream: siteProbesPerSecond,
 			Router:     dispatch.NewRouter(coordinator, nil, hclog.NewNullLogger(), env.counters),
-			StopWindow: env.stopWindow,
+			StopWindow: env.stopWindow, BodyMemory: siteBodyMemory,
 		})
 		env.servers = append(env.servers, env.network.Serve(gatewayAddress, env.gateway))
 		for _, u := range siteUpstreams() {
--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -123,6 +124,7 @@
 			env.callAs(id, http.MethodPost, "/up/1", strings.Repeat("x", siteMaxBodyBytes+1))
 		}, check: expectNoSend},
 		outcome.BodyBroken: {send: sendBrokenBody, check: expectNoSend},
+		outcome.BodyMemory: {send: sendBodyThatGivesWay, check: expectNoSend},
 		outcome.NoUpstream: {
 			setUp: func(_ *WithT, env *siteTestEnv) {
 				env.gateway.ApplySite(siteConfig(1))
@@ -371,6 +373,34 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// sendBodyThatGivesWay sends a body that stops before its end, and as many more as fill the memory for the
+// first bytes of bodies, which is an eighth of all.
+func sendBodyThatGivesWay(g *WithT, env *siteTestEnv, id string) {
+	const others = siteBodyMemory / 8 / siteMaxBodyBytes
+	first := env.sendUnendedBody(g, id)
+	defer func() { _ = first.Close() }()
+	for n := range others + 1 {
+		conn := env.sendUnendedBody(g, fmt.Sprint("other-", n))
+		defer func() { _ = conn.Close() }()
+	}
+	response, err := http.ReadResponse(bufio.NewReader(first), nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(response.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(response.Header.Get(outcome.HeaderOutcome)).To(Equal(string(outcome.NotRun)))
+	g.Expect(response.Header.Get("Retry-After")).NotTo(BeEmpty())
+}
+
+// sendUnendedBody sends a booking whose body stops one byte before its end, and returns its connection.
+func (env *siteTestEnv) sendUnendedBody(g *WithT, id string) net.Conn {
+	conn, err := env.network.Dial(context.Background(), "tcp", gatewayAddress)
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Fprintf(conn, "POST /book/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s",
+		siteHost, outcome.HeaderRequestID, id, siteMaxBodyBytes, strings.Repeat("b", siteMaxBodyBytes-1))
+	g.Expect(err).NotTo(HaveOccurred())
+	synctest.Wait()
+	return conn
+}
+
 // sendIntoFullQueue fills the service's queue and makes one more call.
 func sendIntoFullQueue(_ *WithT, env *siteTestEnv, id string) {
 	const queued = 60
--- a/internal/gateway/upstreamrequest.go
+++ b/internal/gateway/upstreamrequest.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"net/url"
@@ -35,8 +34,8 @@
 // memoryBody returns a request body that reads from c.body.
 func (c *call) memoryBody() requestBody {
 	return requestBody{
-		reader:  nonRewindableBody{bytes.NewReader(c.body)},
-		length:  int64(len(c.body)),
+		reader:  nonRewindableBody{c.body.reader()},
+		length:  c.body.length,
 		restart: func() (requestBody, bool) { return c.memoryBody(), true },
 	}
 }
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -36,6 +36,7 @@
 	ConnectFailed     Reason = "connect_failed"
 	BodyTooLarge      Reason = "body_too_large"
 	BodyBroken        Reason = "body_broken"
+	BodyMemory        Reason = "body_memory"
 	NotReady          Reason = "not_ready"
 	ClaimUnavailable  Reason = "claim_unavailable"
 	ClaimRunning      Reason = "claim_running"
@@ -59,7 +60,7 @@
 // Reasons lists every Reason.
 var Reasons = []Reason{
 	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
-	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
+	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, BodyMemory, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
 	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
 	RateLimited, Quarantined, SuspectBusy, UpstreamsResting, Stopping, InternalError,
 }
