process: a connection that is not used gives way when all are in use

Callers saw: new connections were not accepted while others that sent nothing, stopped within a request or stayed idle filled the listener, until a timeout of up to ten minutes.

Cause: the listener stops accepting at its limit, and nothing chooses among the connections that are open.

Evidence: TestCrowdOfUnusedConnectionsKeepsNobodyOut plays six kinds of such connections in virtual time: silent, half a head, a body cut short, an unended chunk, and idle after a request with and without a body.

Change: package connlimit chooses the connection that gives way: the one that has been idle longest, or else the first one whose request has stopped or arrives slowly. One whose request was received whole never does, so that no request that may run loses its answer; a request that is received whole at the same moment is not served if its connection has given way. The readiness checks and the operators' servers get the same. The default of max_connections follows from the memory, since each connection can hold 64 KiB.

Shorter timeouts were ruled out: a crowd fills any, and callers that do no harm would meet them.

--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -44,6 +44,7 @@
 		return err
 	}
 	server := process.NewServer(g, settings.Limits)
+	server.CountIn(parts.Counters)
 	bus := exchange.NewPubSub(exchange.NewClient(settings.Agent, nil), settings.VM.Name)
 
 	// The operators' server and the bus keep running after ctx is done, until every
--- a/internal/config/static/entry.go
+++ b/internal/config/static/entry.go
@@ -76,6 +76,24 @@
 	return max((memoryMB-processMemoryMB)/2, 1)
 }
 
+// Connections of callers that figfront-entry accepts by default.
+const (
+	// maxDefaultConnections is the most, which leaves descriptors for other connections.
+	maxDefaultConnections = 2048
+	// minDefaultConnections is the least.
+	minDefaultConnections = 64
+	// connectionsPerMB is the number of connections for a megabyte of memory that bodies leave: with its
+	// head, its buffers and what its socket has received a connection takes up to 64 KiB, and half of that
+	// memory is theirs.
+	connectionsPerMB = 8
+)
+
+// defaultMaxConnections returns the number of connections of callers on a VM with a memory in megabytes.
+func defaultMaxConnections(memoryMB int) int {
+	left := memoryMB - processMemoryMB - defaultBodyMemoryMB(memoryMB)
+	return min(max(left*connectionsPerMB, minDefaultConnections), maxDefaultConnections)
+}
+
 // LoadEntry reads the settings of figfront-entry from the file at path. It returns
 // inifile.Faults if they are invalid.
 func LoadEntry(path string) (*Entry, error) {
@@ -102,7 +120,7 @@
 	section.Float("cores", &e.Cores, 1, 0, MaxCores)
 	section.Float("link_mbps", &e.LinkMbps, 1000, 0, 1e6)
 	section.Int("memory_mb", &e.MemoryMB, 256, 32, 1<<20)
-	section.Int("max_connections", &e.MaxConnections, 2048, 1, 100000)
+	section.Int("max_connections", &e.MaxConnections, defaultMaxConnections(e.MemoryMB), 1, 100000)
 	section.Int("body_memory_mb", &e.BodyMemoryMB, defaultBodyMemoryMB(e.MemoryMB), 1, 1<<20)
 	section.Duration("stop_lag", &e.StopLag, 2500*time.Millisecond, 0, time.Minute)
 	section.Duration("stop_timeout", &e.StopTimeout, 5*time.Second, time.Second, time.Hour)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"runtime/debug"
 	"time"
@@ -169,7 +168,9 @@
 	}
 	server := process.NewServer(e.adapter.CallerHandler(e.gateway), static.Limits{
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxConnections: e.settings.MaxConnections,
 	})
+	server.CountIn(e.parts.Counters)
 	// The followers and the operators' server keep running after ctx is done, until
 	// every call has finished.
 	workCtx, cancelWork := context.WithCancel(context.Background())
@@ -276,17 +277,21 @@
 	coordinatorSlackShare = 0.3
 )
 
+// maxReadyConnections limits the connections for readiness checks.
+const maxReadyConnections = 64
+
 // maxPeerConnections limits the connections from other VMs, tunnels included.
 const maxPeerConnections = 512
 
 // serveReady serves the platform's readiness check until ctx is done.
 func (e *entry) serveReady(ctx context.Context) error {
-	listener, err := net.Listen("tcp", e.settings.Ready)
+	listener, err := process.Listen(e.settings.Ready, maxReadyConnections)
 	if err != nil {
 		return err
 	}
 	server := process.NewServer(e.adapter.ReadyHandler(e.parts.Lifecycle.IsReady), static.Limits{
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+		MaxConnections: maxReadyConnections,
 	})
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return process.Serve(server, listener)
--- a/internal/process/conns.go
+++ b/internal/process/conns.go
@@ -5,6 +5,10 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/figfront/figfront/internal/config/static"
+	"github.com/figfront/figfront/internal/connlimit"
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 // Times that control how a server is drained.
@@ -28,69 +32,27 @@
 	closeAfterResponse bool
 	// draining means that the listener is closed.
 	draining bool
-}
-
-// serverConn is a server's connection that records when it was last used.
-type serverConn struct {
-	net.Conn
-
-	mu sync.Mutex
-	// busy means that a call is running or that a part of a request has arrived.
-	busy bool
-	// lastActivity is when the connection was accepted, last received bytes or last
-	// changed between active and idle.
-	lastActivity time.Time
-	// closedIdle means that the connection was closed because it was idle.
-	closedIdle bool
-}
-
-func newConnTracker() *connTracker {
-	return &connTracker{conns: make(map[*serverConn]struct{})}
-}
 
-// Read reads from the connection. Received bytes mark the connection as busy, so that
-// it counts as in use from the first byte of a request. Bytes that were received while
-// the connection was closed as idle are dropped: their sender is told that nobody has
-// read them and may send the request elsewhere.
-func (c *serverConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && !c.recordRead() {
-		return 0, net.ErrClosed
-	}
-	return n, err
-}
-
-// recordRead marks the connection as busy. It returns false if the connection was closed
-// as idle.
-func (c *serverConn) recordRead() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy = true
-	c.lastActivity = time.Now()
-	return !c.closedIdle
+	// limit decides which connection gives way when all are in use, and byPlace holds the connections
+	// that it knows. isRetrying means that it is asked again soon.
+	limit      *connlimit.Limit
+	counters   *telemetry.Counters
+	byPlace    map[*connlimit.Conn]*serverConn
+	isRetrying bool
 }
 
-// setBusy records activity and whether the connection carries a call.
-func (c *serverConn) setBusy(isBusy bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy = isBusy
-	c.lastActivity = time.Now()
-}
-
-// closeIfIdle closes the connection if it has been idle for minIdleTime.
-func (c *serverConn) closeIfIdle(now time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy && now.Sub(c.lastActivity) >= minIdleTime {
-		c.closedIdle = true
-		_ = c.Close()
+// newConnTracker returns a connTracker of a server whose limits are given.
+func newConnTracker(limits static.Limits) *connTracker {
+	return &connTracker{
+		conns: make(map[*serverConn]struct{}), byPlace: make(map[*connlimit.Conn]*serverConn),
+		counters: telemetry.NewCounters(), limit: connlimit.New(limits.MaxConnections),
 	}
 }
 
 // trackingListener wraps accepted connections in serverConn.
 type trackingListener struct {
 	net.Listener
+	tracker *connTracker
 }
 
 // Accept waits for the next connection and returns it wrapped.
@@ -99,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &serverConn{Conn: conn, lastActivity: time.Now()}, nil
+	return l.tracker.add(conn), nil
 }
 
 // wrapListener returns a listener whose connections can be tracked. drain closes
@@ -108,7 +70,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.listener = listener
-	return trackingListener{Listener: listener}
+	return trackingListener{Listener: listener, tracker: t}
 }
 
 // trackState records a connection's new state; it is the server's ConnState hook.
@@ -128,19 +90,21 @@
 	switch state {
 	case http.StateNew:
 		t.conns[c] = struct{}{}
+	case http.StateIdle:
+		t.limit.SetState(time.Now(), c.place, connlimit.Idle)
 	case http.StateClosed, http.StateHijacked:
 		delete(t.conns, c)
 	}
 }
 
 // wrapHandler wraps next so that responses carry Connection: close after
-// enableCloseAfterResponse has been called.
+// enableCloseAfterResponse has been called, and that the limit knows which requests were received whole.
 func (t *connTracker) wrapHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if t.isClosingAfterResponse() {
 			w.Header().Set("Connection", "close")
 		}
-		next.ServeHTTP(w, r)
+		next.ServeHTTP(w, t.trackRequest(r))
 	})
 }
 
--- a/internal/process/server.go
+++ b/internal/process/server.go
@@ -8,7 +8,6 @@
 
 	"github.com/go-chi/chi/v5"
 	"github.com/go-faster/errors"
-	"golang.org/x/net/netutil"
 
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/drain"
@@ -23,7 +22,7 @@
 
 // NewServer returns a Server for handler with the given limits.
 func NewServer(handler http.Handler, limits static.Limits) *Server {
-	conns := newConnTracker()
+	conns := newConnTracker(limits)
 	return &Server{
 		Server: &http.Server{
 			Handler:           conns.wrapHandler(handler),
@@ -31,19 +30,16 @@
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
 			ConnState:         conns.trackState,
+			ConnContext:       withConn,
 		},
 		conns: conns,
 	}
 }
 
-// Listen returns a TCP listener at address that accepts at most maxConnections
-// connections at a time.
-func Listen(address string, maxConnections int) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrapf(err, "listen at %s", address)
-	}
-	return netutil.LimitListener(listener, maxConnections), nil
+// CountIn makes the server count what happens to its connections in counters. It must be called before the
+// server is started.
+func (s *Server) CountIn(counters *telemetry.Counters) {
+	s.conns.counters = counters
 }
 
 // OperatorHandler returns a handler that serves /healthz, /readyz, as JSON the counters at
@@ -109,6 +105,7 @@
 		HeaderTimeout:  operatorTimeout,
 		IdleTimeout:    operatorTimeout,
 		MaxHeaderBytes: maxOperatorHeaderBytes,
+		MaxConnections: maxOperatorConnections,
 	})
 	context.AfterFunc(ctx, func() { _ = server.Close() })
 	return Serve(server, listener)
