process: the sockets of callers have bounded receive buffers

Callers saw: the memory of a VM ran out although its bodies were bounded (bytes that a socket has received and the process has not read count as the memory of the process on the users' machines).

Cause: the kernel lets the receive buffer of a connection grow while it is read fast, up to tcp_rmem (32 MB here). A crowd whose bodies are refused or stop leaves it full.

Change: each connection gets a buffer of 256 KiB, and all a small one of 16 KiB while there are many. The window has to be set as well, since the kernel derives it from the first buffer.

Tried and left: a small buffer from the start, which is enlarged for a long request (the window stayed small: 1.05 s for 6 MiB on loopback, and above_limit_sent red with 65 MB); a buffer at the listener, which connections inherit before they are accepted (256 KiB each in the backlog: 72 and 76 MB, red).

--- a/internal/process/conns.go
+++ b/internal/process/conns.go
@@ -39,6 +39,10 @@
 	counters   *telemetry.Counters
 	byPlace    map[*connlimit.Conn]*serverConn
 	isRetrying bool
+	// maxLargeBuffers is the number of connections above which all get a small receive buffer; 0 means that
+	// none does. isCrowded means that there are more.
+	maxLargeBuffers int
+	isCrowded       bool
 }
 
 // newConnTracker returns a connTracker of a server whose limits are given.
@@ -46,6 +50,7 @@
 	return &connTracker{
 		conns: make(map[*serverConn]struct{}), byPlace: make(map[*connlimit.Conn]*serverConn),
 		counters: telemetry.NewCounters(), limit: connlimit.New(limits.MaxConnections),
+		maxLargeBuffers: limits.MaxConnections / connsPerLargeBuffer,
 	}
 }
 
--- a/internal/process/room.go
+++ b/internal/process/room.go
@@ -20,6 +20,7 @@
 	t.mu.Lock()
 	c.place = t.limit.Open(now)
 	t.byPlace[c.place] = c
+	t.limitBuffersLocked(c)
 	t.mu.Unlock()
 	t.makeRoom()
 	return c
--- a/internal/process/serverconn.go
+++ b/internal/process/serverconn.go
@@ -24,6 +24,8 @@
 	lastActivity time.Time
 	// isClosed means that the connection was closed because it was idle or had to give way.
 	isClosed bool
+	// hasSmallBuffer means that the receive buffer is a small one, guarded by tracker.mu.
+	hasSmallBuffer bool
 }
 
 // Read reads from the connection. Received bytes mark the connection as busy, so that
