process: requests in small parts leave the processor to others

Cause: the framing of a chunk costs processor time whatever its length, and so does each read of a connection. Bodies were read as fast as they came, and each read set a deadline besides.

TestOrdinaryBodiesDoNotWait is green with and without.

Change: the work is computed from the reads that yield little and from the bytes of framing, and paced like that of long responses: all connections together get a quarter of the processor.

A least size of chunks was ruled out: a client inside the limits may send any.

--- a/internal/config/static/static.go
+++ b/internal/config/static/static.go
@@ -58,6 +58,8 @@
 	IdleTimeout time.Duration
 	// MaxConnections limits the number of open connections.
 	MaxConnections int
+	// Cores is the processor time available to the process, in cores; 0 means one.
+	Cores float64
 }
 
 func readLimits(section *inifile.Section) Limits {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -168,7 +168,7 @@
 	}
 	server := process.NewServer(e.adapter.CallerHandler(e.gateway), static.Limits{
 		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		MaxConnections: e.settings.MaxConnections,
+		MaxConnections: e.settings.MaxConnections, Cores: e.settings.Cores,
 	})
 	server.CountIn(e.parts.Counters)
 	// The followers and the operators' server keep running after ctx is done, until
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -38,11 +38,16 @@
 // other responses grows with that, so that a response without end leaves the processor to those
 // that end.
 func (p *Pacer) Wait(now time.Time, bytes int, passedOn int64) time.Duration {
+	return p.WaitForWork(now, work(bytes), passedOn)
+}
+
+// WaitForWork is Wait for a piece that took an amount of processor time.
+func (p *Pacer) WaitForWork(now time.Time, work time.Duration, passedOn int64) time.Duration {
 	if earliest := now.Add(-p.time(burst)); p.freeAt.Before(earliest) {
 		p.freeAt = earliest
 	}
 	others := max(p.freeAt.Sub(now), 0)
-	p.freeAt = p.freeAt.Add(p.time(work(bytes)))
+	p.freeAt = p.freeAt.Add(p.time(work))
 	own := max(p.freeAt.Sub(now)-others, 0)
 	weight := min(max(float64(passedOn)/longBytes, 1), maxWeight)
 	return own + time.Duration(weight*float64(others))
--- a/internal/process/conns.go
+++ b/internal/process/conns.go
@@ -1,6 +1,7 @@
 package process
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"sync"
@@ -8,6 +9,7 @@
 
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/connlimit"
+	"github.com/figfront/figfront/internal/pace"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -43,6 +45,8 @@
 	// none does. isCrowded means that there are more.
 	maxLargeBuffers int
 	isCrowded       bool
+	// pacer paces the reads that yield little.
+	pacer *pace.Pacer
 }
 
 // newConnTracker returns a connTracker of a server whose limits are given.
@@ -50,7 +54,7 @@
 	return &connTracker{
 		conns: make(map[*serverConn]struct{}), byPlace: make(map[*connlimit.Conn]*serverConn),
 		counters: telemetry.NewCounters(), limit: connlimit.New(limits.MaxConnections),
-		maxLargeBuffers: limits.MaxConnections / connsPerLargeBuffer,
+		pacer: pace.New(cmp.Or(limits.Cores, 1)), maxLargeBuffers: limits.MaxConnections / connsPerLargeBuffer,
 	}
 }
 
--- a/internal/process/serverconn.go
+++ b/internal/process/serverconn.go
@@ -24,6 +24,11 @@
 	lastActivity time.Time
 	// isClosed means that the connection was closed because it was idle or had to give way.
 	isClosed bool
+	// received is the number of bytes that were read, and reads the number of reads for the current
+	// request.
+	received int64
+	reads    int
+
 	// hasSmallBuffer means that the receive buffer is a small one, guarded by tracker.mu.
 	hasSmallBuffer bool
 }
@@ -31,26 +36,39 @@
 // Read reads from the connection. Received bytes mark the connection as busy, so that
 // it counts as in use from the first byte of a request. Bytes that were received while
 // the connection was closed as idle are dropped: their sender is told that nobody has
-// read them and may send the request elsewhere.
+// read them and may send the request elsewhere. Small reads wait for their turn.
 func (c *serverConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n == 0 {
 		return 0, err
 	}
-	if !c.recordRead() || !c.tracker.receive(c, n) {
+	isOpen, reads := c.recordRead(n)
+	if !isOpen || !c.tracker.receive(c, n) {
 		return 0, net.ErrClosed
 	}
+	if n < smallReadBytes && reads > freeReads {
+		time.Sleep(c.tracker.waitForRead())
+	}
 	return n, err
 }
 
 // recordRead marks the connection as busy. It returns false if the connection was closed
-// as idle.
-func (c *serverConn) recordRead() bool {
+// as idle, and the number of reads for the current request.
+func (c *serverConn) recordRead(bytes int) (isOpen bool, reads int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.busy = true
 	c.lastActivity = time.Now()
-	return !c.isClosed
+	c.received += int64(bytes)
+	c.reads++
+	return !c.isClosed, c.reads
+}
+
+// receivedBytes returns the number of bytes that were read.
+func (c *serverConn) receivedBytes() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.received
 }
 
 // setBusy records activity and whether the connection carries a call.
@@ -59,6 +77,9 @@
 	defer c.mu.Unlock()
 	c.busy = isBusy
 	c.lastActivity = time.Now()
+	if !isBusy {
+		c.reads = 0
+	}
 }
 
 // closeIfIdle closes the connection if it has been idle for minIdleTime.
