gateway: responses that wait for their caller are within the memory of bodies

Suspected, not reported: up to 1 MiB of each response is buffered until its caller has taken it, for up to 30 s without progress, and nothing bounded the sum over all calls.

Evidence: TestAnswersThatNobodyReadsStayWithinTheMemory makes 20 lookups over pipes and reads no answer; without the bound the VM takes all 10,485,760 bytes of them where 3,407,872 are allowed (the memory of 2 MiB and the buffers of the connections).

Change: the buffer of a response grows as its bytes arrive and takes its bytes from the memory for bodies. A response that finds none is passed on as it comes, like one above 1 MiB: if it ends early, the caller's connection is aborted.

--- a/internal/gateway/bodymemory.go
+++ b/internal/gateway/bodymemory.go
@@ -50,6 +50,21 @@
 	return b
 }
 
+// beginWhole returns the memory of a body that never gives way to another.
+func (m *sharedBodyMemory) beginWhole() *bodymemory.Body {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b := m.memory.Begin(time.Now())
+	m.memory.Complete(b)
+	return b
+}
+
+// take requests memory for more bytes of a body. It returns false if there is none now.
+func (m *sharedBodyMemory) take(b *bodymemory.Body, bytes int) bool {
+	verdict, _ := m.tryGrow(b, bytes)
+	return verdict == bodymemory.Granted
+}
+
 // grow requests memory for more bytes of a body, and waits for a body that was evicted for it. It returns
 // errNoBodyMemory if there is none, or the error of ctx.
 func (m *sharedBodyMemory) grow(ctx context.Context, b *bodymemory.Body, bytes int) error {
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -40,6 +40,8 @@
 	// it takes; nil if there is none.
 	body       heldBody
 	bodyMemory *bodymemory.Body
+	// responses is the memory of the responses to the call.
+	responses *heldResponses
 	// identity identifies the request; zero until the body has been read.
 	identity quarantine.Identity
 	// uploadID identifies an upload across its sends; empty for other traffic.
@@ -65,7 +67,7 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), interim: &interimForwarder{}, sendLog: &sendLog{}, state: newCallState()}
+	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), interim: &interimForwarder{}, sendLog: &sendLog{}, state: newCallState(), responses: &heldResponses{memory: g.bodies}}
 	c.wrapBody()
 	return c
 }
@@ -248,6 +250,12 @@
 	}
 }
 
+// releaseMemory gives back the memory of the call's body and of the responses.
+func (c *call) releaseMemory() {
+	c.responses.end()
+	c.releaseBody()
+}
+
 // releaseBody gives back the memory of the call's body.
 func (c *call) releaseBody() {
 	if c.bodyMemory == nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -211,7 +211,7 @@
 // ServeHTTP serves one call.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := newCall(g, w, r)
-	defer c.releaseBody()
+	defer c.releaseMemory()
 	defer c.confinePanic()
 	if g.isUploadStatus(r) {
 		c.serveUploadStatus()
--- a/internal/gateway/readresponse.go
+++ b/internal/gateway/readresponse.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bytes"
-	"io"
 	"net/http"
 
 	"github.com/figfront/figfront/internal/callheader"
@@ -11,11 +9,6 @@
 	"github.com/figfront/figfront/internal/quarantine"
 )
 
-// maxBufferedResponseBytes is the largest response that is buffered as a whole
-// before its first byte is sent to the caller. A larger response is streamed
-// after this many bytes; if it is truncated, the caller's connection is aborted.
-const maxBufferedResponseBytes = 1 << 20
-
 // readResponse reads an upstream's response, which makes a statement about the call, and records
 // how the send ended.
 func (c *call) readResponse(
@@ -47,7 +40,7 @@
 		return result
 	}
 	run := quarantine.ResultCompleted
-	body, err := readResponseBody(response)
+	body, isWhole, err := c.responses.readBody(response)
 	result.body = body
 	sendResult.Bytes = len(body)
 	if err != nil {
@@ -58,7 +51,7 @@
 			result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport, trace.via())
 		}
 		run = result.transfer.UpstreamEnd.runResult()
-	} else if len(body) == maxBufferedResponseBytes {
+	} else if !isWhole {
 		result.rest = response.Body
 		run = quarantine.ResultNone
 	} else {
@@ -95,14 +88,3 @@
 		d.ObserveRate(sent.choice.Name, rate, err)
 	}
 }
-
-// readResponseBody reads at most the first maxBufferedResponseBytes of a
-// response's body.
-func readResponseBody(response *http.Response) ([]byte, error) {
-	var buffer bytes.Buffer
-	if response.ContentLength > 0 {
-		buffer.Grow(int(min(response.ContentLength, maxBufferedResponseBytes)) + bytes.MinRead)
-	}
-	_, err := buffer.ReadFrom(io.LimitReader(response.Body, maxBufferedResponseBytes))
-	return buffer.Bytes(), err
-}
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -59,9 +59,6 @@
 	c.isAnswered = true
 	c.w.WriteHeader(a.status)
 	defer closeRest(a.rest)
-	if len(a.body) == 0 {
-		return
-	}
 	if _, err := writer.Write(a.body); err != nil {
 		panic(http.ErrAbortHandler)
 	}
