strictconn: the end of a connection that broke is not the end of a response

Callers saw: a server answered a long upload at once with a 200 that had no length, sent part of its body and reset the connection while the upload was still being written.

Cause: the write that meets the reset takes the error from the socket. The read that follows sees an end in order, and a body without a length then looks whole.

Off the network, without the check: TestEndAfterAFailedWriteIsNoEnd, and for connections through another VM TestTunnelOfAConnectionThatIsResetDoesNotEndInOrder (an end in order instead of a broken tunnel).

Change: a connection to a server reports its end only if no write on it has failed; a read that meets the end waits for a write that is going on, since that one may have taken the error.

An end before the request was written whole is not refused for that alone: a server that answers early and closes in order has said all it had to say.

--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -17,6 +17,7 @@
 	"github.com/figfront/figfront/internal/callheader"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/measure"
+	"github.com/figfront/figfront/internal/strictconn"
 	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/wait"
 )
@@ -70,7 +71,7 @@
 		client: &http.Client{
 			Timeout: probeTimeout,
 			Transport: &http.Transport{
-				DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeader,
+				DialContext: strictconn.Dial(dial), DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeader,
 			},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -8,12 +8,16 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/strictconn"
 )
 
 // trackedConn is a connection to an upstream that records in the transfer of its current
 // send what is written and received.
 type trackedConn struct {
 	net.Conn
+	// strict is Conn as it is read from and written to.
+	strict *strictconn.Conn
 
 	stats *connStats
 	// number tells the connections to the upstream from each other, in the order in which they
@@ -31,6 +35,11 @@
 	current *transfer
 }
 
+// newTrackedConn returns a trackedConn that is counted in stats.
+func newTrackedConn(conn net.Conn, stats *connStats) *trackedConn {
+	return &trackedConn{Conn: conn, strict: strictconn.New(conn), stats: stats, number: stats.begin()}
+}
+
 // beginSend returns the transfer of a new send on the connection, of the request with the given
 // keys. If its history forbids the connection to carry the request, it is closed, and what the send
 // writes fails.
@@ -145,14 +154,14 @@
 	if err := c.SetWriteDeadline(time.Now().Add(upstreamStallTimeout)); err != nil {
 		return 0, err
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.strict.Write(p)
 	c.recordFailure(err)
 	return n, err
 }
 
 // Read reads bytes and records that some arrived.
 func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.strict.Read(p)
 	if n > 0 {
 		if t := c.currentTransfer(); t != nil {
 			t.addReceived()
@@ -177,6 +186,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &trackedConn{Conn: conn, stats: stats, number: stats.begin()}, nil
+		return newTrackedConn(conn, stats), nil
 	}
 }
--- a/internal/gateway/conn_test.go
+++ b/internal/gateway/conn_test.go
@@ -17,7 +17,7 @@
 // on it.
 func tracedPipe() (*trackedConn, net.Conn, *sendTrace) {
 	near, far := net.Pipe()
-	conn := &trackedConn{Conn: near, stats: newConnStats()}
+	conn := newTrackedConn(near, newConnStats())
 	return conn, far, &sendTrace{cancel: func(error) {}}
 }
 
--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/figfront/figfront/internal/confine"
+	"github.com/figfront/figfront/internal/strictconn"
 )
 
 // Parameters of link checks.
@@ -65,7 +66,7 @@
 	return &linkChecker{
 		links: links, dial: dial, probesPerUpstream: probesPerUpstream, isExempt: isExempt,
 		transport: &http.Transport{
-			DialContext: dial, DisableCompression: true, MaxIdleConnsPerHost: 1,
+			DialContext: strictconn.Dial(dial), DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: siteIdleConnTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		},
 	}
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/strictconn"
 )
 
 // maxResponseBytes limits the size of a response of the table or the list of VMs.
@@ -36,7 +38,9 @@
 // the client creates its own.
 func NewClient(address string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second}
+		transport = &http.Transport{
+			DialContext: strictconn.Dial(nil), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
+		}
 	}
 	return &Client{base: "http://" + address, http: NewHTTPClient(transport)}
 }
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -14,6 +14,7 @@
 
 	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/confine"
+	"github.com/figfront/figfront/internal/strictconn"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -164,7 +165,11 @@
 func (s *Server) connect(ctx context.Context, open *api.TunnelOpen) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	return s.upstreams.DialDirect(ctx, open.GetService(), open.GetAddress())
+	conn, err := s.upstreams.DialDirect(ctx, open.GetService(), open.GetAddress())
+	if err != nil {
+		return nil, err
+	}
+	return strictconn.New(conn), nil
 }
 
 // refuse tells the other VM why no tunnel is opened.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -33,6 +33,8 @@
 	// panics makes DialDirect panic.
 	panics bool
 	dials  int
+	// wrap wraps the connections to the upstream; nil means no wrapper.
+	wrap func(net.Conn) net.Conn
 	// conns are the connections to the upstream.
 	conns []net.Conn
 	// observed is what it was told that the upstream asked it for.
@@ -66,6 +68,9 @@
 	}
 	conn, err := v.network.Dial(ctx, "tcp", address)
 	v.conns = append(v.conns, conn)
+	if v.wrap != nil && err == nil {
+		conn = v.wrap(conn)
+	}
 	return conn, err
 }
 
