strictconn: a head with a field name that is none is no answer

Callers saw: an answer in whose head the name of a field held a blank was delivered, without that line; where the line was that of the length or the framing, with a body that was not the server's (MIXED, measured by the users: Content-Length : 3 gave the bytes up to the end of the connection, Transfer-Encoding : chunked the raw chunks).

Cause: net/http drops lines whose name holds a blank. What is left looks sound, and no check of the parsed response can see it.

Change: the bytes of each head, interim responses included, are checked where they are read, for all clients of servers, the store and the platform's services. A broken line ends the connection with an error before the reader of the response sees it.

Left: names of trailers; net/http drops such a line, and the body before it is whole.

--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -70,9 +70,9 @@
 		planner:  planner,
 		client: &http.Client{
 			Timeout: probeTimeout,
-			Transport: &http.Transport{
+			Transport: strictconn.Transport{Transport: &http.Transport{
 				DialContext: strictconn.Dial(dial), DisableKeepAlives: true, MaxResponseHeaderBytes: maxProbeHeader,
-			},
+			}},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -47,6 +47,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = &transfer{sendsBefore: c.history.sends}
+	c.strict.BeginResponse()
 	if verdict := c.history.add(keys); verdict != mayCarry {
 		c.discardLocked(closeReason(verdict))
 	}
--- a/internal/gateway/linkcheck.go
+++ b/internal/gateway/linkcheck.go
@@ -35,7 +35,7 @@
 	links *links
 	// dial opens direct connections and records failures.
 	dial      DialFunc
-	transport *http.Transport
+	transport strictconn.Transport
 
 	// probesPerUpstream limits the probes per second that one upstream receives from all
 	// VMs; 0 means no limit.
@@ -65,10 +65,10 @@
 ) *linkChecker {
 	return &linkChecker{
 		links: links, dial: dial, probesPerUpstream: probesPerUpstream, isExempt: isExempt,
-		transport: &http.Transport{
+		transport: strictconn.Transport{Transport: &http.Transport{
 			DialContext: strictconn.Dial(dial), DisableCompression: true, MaxIdleConnsPerHost: 1,
 			IdleConnTimeout: siteIdleConnTimeout, MaxResponseHeaderBytes: maxResponseHeaderBytes,
-		},
+		}},
 	}
 }
 
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -38,9 +38,9 @@
 // the client creates its own.
 func NewClient(address string, transport http.RoundTripper) *Client {
 	if transport == nil {
-		transport = &http.Transport{
+		transport = strictconn.Transport{Transport: &http.Transport{
 			DialContext: strictconn.Dial(nil), MaxIdleConnsPerHost: 16, IdleConnTimeout: 30 * time.Second,
-		}
+		}}
 	}
 	return &Client{base: "http://" + address, http: NewHTTPClient(transport)}
 }
