soak: callers whose bodies don't end, and servers that answer before they have read

No stand-in's client had sent a body that doesn't end, and no server had begun an answer before it had read the request. Servers cut a success before they have read the request.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -242,6 +242,7 @@
 		{run.options.WrongAnswers, answerFaults},
 		{run.options.OddEntries, oddEntryFaults},
 		{run.options.SameIDs, sameIDFaults},
+		{run.options.Crowds, crowdFaults},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -49,6 +49,9 @@
 	// servers that copy refusals then, servers that start again at their addresses under new IDs, and
 	// callers that repeat refused requests.
 	SameIDs bool
+	// Crowds adds callers that stop within their requests, and servers that cut an answer before they have
+	// read the request, to the faults.
+	Crowds bool
 	// Slots is the number of slots of each server, at least 1.
 	Slots int
 	// Log receives a line for each fault.
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -55,6 +55,8 @@
 	"refused requests come back to the same connections": func(o *soak.Options) {
 		o.Only, o.SameIDs, o.LinkLosses, o.Slots = "same ID|vm's links to servers", true, true, manySlots
 	},
+	"callers stop within a body":     func(o *soak.Options) { o.Only, o.Crowds = "a body", true },
+	"servers cut answers early":      func(o *soak.Options) { o.Only, o.Crowds = "before the body", true },
 	"odd entries":                    func(o *soak.Options) { o.Only, o.OddEntries = "odd entr", true },
 	"servers leave without a report": func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
 }
