--- a/internal/gateway/bodymemory.go
+++ b/internal/gateway/bodymemory.go
@@ -66,7 +66,7 @@
 }
 
 // grow requests memory for more bytes of a body, and waits for a body that was evicted for it. It returns
-// errNoBodyMemory if there is none, or the error of ctx.
+// errNoBodyMemory if there is none before ctx ends.
 func (m *sharedBodyMemory) grow(ctx context.Context, b *bodymemory.Body, bytes int) error {
 	for {
 		verdict, changed := m.tryGrow(b, bytes)
@@ -79,7 +79,7 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return ctx.Err()
+			return errNoBodyMemory
 		}
 	}
 }
--- a/internal/process/requestbody.go
+++ b/internal/process/requestbody.go
@@ -25,7 +25,7 @@
 	freeFraming = 16 << 10
 	framingStep = 4 << 10
 	// maxReadWait limits the wait of one read.
-	maxReadWait = time.Second
+	maxReadWait = 250 * time.Millisecond
 )
 
 // connKey is the key of the serverConn in the context of a request.
