Review: case 9, requests of an unsafe route run twice

Cause: the path that chooses the route is made from the decoded one where net/url would escape a character of it, so %2F becomes a slash and a request of an unsafe route is taken for one of a safe route below its prefix. When a server loses its answer, it is sent again.

Change: a script with stand-ins of its own (review/standin-3), which fails.

--- /dev/null
+++ b/review/build-3.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Builds the stand-ins of the cases 9 to 13. The project's own programs are built by the deploy file.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+go build -o target/review-3/ ./review/standin-3
--- /dev/null
+++ b/review/standin-3/main.go
@@ -0,0 +1,59 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld   = 0
+	exitBroken = 1
+	exitNotRun = 2
+)
+
+// cases are the cases by name. Each returns the violations of its rule.
+var cases = map[string]func(s *site, hasTrouble bool) ([]string, error){
+	"commits": playCommits,
+	"paths":   playPaths,
+	"stop":    playStop,
+}
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+// run plays a case and returns the exit code. The arguments are the name of the case and the folder of its
+// record.
+func run(args []string) int {
+	if len(args) != 2 || cases[args[0]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin-3 CASE FOLDER")
+		return exitNotRun
+	}
+	record, err := newRecord(filepath.Join(args[1], "record.txt"))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	defer record.close()
+	s, err := newSite(record)
+	if err != nil {
+		record.add("could not run: %v", err)
+		return exitNotRun
+	}
+	defer s.close()
+	violations, err := cases[args[0]](s, os.Getenv("TROUBLE") != "0")
+	if err != nil {
+		record.add("could not run: %v", err)
+		return exitNotRun
+	}
+	for _, violation := range violations {
+		record.add("BROKEN %s", violation)
+	}
+	if len(violations) > 0 {
+		return exitBroken
+	}
+	record.add("held")
+	return exitHeld
+}
--- /dev/null
+++ b/review/standin-3/site.go
@@ -0,0 +1,216 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/figfront/figfront/platform/storetest"
+)
+
+// Names and times of the site, as the pages give them for Aso Crank.
+const (
+	host      = "jepu9.example"
+	prefix    = "/lepu270/"
+	service   = "pay-desk"
+	zone      = "fukuoka-hall"
+	heartbeat = 1500 * time.Millisecond
+	// startTimeout limits the time until a VM is ready.
+	startTimeout = 20 * time.Second
+)
+
+// site is a store, servers and VMs on loopback.
+type site struct {
+	record *record
+	dir    string
+	store  *storetest.Store
+	// storeAddress is where the store serves.
+	storeAddress string
+	servers      []*server
+	vms          []*vm
+	done         chan struct{}
+	beats        sync.WaitGroup
+}
+
+// vm is a figfront-entry process.
+type vm struct {
+	name    string
+	front   string
+	ready   string
+	process *exec.Cmd
+	exited  chan struct{}
+}
+
+// newSite starts a store.
+func newSite(r *record) (*site, error) {
+	dir, err := os.MkdirTemp("", "figfront-review-")
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &site{record: r, dir: dir, store: storetest.New(), storeAddress: listener.Addr().String(), done: make(chan struct{})}
+	go func() { _ = http.Serve(listener, s.store.Handler()) }()
+	return s, nil
+}
+
+// route is a route of the configuration.
+type route struct {
+	Prefix    string  `json:"prefix"`
+	Name      string  `json:"name"`
+	Type      string  `json:"routeType"`
+	TimeoutS  float64 `json:"timeoutS"`
+	Objective float64 `json:"targetLatencyS"`
+	Priority  int     `json:"priority"`
+	Attempts  int     `json:"attempts"`
+	Service   string  `json:"service"`
+}
+
+// configure writes a version of the configuration.
+func (s *site) configure(version int, services []string, routes []route) error {
+	type object = map[string]any
+	var listed []object
+	for _, name := range services {
+		listed = append(listed, object{"name": name, "healthPath": healthPath, "maxConnections": 220})
+	}
+	encoded, err := json.Marshal(object{
+		"version": fmt.Sprintf("%08x", version), "services": listed,
+		"limits":       object{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutS": 5, "idleTimeoutS": 15},
+		"virtualHosts": []object{{"hostname": host, "paths": routes}},
+	})
+	if err != nil {
+		return err
+	}
+	s.store.Put("op", "config", encoded)
+	s.record.add("configuration %08x is acknowledged", version)
+	return nil
+}
+
+// settings is the deploy file's template, filled in as the platform does for a small deployment.
+const settings = `[vm]
+name = %s
+zone = %s
+
+[entry]
+listen = %s
+ready = %s
+operators = %s
+exchange = %s
+seeds = %s
+store = %s
+heartbeat = 1.5s
+asks_per_second = 60
+retry_ratio = 0.2
+retry_slack = 56
+drain_bound = 2s
+config_bound = 2s
+cores = 0.32
+link_mbps = 1000
+memory_mb = 284
+stop_timeout = 6s
+`
+
+// startVMs starts VMs and waits until each is ready.
+func (s *site) startVMs(names ...string) error {
+	addresses, err := freeAddresses(4 * len(names))
+	if err != nil {
+		return err
+	}
+	seed := addresses[3]
+	for i, name := range names {
+		own := addresses[4*i : 4*i+4]
+		path := filepath.Join(s.dir, name+".ini")
+		filled := fmt.Sprintf(settings, name, zone, own[0], own[1], own[2], own[3], seed, s.storeAddress)
+		if err := os.WriteFile(path, []byte(filled), 0o600); err != nil {
+			return err
+		}
+		v := &vm{name: name, front: own[0], ready: own[1]}
+		if err := s.start(v, path); err != nil {
+			return err
+		}
+		s.vms = append(s.vms, v)
+	}
+	for _, v := range s.vms {
+		if err := v.awaitReady(); err != nil {
+			return err
+		}
+		s.record.add("%s is ready", v.name)
+	}
+	return nil
+}
+
+// start starts the process of a VM with the command of the deploy file.
+func (s *site) start(v *vm, settingsPath string) error {
+	log, err := os.Create(filepath.Join(s.dir, v.name+".log"))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = log.Close() }()
+	v.process = exec.Command("target/figfront-entry", "run")
+	v.process.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "FIGFRONT_CONFIG=" + settingsPath}
+	v.process.Stdout, v.process.Stderr = log, log
+	if err := v.process.Start(); err != nil {
+		return err
+	}
+	v.exited = make(chan struct{})
+	go func() {
+		_ = v.process.Wait()
+		close(v.exited)
+	}()
+	return nil
+}
+
+// awaitReady waits until the VM answers 200 to the platform's question.
+func (v *vm) awaitReady() error {
+	for end := time.Now().Add(startTimeout); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		response, err := http.Get("http://" + v.ready + "/ready")
+		if err != nil {
+			continue
+		}
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusOK {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s is not ready", v.name)
+}
+
+// freeAddresses returns loopback addresses at which nothing listens.
+func freeAddresses(count int) ([]string, error) {
+	var addresses []string
+	for range count {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer func() { _ = listener.Close() }()
+		addresses = append(addresses, listener.Addr().String())
+	}
+	return addresses, nil
+}
+
+// close ends all processes and servers.
+func (s *site) close() {
+	close(s.done)
+	for _, v := range s.vms {
+		_ = v.process.Process.Signal(syscall.SIGCONT)
+		_ = v.process.Process.Kill()
+		<-v.exited
+	}
+	for _, server := range s.servers {
+		server.close()
+	}
+	s.beats.Wait()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(s.dir)
+	}
+}
