--- a/review/standin-3/client.go
+++ b/review/standin-3/client.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -48,8 +50,8 @@
 // sendOn sends a request on a connection.
 func sendOn(conn net.Conn, method, target, id, body string) answer {
 	_ = conn.SetDeadline(time.Now().Add(clientTimeout))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n",
-		method, target, host, id, clientTimeout.Milliseconds())
+	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n",
+		method, target, host, wire["requestID"], id, wire["deadline"], clientTimeout.Milliseconds())
 	if method == http.MethodPost {
 		head += fmt.Sprintf("Content-Length: %d\r\n", len(body))
 	}
--- a/review/standin-3/record.go
+++ b/review/standin-3/record.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -65,27 +67,36 @@
 
 // route is a route of the configuration.
 type route struct {
-	Prefix    string  `json:"prefix"`
-	Name      string  `json:"name"`
-	Type      string  `json:"routeType"`
-	TimeoutS  float64 `json:"timeoutS"`
-	Objective float64 `json:"targetLatencyS"`
-	Priority  int     `json:"priority"`
-	Attempts  int     `json:"attempts"`
-	Service   string  `json:"service"`
+	Prefix, Name, Type  string
+	TimeoutS, Objective float64
+	Priority, Attempts  int
+	Service             string
+}
+
+// object is a JSON object.
+type object = map[string]any
+
+// encode returns the route as the platform writes it.
+func (r route) encode() object {
+	return object{
+		"prefix": r.Prefix, "name": r.Name, wire["kind"]: r.Type, "timeoutS": r.TimeoutS, wire["objective"]: r.Objective,
+		"priority": r.Priority, "attempts": r.Attempts, "service": r.Service,
+	}
 }
 
 // configure writes a version of the configuration.
 func (s *site) configure(version int, services []string, routes []route) error {
-	type object = map[string]any
-	var listed []object
+	var listed, paths []object
 	for _, name := range services {
-		listed = append(listed, object{"name": name, "healthPath": healthPath, "maxConnections": 220})
+		listed = append(listed, object{"name": name, "healthPath": healthPath, wire["connections"]: 220})
+	}
+	for _, r := range routes {
+		paths = append(paths, r.encode())
 	}
 	encoded, err := json.Marshal(object{
 		"version": fmt.Sprintf("%08x", version), "services": listed,
-		"limits":       object{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutS": 5, "idleTimeoutS": 15},
-		"virtualHosts": []object{{"hostname": host, "paths": routes}},
+		"limits":      object{"maxHeaderBytes": 16384, "maxBodyBytes": 4 << 20, "headerTimeoutS": 5, "idleTimeoutS": 15},
+		wire["hosts"]: []object{{"hostname": host, "paths": paths}},
 	})
 	if err != nil {
 		return err
--- a/review/standin-3/stop.go
+++ b/review/standin-3/stop.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package main
 
 import (
@@ -138,8 +140,8 @@
 	_ = conn.SetDeadline(time.Now().Add(archiveDeadline))
 	s.record.add("%s: client sends GET %s to %s", id, target, v.name)
 	sentAt := time.Now()
-	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\n\r\n",
-		target, host, id, archiveDeadline.Milliseconds())
+	head := fmt.Sprintf("GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n\r\n",
+		target, host, wire["requestID"], id, wire["deadline"], archiveDeadline.Milliseconds())
 	if _, err := conn.Write([]byte(head)); err != nil {
 		s.record.add("%s: client can't send it: %v", id, err)
 		return id, true
