--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -20,6 +20,7 @@
 	"commits": playCommits,
 	"paths":   playPaths,
 	"stop":    playStop,
+	"tunnel":  playTunnel,
 }
 
 func main() {
--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -68,7 +68,7 @@
 		site: s, work: work, born: time.Now(), onRun: onRun, slots: make(chan struct{}, slotCount),
 	}
 	added.http = &http.Server{Handler: added}
-	go func() { _ = added.http.Serve(listener) }()
+	go func() { _ = added.http.Serve(s.cut.wrap(listener)) }()
 	s.servers = append(s.servers, added)
 	s.beats.Go(added.beat)
 	return added, nil
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -37,8 +38,10 @@
 	storeAddress string
 	servers      []*server
 	vms          []*vm
-	done         chan struct{}
-	beats        sync.WaitGroup
+	// cut is the path from one IP to the servers.
+	cut   pathCut
+	done  chan struct{}
+	beats sync.WaitGroup
 }
 
 // vm is a figfront-entry process.
@@ -130,17 +133,29 @@
 stop_timeout = 6s
 `
 
-// startVMs starts VMs and waits until each is ready.
+// commonIP is the loopback address of VMs that need none of their own.
+const commonIP = "127.0.0.1"
+
+// startVMs starts VMs at commonIP and waits until each is ready.
 func (s *site) startVMs(names ...string) error {
-	addresses, err := freeAddresses(4 * len(names))
-	if err != nil {
-		return err
-	}
-	seed := addresses[3]
+	return s.startVMsAt(func(int) string { return commonIP }, names...)
+}
+
+// startVMsAt starts VMs, each at the IP that ip returns for its number, and waits until each is ready. A VM
+// connects to servers from its own IP, as on a machine of its own.
+func (s *site) startVMsAt(ip func(number int) string, names ...string) error {
+	seed := ""
 	for i, name := range names {
-		own := addresses[4*i : 4*i+4]
+		own, err := freeAddresses(ip(i), 4)
+		if err != nil {
+			return err
+		}
+		seed = cmp.Or(seed, own[3])
 		path := filepath.Join(s.dir, name+".ini")
 		filled := fmt.Sprintf(settings, name, zone, own[0], own[1], own[2], own[3], seed, s.storeAddress)
+		if ip(i) != commonIP {
+			filled += "source = " + ip(i) + "\n"
+		}
 		if err := os.WriteFile(path, []byte(filled), 0o600); err != nil {
 			return err
 		}
@@ -195,11 +210,11 @@
 	return fmt.Errorf("%s is not ready", v.name)
 }
 
-// freeAddresses returns loopback addresses at which nothing listens.
-func freeAddresses(count int) ([]string, error) {
+// freeAddresses returns addresses of a loopback IP at which nothing listens.
+func freeAddresses(ip string, count int) ([]string, error) {
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
 		if err != nil {
 			return nil, err
 		}
--- a/review/standin-3/stop.go
+++ b/review/standin-3/stop.go
@@ -134,8 +134,14 @@
 }
 
 // request sends a request on a connection, and returns its id and whether it got a whole answer, which may be a
-// refusal. One that could not be sent counts as answered.
+// refusal.
 func request(s *site, conn net.Conn, v *vm, target string) (id string, isAnswered bool) {
+	id, got := ask(s, conn, v, target)
+	return id, got.Err == nil
+}
+
+// ask sends a request on a connection and returns its id and the answer.
+func ask(s *site, conn net.Conn, v *vm, target string) (id string, got answer) {
 	id = newID()
 	_ = conn.SetDeadline(time.Now().Add(archiveDeadline))
 	s.record.add("%s: client sends GET %s to %s", id, target, v.name)
@@ -144,9 +150,9 @@
 		target, host, wire["requestID"], id, wire["deadline"], archiveDeadline.Milliseconds())
 	if _, err := conn.Write([]byte(head)); err != nil {
 		s.record.add("%s: client can't send it: %v", id, err)
-		return id, true
+		return id, answer{Err: err}
 	}
-	got := readAnswer(bufio.NewReader(conn), http.MethodGet)
+	got = readAnswer(bufio.NewReader(conn), http.MethodGet)
 	s.record.add("%s: client gets, after %v, %v", id, time.Since(sentAt).Round(time.Millisecond), got)
-	return id, got.Err == nil
+	return id, got
 }
