Review: the stand-in ends its processes on a signal and takes ports that stay free

Cause: a script that is ended from outside left its VM processes behind. The stand-in found its ports among those that the system gives to outgoing connections; that is the likely cause, it was not traced.

Ports and hosts come from internal/loopback.

--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -5,7 +5,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 )
 
 // Exit codes of a case.
@@ -46,6 +48,7 @@
 		return exitNotRun
 	}
 	defer s.close()
+	closeOnSignal(s)
 	violations, err := cases[args[0]](s, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		record.add("could not run: %v", err)
@@ -60,3 +63,15 @@
 	record.add("held")
 	return exitHeld
 }
+
+// closeOnSignal ends the site's processes when this one is asked to end.
+func closeOnSignal(s *site) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		s.record.add("ended by a signal")
+		s.close()
+		os.Exit(exitNotRun)
+	}()
+}
--- a/review/standin-3/site.go
+++ b/review/standin-3/site.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"github.com/figfront/figfront/internal/loopback"
 	"github.com/figfront/figfront/platform/storetest"
 )
 
@@ -39,9 +40,11 @@
 	servers      []*server
 	vms          []*vm
 	// cut is the path from one IP to the servers.
-	cut   pathCut
-	done  chan struct{}
-	beats sync.WaitGroup
+	cut  pathCut
+	done chan struct{}
+	// closeOnce guards closeAll.
+	closeOnce sync.Once
+	beats     sync.WaitGroup
 }
 
 // vm is a figfront-entry process.
@@ -133,17 +136,18 @@
 stop_timeout = 6s
 `
 
-// commonIP is the loopback address of VMs that need none of their own.
-const commonIP = "127.0.0.1"
-
-// startVMs starts VMs at commonIP and waits until each is ready.
+// startVMs starts VMs at one IP and waits until each is ready.
 func (s *site) startVMs(names ...string) error {
-	return s.startVMsAt(func(int) string { return commonIP }, names...)
+	ip := loopback.NextHost()
+	return s.startVMsAt(func(int) string { return ip }, "", names...)
 }
 
-// startVMsAt starts VMs, each at the IP that ip returns for its number, and waits until each is ready. A VM
-// connects to servers from its own IP, as on a machine of its own.
-func (s *site) startVMsAt(ip func(number int) string, names ...string) error {
+// ownSource is the setting with which a VM connects to servers from its own IP, as on a machine of its own.
+const ownSource = "source = %s\n"
+
+// startVMsAt starts VMs, each at the IP that ip returns for its number, and waits until each is ready. extra is a
+// further setting that names the IP; it may be empty.
+func (s *site) startVMsAt(ip func(number int) string, extra string, names ...string) error {
 	seed := ""
 	for i, name := range names {
 		own, err := freeAddresses(ip(i), 4)
@@ -153,8 +157,8 @@
 		seed = cmp.Or(seed, own[3])
 		path := filepath.Join(s.dir, name+".ini")
 		filled := fmt.Sprintf(settings, name, zone, own[0], own[1], own[2], own[3], seed, s.storeAddress)
-		if ip(i) != commonIP {
-			filled += "source = " + ip(i) + "\n"
+		if extra != "" {
+			filled += fmt.Sprintf(extra, ip(i))
 		}
 		if err := os.WriteFile(path, []byte(filled), 0o600); err != nil {
 			return err
@@ -210,22 +214,26 @@
 	return fmt.Errorf("%s is not ready", v.name)
 }
 
-// freeAddresses returns addresses of a loopback IP at which nothing listens.
+// freeAddresses returns addresses of a loopback IP at which nothing listens. They lie below the ports that the
+// system chooses for outgoing connections.
 func freeAddresses(ip string, count int) ([]string, error) {
 	var addresses []string
 	for range count {
-		listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		address, err := loopback.FreeAddress(ip)
 		if err != nil {
 			return nil, err
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, listener.Addr().String())
+		addresses = append(addresses, address)
 	}
 	return addresses, nil
 }
 
-// close ends all processes and servers.
+// close ends all processes and servers, once.
 func (s *site) close() {
+	s.closeOnce.Do(s.closeAll)
+}
+
+func (s *site) closeAll() {
 	close(s.done)
 	for _, v := range s.vms {
 		_ = v.process.Process.Signal(syscall.SIGCONT)
--- a/review/standin-3/tunnel.go
+++ b/review/standin-3/tunnel.go
@@ -46,7 +46,7 @@
 		}
 	}
 	ip := func(number int) string { return fmt.Sprintf("127.0.%d.1", 11+number) }
-	if err := s.startVMsAt(ip, "front-fi-south-a-1", "front-fi-south-a-2", "front-fi-south-a-3"); err != nil {
+	if err := s.startVMsAt(ip, ownSource, "front-fi-south-a-1", "front-fi-south-a-2", "front-fi-south-a-3"); err != nil {
 		return nil, err
 	}
 	taking, others := s.vms[0], s.vms[1:]
