--- a/review/standin-3/server.go
+++ b/review/standin-3/server.go
@@ -38,6 +38,8 @@
 	http  *http.Server
 	born  time.Time
 	onRun func(r ran)
+	// onArrive is called when a request has arrived whole; nil means that nobody is told.
+	onArrive func(id string)
 	// losesAnswer is asked for each request that ran, by its number; nil means that no answer is lost.
 	losesAnswer func(number int) bool
 
@@ -68,7 +70,7 @@
 		site: s, work: work, born: time.Now(), onRun: onRun, slots: make(chan struct{}, slotCount),
 	}
 	added.http = &http.Server{Handler: added}
-	go func() { _ = added.http.Serve(s.cut.wrap(listener)) }()
+	go func() { _ = added.http.Serve(listener) }()
 	s.servers = append(s.servers, added)
 	s.beats.Go(added.beat)
 	return added, nil
@@ -117,6 +119,9 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if s.onArrive != nil {
+		s.onArrive(id)
+	}
 	if !s.takeSlot(w, r) {
 		return
 	}
@@ -128,6 +133,7 @@
 	}
 	if s.isAnswerLost() {
 		s.site.record.add("%s: server %s loses its answer", id, s.id)
+		resetConn(w)
 		panic(http.ErrAbortHandler)
 	}
 	w.Header().Set(wire["signature"], "3e1b.07."+id)
@@ -198,6 +204,18 @@
 	}
 }
 
+// resetConn resets the connection of a request.
+func resetConn(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+		_ = tcp.Close()
+	}
+}
+
 // isAnswerLost counts a request that ran and reports whether its answer is lost.
 func (s *server) isAnswerLost() bool {
 	s.mu.Lock()
