Stop: log and count what a stop cuts off; parts a cut from a caller who left

Now a cut logs "connections cut off at the end of the stop" with the connections and the calls on them that have no answer, counts both (caller_conns.cut, caller_conns.cut_unanswered), and the calls end with the reason cut_at_stop.

No behaviour changes here.

TestStopTellsOfTheCallsThatItCutsOff failed before (no such line or counter).

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -209,7 +209,7 @@
 	case errors.Is(err, limit.ErrConcurrency):
 		reason = outcome.ConcurrencyLimit
 	case errors.Is(err, errCallerGone):
-		reason = outcome.CallerGone
+		reason = c.endReason()
 	}
 	c.refuse(outcome.New(http.StatusServiceUnavailable, outcome.NotRun, reason,
 		"the service's limit is reached on this VM").WithRetryAfter(retryAfter))
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -77,7 +77,7 @@
 		c.nextSend = refusal.Basis.NextSend
 		return c.noUpstreamProblem(refusal.Reason)
 	case c.r.Context().Err() != nil:
-		return c.noUpstreamProblem(outcome.CallerGone)
+		return c.noUpstreamProblem(c.endReason())
 	default:
 		return c.noUpstreamProblem(outcome.QueueDeadline)
 	}
--- a/internal/gateway/sendfailure.go
+++ b/internal/gateway/sendfailure.go
@@ -48,7 +48,7 @@
 	result.outcome, result.reason = failureOutcome(trace, err)
 	switch {
 	case c.r.Context().Err() != nil:
-		result.reason = outcome.CallerGone
+		result.reason = c.endReason()
 	case end.isCancelled:
 		result.reason = outcome.DeadlinePassed
 	}
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -26,6 +26,16 @@
 	return &p
 }
 
+// endReason returns why the connection of the caller has ended before the answer: this VM has cut it
+// off at the end of a stop, or its caller has closed it.
+func (c *call) endReason() outcome.Reason {
+	window, isStopping := c.gateway.options.StopWindow()
+	if isStopping && !time.Now().Before(window.Cut) {
+		return outcome.CutAtStop
+	}
+	return outcome.CallerGone
+}
+
 // refuseIfStopping refuses the call if this VM is being stopped and may cut it off. It reports
 // whether it did.
 func (c *call) refuseIfStopping() bool {
--- a/internal/outcome/outcome.go
+++ b/internal/outcome/outcome.go
@@ -54,6 +54,7 @@
 	SuspectBusy       Reason = "suspect_busy"
 	UpstreamsResting  Reason = "upstreams_resting"
 	Stopping          Reason = "stopping"
+	CutAtStop         Reason = "cut_at_stop"
 	InternalError     Reason = "internal_error"
 )
 
@@ -62,5 +63,5 @@
 	NoRoute, NoUpstream, ConcurrencyLimit, QueueFull, QueueDeadline, DeadlinePassed, UpstreamShed, UpstreamFailed,
 	UpstreamTruncated, ConnectFailed, BodyTooLarge, BodyBroken, BodyMemory, NotReady, ClaimUnavailable, ClaimRunning, ClaimMismatch,
 	ClaimUnknown, ClaimAnswerLost, StoreUnavailable, RetryBudget, AttemptsSpent, CallerGone, HeaderInvalid, HeaderTooLarge,
-	RateLimited, Quarantined, SuspectBusy, UpstreamsResting, Stopping, InternalError,
+	RateLimited, Quarantined, SuspectBusy, UpstreamsResting, Stopping, CutAtStop, InternalError,
 }
--- a/internal/process/conns.go
+++ b/internal/process/conns.go
@@ -34,6 +34,8 @@
 	closeAfterResponse bool
 	// draining means that the listener is closed.
 	draining bool
+	// calls is the number of calls whose handlers run.
+	calls int
 
 	// limit decides which connection gives way when all are in use, and byPlace holds the connections
 	// that it knows. isRetrying means that it is asked again soon.
@@ -113,10 +115,26 @@
 		if t.isClosingAfterResponse() {
 			w.Header().Set("Connection", "close")
 		}
+		t.countCalls(1)
+		defer t.countCalls(-1)
 		next.ServeHTTP(w, t.trackRequest(r))
 	})
 }
 
+// countCalls adds to the number of calls whose handlers run.
+func (t *connTracker) countCalls(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.calls += n
+}
+
+// openCalls returns the number of calls whose handlers run.
+func (t *connTracker) openCalls() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.calls
+}
+
 func (t *connTracker) isClosingAfterResponse() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/internal/process/server.go
+++ b/internal/process/server.go
@@ -85,6 +85,7 @@
 	l.fire(eventLagPassed)
 	if openCount := server.conns.drain(times.Drain); openCount > 0 {
 		l.fire(eventStopTimeout)
+		l.recordCut(server.conns, openCount)
 		_ = server.Close()
 		return errors.Errorf("%d connections were still in use and were cut off", openCount)
 	}
@@ -95,6 +96,15 @@
 	return nil
 }
 
+// recordCut logs and counts the connections that are about to be cut off, and the calls on them that have
+// no whole answer.
+func (l *Lifecycle) recordCut(conns *connTracker, openCount int) {
+	calls := conns.openCalls()
+	l.log.Warn("connections cut off at the end of the stop", "connections", openCount, "unanswered_calls", calls)
+	conns.counters.Add(groupConns, "cut", int64(openCount))
+	conns.counters.Add(groupConns, "cut_unanswered", int64(calls))
+}
+
 // ServeOperators serves OperatorHandler at address until ctx is done.
 func ServeOperators(ctx context.Context, address string, lifecycle *Lifecycle, routes ...func(chi.Router)) error {
 	listener, err := Listen(address, maxOperatorConnections)
--- a/internal/process/stop_test.go
+++ b/internal/process/stop_test.go
@@ -20,6 +20,8 @@
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/pipenet"
 	"github.com/figfront/figfront/internal/process"
+	"github.com/figfront/figfront/internal/spectest"
+	"github.com/figfront/figfront/internal/telemetry"
 )
 
 const (
@@ -35,6 +37,8 @@
 	server    *process.Server
 	lifecycle *process.Lifecycle
 	served    atomic.Int64
+	log       spectest.Buffer
+	counters  *telemetry.Counters
 	// stopped receives the result of Stop.
 	stopped chan error
 }
@@ -47,12 +51,14 @@
 // newTestServerAt returns a server that accepts the connections of a listener.
 func newTestServerAt(g *WithT, network *pipenet.Network, listener net.Listener) *testServer {
 	s := &testServer{network: network, stopped: make(chan error, 1)}
-	lifecycle, err := process.NewLifecycle(hclog.NewNullLogger())
+	lifecycle, err := process.NewLifecycle(hclog.New(&hclog.LoggerOptions{Output: &s.log}))
 	g.Expect(err).NotTo(HaveOccurred())
 	s.lifecycle = lifecycle
 	s.server = process.NewServer(http.HandlerFunc(s.serve), static.Limits{
 		HeaderTimeout: 5 * time.Second, IdleTimeout: time.Minute, MaxHeaderBytes: 32 << 10,
 	})
+	s.counters = telemetry.NewCounters()
+	s.server.CountIn(s.counters)
 	go func() { _ = process.Serve(s.server, listener) }()
 	lifecycle.Configured()
 	return s
@@ -234,6 +240,22 @@
 	})
 }
 
+// TestStopTellsOfTheCallsThatItCutsOff checks that the log and the counters part connections that were
+// cut off with a call on them from those that carried none.
+func TestStopTellsOfTheCallsThatItCutsOff(t *testing.T) {
+	withTestServer(t, func(g *WithT, s *testServer) {
+		for _, text := range []string{"PUT /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbo", getRequest[:10]} {
+			conn, _ := s.dial(g, text)
+			defer func() { _ = conn.Close() }()
+		}
+		s.stop()
+		g.Expect(<-s.stopped).To(HaveOccurred())
+		g.Expect(s.log.String()).To(ContainSubstring("connections=2 unanswered_calls=1"))
+		g.Expect(s.counters.Get("caller_conns", "cut")).To(Equal(int64(2)))
+		g.Expect(s.counters.Get("caller_conns", "cut_unanswered")).To(Equal(int64(1)))
+	})
+}
+
 // TestStopOfAnIdleProcess checks that idle connections delay a stop by no more than
 // the lag and the time after which draining closes an idle connection.
 func TestStopOfAnIdleProcess(t *testing.T) {
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -39,10 +39,20 @@
 	NoRetryTooLate Verdict = "too_late"
 )
 
+// isCallOver reports whether a send failed because its call had ended.
+func isCallOver(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.CallerGone, outcome.CutAtStop, outcome.DeadlinePassed:
+		return true
+	default:
+		return false
+	}
+}
+
 // Decide determines whether a failed send may go to another upstream.
 func Decide(call Call, failure Failure) Verdict {
 	switch {
-	case failure.Reason == outcome.CallerGone || failure.Reason == outcome.DeadlinePassed:
+	case isCallOver(failure.Reason):
 		return NoRetryTooLate
 	case failure.Outcome != outcome.NotRun && !call.IsIdempotent:
 		return NoRetryMayHaveRun
