--- a/internal/gateway/sitelog_test.go
+++ b/internal/gateway/sitelog_test.go
@@ -215,6 +215,10 @@
 		outcome.CallerGone: {upstream: hangs, send: sendAndDisconnect, check: func(g *WithT, line callLine) {
 			expectOneSend(g, line, outcome.CallerGone)
 		}},
+		outcome.CutAtStop: {upstream: hangsUntilCut, send: sendAndDisconnect, check: func(g *WithT, line callLine) {
+			expectOneSend(g, line, outcome.CutAtStop)
+			g.Expect(line.Outcome).To(Equal(outcome.Unknown))
+		}},
 	}
 }
 
@@ -329,6 +333,12 @@
 // hangs responds only when the caller disconnects.
 func hangs(_ *siteTestEnv, _ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }
 
+// hangsUntilCut hangs on a call that was sent before a stop of the VM, which has reached its cut.
+func hangsUntilCut(env *siteTestEnv, w http.ResponseWriter, r *http.Request) {
+	env.stop.Store(&drain.Window{Cut: time.Now()})
+	hangs(env, w, r)
+}
+
 // hangsOnWork hangs on calls to workPath and responds to others at once.
 func hangsOnWork(env *siteTestEnv, w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == workPath {
