Stop: calls that are open when a stop ends get one whole answer before the cut

Cause: Lifecycle.Stop waits and then closes the server under handlers that wait; the context of a call ended only with its connection, so no handler could answer. Evidence: "connections cut off" connections=4 unanswered_calls=4, 5.614 s after stop_asked, then four calls with cut_at_stop; servers leave their queues only as the connections close. Ruled out: servers that break off, callers that leave, panics.

Now the window of a stop has an end of the calls, 300 ms before the cut (a pause of the processor quota, the answers of 1,000 calls, a slow reader; at most a twelfth of the stop, the exit another). The contexts of open calls end then, with a cause of their own, in every program that stops through process.Server. The gateway answers 503 "not run" if the call was not sent, else 502 with what the sends' evidence says. An answer that has begun goes on until the cut. It works because every wait of a call already ends with its context; those that did not now do (bodies that are not whole, a part at the object store, the check for an ended upstream). Answers of calls from before the stop now close their connections, too, which otherwise were cut as idle.

--- a/cmd/figfront-admin/main.go
+++ b/cmd/figfront-admin/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/figfront/figfront/internal/admin"
 	"github.com/figfront/figfront/internal/config/static"
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/platform"
 	"github.com/figfront/figfront/internal/process"
 )
@@ -54,7 +55,7 @@
 	group.Go(func() error { return process.Serve(server, listener) })
 	group.Go(func() error {
 		defer cancelWork()
-		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{Drain: stopTimeout})
+		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, drain.Times{Drain: stopTimeout})
 	})
 	return group.Wait()
 }
--- a/cmd/figfront-gateway/main.go
+++ b/cmd/figfront-gateway/main.go
@@ -10,6 +10,7 @@
 
 	"github.com/figfront/figfront/internal/claim"
 	"github.com/figfront/figfront/internal/config/static"
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/exchange"
 	"github.com/figfront/figfront/internal/gateway"
 	"github.com/figfront/figfront/internal/platform"
@@ -64,7 +65,7 @@
 	group.Go(func() error { return g.DeliverUploads(deliveryCtx) })
 	group.Go(func() error {
 		defer cancelWork()
-		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{
+		return parts.Lifecycle.StopOnDone(ctx, workCtx, server, drain.Times{
 			Lag: settings.StopLag, Drain: settings.StopTimeout,
 		})
 	})
--- a/internal/drain/doc.go
+++ b/internal/drain/doc.go
@@ -1,4 +1,5 @@
-// Package drain decides which calls a process that has been asked to stop may still send to an
-// upstream. A call that is cut off at the end of the stop may have run without its caller
-// knowing; one that was refused has not run and is served by another VM.
+// Package drain decides what becomes of the calls of a process that has been asked to stop: which of
+// them it may still send to an upstream, and when those that are still open are ended. A call that is
+// cut off has no answer, and may have run without its caller knowing. One that was refused has not run
+// and is served by another VM; one that was ended gets an answer that says what is known of it.
 package drain
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -11,6 +11,7 @@
 	"github.com/figfront/figfront/internal/config/site"
 	"github.com/figfront/figfront/internal/config/static"
 	"github.com/figfront/figfront/internal/dispatch"
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/follow"
 	"github.com/figfront/figfront/internal/gateway"
 	"github.com/figfront/figfront/internal/mesh"
@@ -62,10 +63,6 @@
 	idleTimeout    = 10 * time.Minute
 )
 
-// stopReserve is the part of StopTimeout that is reserved for exiting after the calls
-// have been drained.
-const stopReserve = 400 * time.Millisecond
-
 // memoryShare is the share of the VM's memory that is set as the Go runtime's soft
 // memory limit.
 const memoryShare = 0.6
@@ -200,18 +197,16 @@
 // stopOnDone stops the VM gracefully once ctx is done: its own callers and the other VMs whose
 // calls lead through it may end theirs until the stop is over.
 func (e *entry) stopOnDone(ctx, workCtx context.Context, server *process.Server) error {
-	drainTimeout := max(e.settings.StopTimeout-e.settings.StopLag-stopReserve, 0)
+	times := drain.TimesWithin(e.settings.StopTimeout, e.settings.StopLag)
 	tunnelsDrained := make(chan error, 1)
 	context.AfterFunc(ctx, func() {
 		e.mesh.Leave()
 		e.dispatch.Close()
-		drainCtx, cancel := context.WithTimeout(workCtx, e.settings.StopLag+drainTimeout)
+		drainCtx, cancel := context.WithTimeout(workCtx, times.Lag+times.Drain)
 		defer cancel()
 		tunnelsDrained <- e.tunnels.Drain(drainCtx)
 	})
-	err := e.parts.Lifecycle.StopOnDone(ctx, workCtx, server, process.StopTimes{
-		Lag: e.settings.StopLag, Drain: drainTimeout, Exit: stopReserve,
-	})
+	err := e.parts.Lifecycle.StopOnDone(ctx, workCtx, server, times)
 	if err != nil || ctx.Err() == nil {
 		return err
 	}
--- a/internal/gateway/body.go
+++ b/internal/gateway/body.go
@@ -192,6 +192,14 @@
 	c.bodyReader = &stallReader{ReadCloser: c.r.Body, controller: http.NewResponseController(c.w)}
 	c.r = c.r.WithContext(c.r.Context())
 	c.r.Body = c.bodyReader
+	context.AfterFunc(c.r.Context(), c.endBody)
+}
+
+// endBody makes the reading of a body that is not whole fail once the stop of this VM ends the call.
+func (c *call) endBody() {
+	if c.isEndedByStop() && !c.bodyReader.reachedEOF.Load() {
+		c.bodyReader.interrupt()
+	}
 }
 
 // closeIfBodyUnread lets a response be sent at once although the caller is still
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -202,6 +202,10 @@
 
 // refuseLimit refuses a call that was not admitted.
 func (c *call) refuseLimit(err error) {
+	if c.isEndedByStop() {
+		c.refuse(*unsentAtStop())
+		return
+	}
 	reason := outcome.QueueDeadline
 	switch {
 	case errors.Is(err, limit.ErrQueueFull):
@@ -227,7 +231,7 @@
 	read := bodyRead{memory: c.gateway.bodies, held: c.bodyMemory, limit: int64(c.route.rule.settings.MaxBody)}
 	if err := read.readWhole(c.ctx, c.r.Body, c.r.ContentLength); err != nil {
 		c.releaseBody()
-		c.refuse(bodyProblem(err))
+		c.refuse(c.bodyProblem(err))
 		return false
 	}
 	c.body = read.body
@@ -236,8 +240,10 @@
 }
 
 // bodyProblem returns the problem of a call whose body could not be read, and was not sent.
-func bodyProblem(err error) outcome.Problem {
+func (c *call) bodyProblem(err error) outcome.Problem {
 	switch {
+	case c.isEndedByStop():
+		return *unsentAtStop()
 	case errors.Is(err, errBodyTooLarge):
 		return outcome.New(http.StatusRequestEntityTooLarge, outcome.NotRun, outcome.BodyTooLarge,
 			"the request body is above the limit")
--- a/internal/gateway/endcheck.go
+++ b/internal/gateway/endcheck.go
@@ -51,14 +51,21 @@
 	endCheckTimeout = 200 * time.Millisecond
 )
 
+// checkEnd finds out whether the upstream of a send whose connection has broken has ended. It takes
+// up to twice endCheckTimeout, but not beyond the end of the calls of a stop.
+func (c *call) checkEnd(sent send, trace *sendTrace) upstreamEnd {
+	ctx, cancel := c.untilStopEnds()
+	defer cancel()
+	return c.route.service.checkEnd(ctx, sent.transport, trace.via())
+}
+
 // checkEnd finds out whether an upstream has ended, after the connection of a send to it has
-// broken, which led through the VM via or directly if that is empty. It takes up to twice
-// endCheckTimeout.
-func (s *service) checkEnd(t *transport, via string) upstreamEnd {
+// broken, which led through the VM via or directly if that is empty.
+func (s *service) checkEnd(ctx context.Context, t *transport, via string) upstreamEnd {
 	time.Sleep(endCheckDelay)
 	end := upstreamLives
 	if t.conns.open.Load() == 0 {
-		end = s.tryConnect(t.address, via != "")
+		end = s.tryConnect(ctx, t.address, via != "")
 	}
 	s.counters.Add(groupEnds, string(end), 1)
 	return end
@@ -66,18 +73,18 @@
 
 // tryConnect opens a connection to an upstream and closes it. A VM that uses tunnels may have
 // lost its links; it asks through other VMs first.
-func (s *service) tryConnect(address string, usesTunnels bool) upstreamEnd {
+func (s *service) tryConnect(ctx context.Context, address string, usesTunnels bool) upstreamEnd {
 	if usesTunnels {
-		if end := tryDial(s.dialer.dialTunnel, address); end != upstreamEndUnknown {
+		if end := tryDial(ctx, s.dialer.dialTunnel, address); end != upstreamEndUnknown {
 			return end
 		}
 	}
-	return tryDial(s.dial, address)
+	return tryDial(ctx, s.dial, address)
 }
 
 // tryDial opens a connection to an upstream with dial and closes it.
-func tryDial(dial DialFunc, address string) upstreamEnd {
-	ctx, cancel := context.WithTimeout(context.Background(), endCheckTimeout)
+func tryDial(ctx context.Context, dial DialFunc, address string) upstreamEnd {
+	ctx, cancel := context.WithTimeout(ctx, endCheckTimeout)
 	defer cancel()
 	conn, err := dial(ctx, "tcp", address)
 	switch {
--- a/internal/gateway/holdoff.go
+++ b/internal/gateway/holdoff.go
@@ -182,6 +182,9 @@
 	if mayWait && wait.For(c.ctx, untilSend) {
 		return nil
 	}
+	if c.isEndedByStop() {
+		return unsentAtStop()
+	}
 	c.nextSend = untilSend
 	return c.noUpstreamProblem(outcome.UpstreamsResting)
 }
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -76,6 +76,8 @@
 		c.sendLog.setRefusal(refusal)
 		c.nextSend = refusal.Basis.NextSend
 		return c.noUpstreamProblem(refusal.Reason)
+	case c.isEndedByStop():
+		return unsentAtStop()
 	case c.r.Context().Err() != nil:
 		return c.noUpstreamProblem(c.endReason())
 	default:
--- a/internal/gateway/readresponse.go
+++ b/internal/gateway/readresponse.go
@@ -47,8 +47,11 @@
 		_ = response.Body.Close()
 		sendResult.Failed = true
 		result.reason = outcome.UpstreamTruncated
+		if c.isEndedByStop() {
+			result.reason = outcome.Stopping
+		}
 		if c.ctx.Err() == nil {
-			result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport, trace.via())
+			result.transfer.UpstreamEnd = c.checkEnd(sent, trace)
 		}
 		run = result.transfer.UpstreamEnd.runResult()
 	} else if !isWhole {
--- a/internal/gateway/response.go
+++ b/internal/gateway/response.go
@@ -17,6 +17,10 @@
 
 // respond answers the caller with the result of the last send.
 func (c *call) respond(a attemptResult) {
+	if a.reason == "" && !c.beginAnswer(a) {
+		closeRest(a.rest)
+		a.reason = outcome.Stopping
+	}
 	if a.reason != "" {
 		c.refuse(a.problem())
 		return
@@ -34,6 +38,8 @@
 	case outcome.DeadlinePassed:
 		return outcome.New(http.StatusGatewayTimeout, a.outcome, a.reason, "no answer came before the deadline").
 			WithRetryAfter(retryAfter)
+	case outcome.Stopping:
+		return endedAtStop(a.outcome)
 	case outcome.UpstreamShed, outcome.ConnectFailed:
 		return outcome.New(http.StatusServiceUnavailable, a.outcome, a.reason, "the upstream did not take the call").
 			WithRetryAfter(retryAfter)
--- a/internal/gateway/sendfailure.go
+++ b/internal/gateway/sendfailure.go
@@ -36,7 +36,7 @@
 ) attemptResult {
 	result := attemptResult{upstream: sent.choice.Name, transfer: c.describeError(trace, err)}
 	if isConnBroken(ctx, trace, err) {
-		result.transfer.UpstreamEnd = c.route.service.checkEnd(sent.transport, trace.via())
+		result.transfer.UpstreamEnd = c.checkEnd(sent, trace)
 	}
 	end := newSendEnd(ctx, trace)
 	result.isConnectionSilent = end.isSilent
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -186,6 +186,10 @@
 
 // refuseBody refuses an upload whose body was not received whole.
 func (u *uploadCall) refuseBody(err error) {
+	if u.isEndedByStop() {
+		u.refuse(endedAtStop(u.undeliveredOutcome()))
+		return
+	}
 	if errors.Is(err, upload.ErrTooLarge) {
 		u.refuse(outcome.New(http.StatusRequestEntityTooLarge, u.undeliveredOutcome(), outcome.BodyTooLarge,
 			"the upload is above the limit"))
@@ -245,6 +249,10 @@
 
 // refuseUnstored refuses an upload that neither an upstream nor the store accepted.
 func (u *uploadCall) refuseUnstored(err error) {
+	if u.isEndedByStop() {
+		u.refuse(endedAtStop(u.undeliveredOutcome()))
+		return
+	}
 	if bodyErr := u.source.Err(); bodyErr != nil {
 		u.refuseBody(bodyErr)
 		return
--- a/internal/process/conns.go
+++ b/internal/process/conns.go
@@ -112,12 +112,11 @@
 // enableCloseAfterResponse has been called, and that the limit knows which requests were received whole.
 func (t *connTracker) wrapHandler(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if t.isClosingAfterResponse() {
-			w.Header().Set("Connection", "close")
-		}
 		t.countCalls(1)
 		defer t.countCalls(-1)
-		next.ServeHTTP(w, t.trackRequest(r))
+		closing := &closingWriter{ResponseWriter: w, tracker: t}
+		next.ServeHTTP(closing, t.trackRequest(r))
+		closing.beginHeader()
 	})
 }
 
@@ -156,7 +155,7 @@
 
 // drain closes the listener and then each connection once it has been idle for
 // minIdleTime. It returns when no connection is left or timeout has passed, with the
-// number of connections that are still open.
+// number of connections that are still in use.
 func (t *connTracker) drain(timeout time.Duration) int {
 	t.closeListener()
 	deadline := time.Now().Add(timeout)
@@ -164,7 +163,7 @@
 		conns := t.openConns()
 		now := time.Now()
 		if len(conns) == 0 || now.After(deadline) {
-			return len(conns)
+			return countBusy(conns)
 		}
 		for _, c := range conns {
 			c.closeIfIdle(now)
@@ -173,6 +172,17 @@
 	}
 }
 
+// countBusy returns the number of connections that carry a call or a part of one.
+func countBusy(conns []*serverConn) int {
+	count := 0
+	for _, c := range conns {
+		if c.isBusy() {
+			count++
+		}
+	}
+	return count
+}
+
 // closeListener closes the listener and marks the tracker as draining.
 func (t *connTracker) closeListener() {
 	t.mu.Lock()
--- a/internal/process/parts.go
+++ b/internal/process/parts.go
@@ -8,6 +8,7 @@
 	"github.com/go-faster/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/figfront/figfront/internal/drain"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -58,7 +59,7 @@
 // StopOnDone waits until ctx or workCtx is done and then stops the server with Stop.
 // ctx is done when the process has been asked to stop, workCtx when a component of the
 // process has failed.
-func (l *Lifecycle) StopOnDone(ctx, workCtx context.Context, server *Server, times StopTimes) error {
+func (l *Lifecycle) StopOnDone(ctx, workCtx context.Context, server *Server, times drain.Times) error {
 	select {
 	case <-ctx.Done():
 	case <-workCtx.Done():
--- a/internal/process/server.go
+++ b/internal/process/server.go
@@ -18,24 +18,39 @@
 type Server struct {
 	*http.Server
 	conns *connTracker
+	// ending is done when the calls that are still open are ended; endCalls ends them.
+	ending   context.Context
+	endCalls context.CancelFunc
 }
 
 // NewServer returns a Server for handler with the given limits.
 func NewServer(handler http.Handler, limits static.Limits) *Server {
 	conns := newConnTracker(limits)
+	ending, endCalls := context.WithCancel(context.Background())
 	return &Server{
 		Server: &http.Server{
-			Handler:           conns.wrapHandler(handler),
+			Handler:           conns.wrapHandler(endable(handler, ending)),
 			ReadHeaderTimeout: limits.HeaderTimeout,
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    limits.MaxHeaderBytes,
 			ConnState:         conns.trackState,
 			ConnContext:       withConn,
 		},
-		conns: conns,
+		conns:    conns,
+		ending:   ending,
+		endCalls: endCalls,
 	}
 }
 
+// endable returns a handler that calls next with requests whose contexts end, too, once ending is done.
+func endable(next http.Handler, ending context.Context) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx, release := drain.WithEnd(r.Context(), ending)
+		defer release()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
 // CountIn makes the server count what happens to its connections in counters. It must be called before the
 // server is started.
 func (s *Server) CountIn(counters *telemetry.Counters) {
@@ -63,24 +78,17 @@
 	return r
 }
 
-// StopTimes are the durations of a graceful shutdown.
-type StopTimes struct {
-	// Lag is the time that the platform's balancer needs to notice that the process is not
-	// ready.
-	Lag time.Duration
-	// Drain limits the time for finishing the calls after Lag.
-	Drain time.Duration
-	// Exit is the time that remains for ending the process; 0 if it is not limited.
-	Exit time.Duration
-}
-
 // Stop shuts the server down gracefully. The process reports that it is not ready
 // and keeps serving for times.Lag. It then accepts no new connections, serves the calls on
-// the open ones and closes each connection once it is idle. Connections that are still open
-// after times.Drain are cut off, and Stop returns an error.
-func (l *Lifecycle) Stop(server *Server, times StopTimes) error {
-	l.beginStop(drain.NewWindow(time.Now(), times.Lag+times.Drain, times.Exit))
+// the open ones and closes each connection once it is idle. The contexts of the calls that are
+// open at the end of the window are ended, so that their handlers answer. Connections that are
+// still open after times.Drain are cut off, and Stop returns an error.
+func (l *Lifecycle) Stop(server *Server, times drain.Times) error {
+	window := drain.NewWindow(time.Now(), times)
+	l.beginStop(window)
 	server.conns.enableCloseAfterResponse()
+	endTimer := time.AfterFunc(time.Until(window.End), func() { l.endCalls(server) })
+	defer endTimer.Stop()
 	time.Sleep(times.Lag)
 	l.fire(eventLagPassed)
 	if openCount := server.conns.drain(times.Drain); openCount > 0 {
@@ -96,6 +104,14 @@
 	return nil
 }
 
+// endCalls ends the calls that are still open, so that their handlers answer before the cut.
+func (l *Lifecycle) endCalls(server *Server) {
+	calls := server.conns.openCalls()
+	l.log.Info("open calls are ended before the end of the stop", "calls", calls)
+	server.conns.counters.Add(groupConns, "ended_calls", int64(calls))
+	server.endCalls()
+}
+
 // recordCut logs and counts the connections that are about to be cut off, and the calls on them that have
 // no whole answer.
 func (l *Lifecycle) recordCut(conns *connTracker, openCount int) {
--- a/internal/process/serverconn.go
+++ b/internal/process/serverconn.go
@@ -82,6 +82,13 @@
 	}
 }
 
+// isBusy reports whether the connection carries a call or a part of one.
+func (c *serverConn) isBusy() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.busy
+}
+
 // closeIfIdle closes the connection if it has been idle for minIdleTime.
 func (c *serverConn) closeIfIdle(now time.Time) {
 	c.mu.Lock()
--- a/internal/retry/policy.go
+++ b/internal/retry/policy.go
@@ -35,14 +35,14 @@
 	NoRetryFromLaterHop Verdict = "from_below"
 	// NoRetryFromEarlierHop means that an earlier hop already sent the call again.
 	NoRetryFromEarlierHop Verdict = "marked"
-	// NoRetryTooLate means that the caller disconnected or the deadline passed.
+	// NoRetryTooLate means that the caller disconnected, the deadline passed or this VM is being stopped.
 	NoRetryTooLate Verdict = "too_late"
 )
 
 // isCallOver reports whether a send failed because its call had ended.
 func isCallOver(reason outcome.Reason) bool {
 	switch reason {
-	case outcome.CallerGone, outcome.CutAtStop, outcome.DeadlinePassed:
+	case outcome.CallerGone, outcome.Stopping, outcome.CutAtStop, outcome.DeadlinePassed:
 		return true
 	default:
 		return false
--- a/internal/upload/source.go
+++ b/internal/upload/source.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"github.com/figfront/figfront/internal/drain"
 )
 
 // Source reads a caller's body once and provides it to one Reader at a time.
@@ -194,9 +196,34 @@
 // drainChunkSize is the buffer size for reads of Drain, in bytes.
 const drainChunkSize = 32 << 10
 
+// drained is the result of a drain.
+type drained struct {
+	body Body
+	err  error
+}
+
 // Drain detaches the reader and reads the rest of the body into the spool, until
-// the body ends or ctx is done. It returns the stored body if it is complete.
+// the body ends or ctx is done. It returns the stored body if it is complete. It
+// does not wait for the object store once the stop of this process has ended ctx.
 func (s *Source) Drain(ctx context.Context) (Body, error) {
+	done := make(chan drained, 1)
+	go func() {
+		body, err := s.drain(ctx)
+		done <- drained{body: body, err: err}
+	}()
+	select {
+	case result := <-done:
+		return result.body, result.err
+	case <-ctx.Done():
+	}
+	if drain.IsEnded(ctx) {
+		return Body{}, drain.ErrEnded
+	}
+	result := <-done
+	return result.body, result.err
+}
+
+func (s *Source) drain(ctx context.Context) (Body, error) {
 	s.setReader(nil)
 	if !s.lock() {
 		return Body{}, ErrDetached
