Soak: VMs stop in series while servers hold requests in their queues

Now a fault stops a VM (with two signals) and half a second later the next one, while all servers hold what they get; callers with open connections send requests that outlast the stop. A request that a server holds and that ends without an answer is a violation ("answered"), unless the VM had other faults.

--- a/cmd/figfront-soak/main.go
+++ b/cmd/figfront-soak/main.go
@@ -40,6 +40,7 @@
 	Odd      bool          `help:"Leave odd entries among those of the servers." default:"true" negatable:""`
 	SameIDs  bool          `name:"same-ids" help:"Let refused requests come back to the connections of their refusals, and servers copy refusals there." default:"true" negatable:""`
 	Crowds   bool          `help:"Let callers stop within their requests, and servers cut answers before they have read the request." default:"true" negatable:""`
+	Busy     bool          `help:"Stop VMs one after the other while servers hold requests in their queues." default:"true" negatable:""`
 	Slots    int           `help:"Slots of each server." default:"2"`
 	Untimed  bool          `help:"Check only promises that have no time."`
 	Verbose  bool          `help:"Print each fault." short:"v"`
@@ -82,7 +83,7 @@
 				Binary: args.Binary, Seed: first + uint64(i), Duration: args.Duration, Calm: args.Calm,
 				CheckTimed: !args.Untimed, Callers: args.Callers, Only: args.Only, StoreRestores: args.Restores, RateLimits: args.Limits, LinkLosses: args.Links,
 				DeadlyRequests: args.Deadly, Asks: args.Asks, SilentLeaves: args.Silent, BrokenHeads: args.Heads,
-				WrongAnswers: args.Answers, OddEntries: args.Odd, SameIDs: args.SameIDs, Crowds: args.Crowds, Slots: args.Slots, Log: log,
+				WrongAnswers: args.Answers, OddEntries: args.Odd, SameIDs: args.SameIDs, Crowds: args.Crowds, BusyStops: args.Busy, Slots: args.Slots, Log: log,
 			})
 			mu.Lock()
 			defer mu.Unlock()
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,12 +41,7 @@
 	{"vm paused", vmFault(func(v *VM) { v.Signal(syscall.SIGSTOP) }, func(v *VM) { v.Signal(syscall.SIGCONT) })},
 	{"vm stopped gracefully", func(run *Run, random *rand.Rand) (func(), error) {
 		v := run.vms[random.IntN(len(run.vms))]
-		go func() {
-			if !v.Stop() {
-				run.addTimedViolation("planned stop", v.Name+" did not exit in time")
-			}
-			run.recordErr(v.Start())
-		}()
+		go run.stopAndRestart(v)
 		return nil, nil
 	}},
 	{"vm reloads its settings", vmFault(func(v *VM) { v.Signal(syscall.SIGHUP) }, nil)},
@@ -243,6 +238,7 @@
 		{run.options.OddEntries, oddEntryFaults},
 		{run.options.SameIDs, sameIDFaults},
 		{run.options.Crowds, crowdFaults},
+		{run.options.BusyStops, []fault{busyStopFault}},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -37,6 +37,8 @@
 	executions []execution
 	response   sitetest.Response
 	isFinished bool
+	// isHeld means that a server held it in its queue.
+	isHeld bool
 }
 
 // isRefused reports whether the caller got a response that promises that the request did not run.
@@ -204,6 +206,23 @@
 	}
 }
 
+// Held records that a server holds a request in its queue.
+func (l *Ledger) Held(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if r, ok := l.records[id]; ok {
+		r.latest().isHeld = true
+	}
+}
+
+// isHeldUnanswered reports whether a request was held by a server, ran nowhere and ended without a response.
+func (l *Ledger) isHeldUnanswered(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	send := l.records[id].latest()
+	return send.isHeld && send.isFinished && len(send.executions) == 0 && send.response.Err != nil
+}
+
 // refusalsOf returns the refusals of a server after a time.
 func (l *Ledger) refusalsOf(server string, after time.Time) []sentRun {
 	l.mu.Lock()
--- a/internal/soak/options.go
+++ b/internal/soak/options.go
@@ -52,6 +52,8 @@
 	// Crowds adds callers that stop within their requests, and servers that cut an answer before they have
 	// read the request, to the faults.
 	Crowds bool
+	// BusyStops adds VMs that are stopped one after the other while servers hold requests in their queues.
+	BusyStops bool
 	// Slots is the number of slots of each server, at least 1.
 	Slots int
 	// Log receives a line for each fault.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -49,6 +49,8 @@
 	hasDeadly atomic.Bool
 	// standsStill is set while a VM stands still.
 	standsStill atomic.Bool
+	// hasBusyStop is set while VMs stop under busy servers.
+	hasBusyStop atomic.Bool
 	// oddEntries is the number of odd entries under new names so far.
 	oddEntries int
 	// repeating counts the active faults in which callers repeat refused requests, repeats the
--- a/internal/soak/servers.go
+++ b/internal/soak/servers.go
@@ -110,6 +110,7 @@
 	server.IsDeadly = isDeadly
 	server.OnDeath = func() { f.diesOf(m) }
 	server.OnRest = f.ledger.Refused
+	server.OnHold = f.ledger.Held
 	go func() { _ = m.http.Serve(listener) }()
 	f.mu.Lock()
 	defer f.mu.Unlock()
