Stop: a call that gets its slot as the stop ends it is refused as such

The calls that a stop ends give back their slots, so that one in the VM's queue may be admitted in the same moment. It then asked for its claim, which failed, and was told claim_unavailable: true, but not the reason.

--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -171,6 +171,10 @@
 	}
 	c.state.fire(eventAdmitted)
 	defer func() { to.service.admission.release(ticket, c.isLatencySample()) }()
+	if c.isEndedByStop() {
+		c.refuse(*unsentAtStop())
+		return
+	}
 	switch to.rule.settings.Traffic {
 	case dynamic.Upload:
 		c.serveUpload()
