Paths: the route is chosen by the caller's bytes, and these go to the upstream

Cause: the path came from url.URL.EscapedPath, which escapes the decoded path anew if it has a character that net/url would escape; %2F is then a "/".

internal/target takes the target apart once, from the request line; route, sends, claims, digests and stored uploads use it.

--- a/internal/gateway/booking.go
+++ b/internal/gateway/booking.go
@@ -61,10 +61,7 @@
 
 // pathWithQuery returns the path and query that the upstream receives.
 func (c *call) pathWithQuery() string {
-	if c.r.URL.RawQuery == "" {
-		return c.route.path
-	}
-	return c.route.path + "?" + c.r.URL.RawQuery
+	return c.upstreamTarget().String()
 }
 
 // sendClaimed sends a booking whose claim this VM owns and ends the claim.
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -15,6 +15,7 @@
 	"github.com/figfront/figfront/internal/limit"
 	"github.com/figfront/figfront/internal/outcome"
 	"github.com/figfront/figfront/internal/quarantine"
+	"github.com/figfront/figfront/internal/target"
 	"github.com/figfront/figfront/internal/telemetry"
 )
 
@@ -29,6 +30,8 @@
 	r       *http.Request
 	id      string
 	arrived time.Time
+	// target is what the caller requests, by which the route is chosen.
+	target target.Target
 
 	route    route
 	deadline time.Time
@@ -67,7 +70,7 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), interim: &interimForwarder{}, sendLog: &sendLog{}, state: newCallState(), responses: &heldResponses{memory: g.bodies}}
+	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), target: target.Parse(r.RequestURI), interim: &interimForwarder{}, sendLog: &sendLog{}, state: newCallState(), responses: &heldResponses{memory: g.bodies}}
 	c.wrapBody()
 	return c
 }
--- a/internal/gateway/delivery.go
+++ b/internal/gateway/delivery.go
@@ -10,6 +10,7 @@
 
 	"github.com/figfront/figfront/internal/config/dynamic"
 	"github.com/figfront/figfront/internal/platform"
+	"github.com/figfront/figfront/internal/target"
 	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/upload"
 )
@@ -66,12 +67,14 @@
 // upload has no route any more or no upstream is available.
 func (g *Gateway) SendUpload(ctx context.Context, r upload.Record, body io.Reader) upload.Result {
 	request := storedRequest(r)
-	to, ok := g.routes.Load().find(request)
+	path := "/" + r.Team + "/" + r.Service + r.Call.Path
+	to, ok := g.routes.Load().find(r.Call.Method, r.Call.Host, path)
 	if !ok || to.rule.settings.Traffic != dynamic.Upload {
 		g.options.Counters.Add(telemetry.GroupUploads, "delivery_no_route", 1)
 		return upload.Result{}
 	}
 	c := newCall(g, nil, request)
+	c.target = target.Target{Path: path, Query: r.Call.Query, HasQuery: r.Call.HasQuery || r.Call.Query != ""}
 	c.interim.end()
 	c.id = r.ID
 	c.uploadID = r.ID
@@ -116,9 +119,8 @@
 	return sent, problem == nil
 }
 
-// storedRequest rebuilds the request of a stored upload.
+// storedRequest rebuilds the request of a stored upload, but for its target.
 func storedRequest(r upload.Record) *http.Request {
-	path, rawPath := splitPath("/" + r.Team + "/" + r.Service + r.Call.Path)
 	header := r.Call.Header.Clone()
 	if header == nil {
 		header = http.Header{}
@@ -126,7 +128,7 @@
 	return &http.Request{
 		Method: r.Call.Method,
 		Host:   r.Call.Host,
-		URL:    &url.URL{Path: path, RawPath: rawPath, RawQuery: r.Call.Query},
+		URL:    &url.URL{},
 		Header: header,
 	}
 }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -213,7 +213,7 @@
 	c := newCall(g, w, r)
 	defer c.releaseMemory()
 	defer c.confinePanic()
-	if g.isUploadStatus(r) {
+	if c.isUploadStatus() {
 		c.serveUploadStatus()
 		return
 	}
@@ -223,12 +223,18 @@
 			"this VM has no configuration yet").WithRetryAfter(retryAfter))
 		return
 	}
-	route, ok := routes.find(r)
+	route, ok := routes.find(r.Method, r.Host, c.target.Path)
 	if !ok {
 		c.refuse(outcome.New(http.StatusNotFound, outcome.NotRun, outcome.NoRoute,
 			"no service and rule match this call"))
 		return
 	}
+	c.route = route
+	if !c.upstreamTarget().IsSendable() {
+		c.refuse(outcome.New(http.StatusBadRequest, outcome.NotRun, outcome.HeaderInvalid,
+			"the path begins with two slashes and has a character that may not stand in a path"))
+		return
+	}
 	if route.isSite {
 		c.serveSite(route)
 		return
--- a/internal/gateway/route.go
+++ b/internal/gateway/route.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net/http"
 	"slices"
 	"strings"
 )
@@ -41,11 +40,11 @@
 // find returns the route of a call. A site's routes take precedence. Otherwise
 // the first two path segments select the service, and the method and the longest
 // path prefix select the rule.
-func (t *routeTable) find(r *http.Request) (route, bool) {
+func (t *routeTable) find(method, host, path string) (route, bool) {
 	if t.hosts != nil {
-		return t.hosts.find(r)
+		return t.hosts.find(host, path)
 	}
-	parts := strings.SplitN(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/", 3)
+	parts := strings.SplitN(strings.TrimPrefix(path, "/"), "/", 3)
 	if len(parts) < 2 {
 		return route{}, false
 	}
@@ -53,14 +52,14 @@
 	if !ok {
 		return route{}, false
 	}
-	path := "/"
+	upstreamPath := "/"
 	if len(parts) == 3 {
-		path += parts[2]
+		upstreamPath += parts[2]
 	}
 	for _, rule := range s.currentRules() {
-		allowsMethod := slices.Contains(rule.settings.Methods, r.Method)
-		if allowsMethod && strings.HasPrefix(path, rule.settings.PathPrefix) {
-			return route{service: s, rule: rule, path: path}, true
+		allowsMethod := slices.Contains(rule.settings.Methods, method)
+		if allowsMethod && strings.HasPrefix(upstreamPath, rule.settings.PathPrefix) {
+			return route{service: s, rule: rule, path: upstreamPath}, true
 		}
 	}
 	return route{}, false
--- a/internal/gateway/siteroute.go
+++ b/internal/gateway/siteroute.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"net"
-	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -56,10 +55,9 @@
 }
 
 // find returns the route of a call by its host and the longest prefix of its
-// path.
-func (h hostRoutes) find(r *http.Request) (route, bool) {
-	path := r.URL.EscapedPath()
-	for _, candidate := range h[hostName(r.Host)] {
+// path, byte by byte.
+func (h hostRoutes) find(host, path string) (route, bool) {
+	for _, candidate := range h[hostName(host)] {
 		if !strings.HasPrefix(path, candidate.prefix) {
 			continue
 		}
--- a/internal/gateway/upload.go
+++ b/internal/gateway/upload.go
@@ -238,7 +238,7 @@
 			Method: u.r.Method,
 			Host:   u.r.Host,
 			Path:   u.route.path,
-			Query:  u.r.URL.RawQuery,
+			Query:  u.target.Query, HasQuery: u.target.HasQuery,
 			Header: header,
 		},
 		Body:     body,
--- a/internal/gateway/uploadstatus.go
+++ b/internal/gateway/uploadstatus.go
@@ -90,8 +90,8 @@
 }
 
 // isUploadStatus reports whether a request is for the status of an upload.
-func (g *Gateway) isUploadStatus(r *http.Request) bool {
-	return g.uploads != nil && strings.HasPrefix(r.URL.Path, uploadStatusPath)
+func (c *call) isUploadStatus() bool {
+	return c.gateway.uploads != nil && strings.HasPrefix(c.target.Path, uploadStatusPath)
 }
 
 // serveUploadStatus answers with the status of an accepted upload.
@@ -102,7 +102,7 @@
 			"the status of an upload can only be read"))
 		return
 	}
-	id := strings.TrimPrefix(c.r.URL.Path, uploadStatusPath)
+	id := strings.TrimPrefix(c.target.Path, uploadStatusPath)
 	if !upload.IsID(id) {
 		c.refuseUnknownUpload()
 		return
--- a/internal/gateway/upstreamrequest.go
+++ b/internal/gateway/upstreamrequest.go
@@ -3,9 +3,9 @@
 import (
 	"io"
 	"net/http"
-	"net/url"
 
 	"github.com/figfront/figfront/internal/callheader"
+	"github.com/figfront/figfront/internal/target"
 )
 
 // requestBody is the request body of one send.
@@ -43,17 +43,14 @@
 // upstreamRequest returns the request of one send.
 func (c *call) upstreamRequest(sent send, body requestBody) *http.Request {
 	request := &http.Request{
-		Method: c.r.Method,
-		URL: &url.URL{
-			Scheme: "http", Host: sent.choice.Address, RawQuery: c.r.URL.RawQuery, ForceQuery: c.r.URL.ForceQuery,
-		},
+		Method:     c.r.Method,
+		URL:        c.upstreamTarget().URL(sent.choice.Address),
 		Host:       c.r.Host,
 		Header:     upstreamHeader(c.r, c.id, c.attemptNumber(), c.deadline),
 		Proto:      "HTTP/1.1",
 		ProtoMajor: 1,
 		ProtoMinor: 1,
 	}
-	request.URL.Path, request.URL.RawPath = splitPath(c.route.path)
 	if body.reader != nil {
 		request.Body = body.reader
 		request.ContentLength = body.length
@@ -72,11 +69,9 @@
 	return request
 }
 
-// splitPath returns the decoded path and its escaped form, as in url.URL.
-func splitPath(escaped string) (path, rawPath string) {
-	decoded, err := url.PathUnescape(escaped)
-	if err != nil {
-		return escaped, ""
-	}
-	return decoded, escaped
+// upstreamTarget returns the target that the upstream receives.
+func (c *call) upstreamTarget() target.Target {
+	sent := c.target
+	sent.Path = c.route.path
+	return sent
 }
--- a/internal/upload/record.go
+++ b/internal/upload/record.go
@@ -61,9 +61,11 @@
 	Method string `json:"method"`
 	Host   string `json:"host"`
 	// Path is the escaped path of the request to the upstream.
-	Path   string      `json:"path"`
-	Query  string      `json:"query"`
-	Header http.Header `json:"header"`
+	Path  string `json:"path"`
+	Query string `json:"query"`
+	// HasQuery tells an empty query from none; false if the query is not empty in records of earlier versions.
+	HasQuery bool        `json:"has_query,omitempty"`
+	Header   http.Header `json:"header"`
 }
 
 // Body describes a stored body: the location and sizes of its parts, and its
