Routes: the case of a host has no meaning

A caller that wrote the host in capitals got 404. RFC 9110, 4.2.3: the host is case-insensitive; the Host header goes to the upstream as it was sent. TestHostThatChoosesTheRoute failed before (404 for SHOP.EXAMPLE); its other rows held before: port, trailing dot, userinfo, two Host headers.

--- a/internal/gateway/siteroute.go
+++ b/internal/gateway/siteroute.go
@@ -31,7 +31,8 @@
 				targets = append(targets, splitTarget{service: s, weight: t.Weight})
 			}
 		}
-		hosts[r.Host] = append(hosts[r.Host], &siteRoute{
+		host := strings.ToLower(r.Host)
+		hosts[host] = append(hosts[host], &siteRoute{
 			prefix:   r.Prefix,
 			revision: c.Version,
 			split:    &weightedSplit{targets: targets},
@@ -67,12 +68,13 @@
 	return route{}, false
 }
 
-// hostName returns a host without its port.
+// hostName returns a host without its port, in lower case, since the case of a host has no meaning
+// (RFC 9110, 4.2.3).
 func hostName(host string) string {
 	if name, _, err := net.SplitHostPort(host); err == nil {
-		return name
+		host = name
 	}
-	return host
+	return strings.ToLower(host)
 }
 
 // weightedSplit distributes the calls of a route over its services by smooth
