Tunnels: a VM that stops says so to those that send through it

Cause: the VM that sends keeps tunnels as idle connections and learns of a stop only as it opens a new one. Now the stopping VM sends the refusal "stopping" on each open tunnel. The other end closes the tunnel instead of sending another request on it, before a byte is written, takes another connection and leaves that VM alone for a second. Calls under way go on as before. An older VM ignores the frame.

--- a/internal/gateway/conn.go
+++ b/internal/gateway/conn.go
@@ -10,6 +10,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/figfront/figfront/internal/strictconn"
+	"github.com/figfront/figfront/internal/tunnel"
 )
 
 // trackedConn is a connection to an upstream that records in the transfer of its current
@@ -41,19 +42,28 @@
 }
 
 // beginSend returns the transfer of a new send on the connection, of the request with the given
-// keys. If its history forbids the connection to carry the request, it is closed, and what the send
-// writes fails.
+// keys. If its history or the VM that it leads through forbids the connection to carry the request, it is
+// closed, and what the send writes fails.
 func (c *trackedConn) beginSend(keys []requestKey) *transfer {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.current = &transfer{sendsBefore: c.history.sends}
 	c.strict.BeginResponse()
-	if verdict := c.history.add(keys); verdict != mayCarry {
+	switch verdict := c.history.add(keys); {
+	case verdict != mayCarry:
 		c.discardLocked(closeReason(verdict))
+	case c.history.sends > 1 && c.isLeaving():
+		c.discardLocked(closeVMLeaving)
 	}
 	return c.current
 }
 
+// isLeaving reports whether the connection leads through a VM that takes no further requests.
+func (c *trackedConn) isLeaving() bool {
+	through, ok := c.Conn.(*tunnel.Conn)
+	return ok && through.IsLeaving()
+}
+
 // currentTransfer returns the transfer of the latest send.
 func (c *trackedConn) currentTransfer() *transfer {
 	c.mu.Lock()
--- a/internal/gateway/connstats.go
+++ b/internal/gateway/connstats.go
@@ -37,6 +37,8 @@
 	closeDiscarded closeReason = "discarded"
 	// closeAbandoned means that it failed before anything of a send was written.
 	closeAbandoned closeReason = "abandoned"
+	// closeVMLeaving means that the VM that it leads through takes no further requests.
+	closeVMLeaving closeReason = "closed_vm_leaving"
 	// closeByUpstream means that the upstream closed it in order.
 	closeByUpstream closeReason = "closed_by_upstream"
 	// closeBroken means that it could not be read or written any more.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -238,7 +238,7 @@
 		{run.options.OddEntries, oddEntryFaults},
 		{run.options.SameIDs, sameIDFaults},
 		{run.options.Crowds, crowdFaults},
-		{run.options.BusyStops, []fault{busyStopFault}},
+		{run.options.BusyStops, []fault{busyStopFault, carriedStopFault}},
 	}
 	for _, o := range optional {
 		for _, f := range o.faults {
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -223,6 +223,24 @@
 	return send.isHeld && send.isFinished && len(send.executions) == 0 && send.response.Err != nil
 }
 
+// failedRuns describes the requests that were sent to a VM between two times, that a server began to run within
+// maxRunDelay, and that ended without a success.
+func (l *Ledger) failedRuns(vm *VM, from, to time.Time) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var failed []string
+	for id, r := range l.records {
+		for _, send := range r.sends {
+			isMeant := r.vm == vm && send.isFinished && send.sentAt.After(from) && send.sentAt.Before(to)
+			hasRun := len(send.executions) > 0 && send.executions[0].at.Before(send.sentAt.Add(maxRunDelay))
+			if isMeant && hasRun && !send.response.IsSuccess() {
+				failed = append(failed, fmt.Sprintf("%s: status %d, %v", id, send.response.Status, send.response.Err))
+			}
+		}
+	}
+	return failed
+}
+
 // refusalsOf returns the refusals of a server after a time.
 func (l *Ledger) refusalsOf(server string, after time.Time) []sentRun {
 	l.mu.Lock()
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -45,6 +45,8 @@
 	configs   configs
 	vms       []*VM
 	startedAt time.Time
+	// kindCount is the number of kinds of faults of the run.
+	kindCount int
 	// hasDeadly is set while a deadly request comes.
 	hasDeadly atomic.Bool
 	// standsStill is set while a VM stands still.
@@ -184,6 +186,7 @@
 	var pendingEnds sync.WaitGroup
 	injected := 0
 	kinds := run.kinds(random)
+	run.kindCount = len(kinds)
 	for until := time.Now().Add(run.options.Duration); time.Now().Before(until) && ctx.Err() == nil; injected++ {
 		f := kinds[random.IntN(len(kinds))]
 		length := randomDuration(random, minFaultDuration, maxFaultDuration)
--- a/internal/soak/run_test.go
+++ b/internal/soak/run_test.go
@@ -58,6 +58,7 @@
 	"callers stop within a body":     func(o *soak.Options) { o.Only, o.Crowds = "a body", true },
 	"servers cut answers early":      func(o *soak.Options) { o.Only, o.Crowds = "before the body", true },
 	"vms stop under busy servers":    func(o *soak.Options) { o.Only, o.BusyStops = "busy servers", true },
+	"vms that carry for others stop": func(o *soak.Options) { o.Only, o.BusyStops = "carry for another", true },
 	"odd entries":                    func(o *soak.Options) { o.Only, o.OddEntries = "odd entr", true },
 	"servers leave without a report": func(o *soak.Options) { o.Only, o.SilentLeaves = "without a report", true },
 }
--- a/internal/tunnel/client.go
+++ b/internal/tunnel/client.go
@@ -230,12 +230,15 @@
 	if errors.As(result.err, &refused) && refused.Refusal.isOfUpstream() {
 		return refused.Refusal, true
 	}
+	c.avoid(result.vm, service, refused.Refusal == NoLinks)
+	return "", false
+}
+
+// avoid keeps a VM from being used for a service for a while.
+func (c *Client) avoid(vm VM, service string, hasNoLinks bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.avoided[avoidedVM{result.vm.Name, service}] = avoidance{
-		until: time.Now().Add(avoidDuration), hasNoLinks: refused.Refusal == NoLinks,
-	}
-	return "", false
+	c.avoided[avoidedVM{vm.Name, service}] = avoidance{until: time.Now().Add(avoidDuration), hasNoLinks: hasNoLinks}
 }
 
 // try opens a tunnel through one VM.
@@ -253,6 +256,7 @@
 	conn := &Conn{
 		via: vm.Name, address: upstreamAddress(address), conn: raw, cancel: cancel,
 		onHoldOff: func(h HoldOff) { c.holdOff(service, address, h) },
+		onLeaving: func() { c.avoid(vm, service, false) },
 	}
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	err = conn.open(streamCtx, &api.TunnelOpen{Service: service, Address: address, Vm: c.self})
--- a/internal/tunnel/conn.go
+++ b/internal/tunnel/conn.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -32,6 +33,10 @@
 	// sendMu serializes stream.Send.
 	sendMu sync.Mutex
 
+	// isLeaving means that the serving VM takes no further requests. onLeaving is called when it says so.
+	isLeaving atomic.Bool
+	onLeaving func()
+
 	// unread holds the received bytes that were not read yet; isEnded means that no more
 	// follow.
 	unread  []byte
@@ -46,6 +51,11 @@
 	return c.via
 }
 
+// IsLeaving reports whether the serving VM takes no further requests on the tunnel. What is under way goes on.
+func (c *Conn) IsLeaving() bool {
+	return c.isLeaving.Load()
+}
+
 // Read reads the next bytes from the upstream. It returns io.EOF only if the upstream closed
 // the connection in order, and otherwise an error that wraps ErrBroken.
 func (c *Conn) Read(p []byte) (int, error) {
@@ -60,6 +70,10 @@
 		if h := frame.GetHoldOff(); h != nil {
 			c.onHoldOff(decodeHoldOff(h))
 		}
+		if frame.GetOpened().GetRefusal() != "" {
+			c.isLeaving.Store(true)
+			c.onLeaving()
+		}
 		c.unread = frame.GetData()
 		c.isEnded = frame.GetEnd()
 	}
--- a/internal/tunnel/drain.go
+++ b/internal/tunnel/drain.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	api "github.com/figfront/figfront/api/exchange"
 	"github.com/figfront/figfront/internal/telemetry"
 	"github.com/figfront/figfront/internal/wait"
 )
@@ -96,10 +97,11 @@
 	}
 }
 
-// Drain refuses new tunnels from now on and closes each open one once it is idle. It returns nil
-// when none is left, and an error when ctx ends before that.
+// Drain refuses new tunnels from now on, tells the VMs with open ones to send nothing new on them, and
+// closes each once it is idle. It returns nil when none is left, and an error when ctx ends before that.
 func (s *Server) Drain(ctx context.Context) error {
 	s.isStopping.Store(true)
+	s.tellLeaving()
 	for {
 		open := s.closeIdle()
 		if open == 0 {
@@ -111,6 +113,16 @@
 	}
 }
 
+// tellLeaving tells the VMs with open tunnels that this one takes no further requests on them.
+func (s *Server) tellLeaving() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t := range s.tunnels {
+		// The tunnel ends if this fails.
+		go func() { _ = t.send(&api.TunnelFrame{Opened: &api.TunnelOpened{Refusal: string(Stopping)}}) }()
+	}
+}
+
 // closeIdle closes the idle tunnels and returns the number of the open ones.
 func (s *Server) closeIdle() int {
 	s.mu.Lock()
--- a/internal/tunnel/server.go
+++ b/internal/tunnel/server.go
@@ -158,7 +158,11 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s.add(t)
-	return t.stream.Send(&api.TunnelFrame{Opened: &api.TunnelOpened{}})
+	opened := &api.TunnelOpened{}
+	if s.isStopping.Load() {
+		opened.Refusal = string(Stopping)
+	}
+	return t.stream.Send(&api.TunnelFrame{Opened: opened})
 }
 
 // connect connects to the upstream that a VM asks for.
--- a/internal/tunnel/tunnel_test.go
+++ b/internal/tunnel/tunnel_test.go
@@ -281,6 +281,29 @@
 	})
 }
 
+// TestVMThatStopsSaysSoOnItsOpenTunnels guards against requests that go on being sent through a VM that stops.
+func TestVMThatStopsSaysSoOnItsOpenTunnels(t *testing.T) {
+	withTunnels(t, answerAfter(time.Millisecond), func(g *WithT, client *tunnel.Client, first, _ *servingVM) {
+		conn, err := client.Dial(context.Background(), "s", upstreamAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(conn.Via()).To(Equal("first"))
+		read := make(chan error, 1)
+		go func() {
+			_, err := conn.Read(make([]byte, 1))
+			read <- err
+		}()
+		go func() { _ = first.server.Drain(context.Background()) }()
+		synctest.Wait()
+		g.Expect(conn.IsLeaving()).To(BeTrue())
+		other, err := client.Dial(context.Background(), "s", upstreamAddress)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(other.Via()).To(Equal("second"))
+		g.Expect(first.dialCount()).To(Equal(1), "asked again although it has said that it stops")
+		_, _ = conn.Close(), other.Close()
+		g.Expect(<-read).To(HaveOccurred())
+	})
+}
+
 func TestCallOfATunnelThatOutlivesTheStopEndsWithIt(t *testing.T) {
 	const limit = 5 * time.Second
 	withTunnels(t, answerAfter(time.Minute), func(g *WithT, client *tunnel.Client, first, _ *servingVM) {
