--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -21,8 +21,8 @@
 	// quotaPause is the longest time for which a process that has used up its share of the
 	// processors does not run.
 	quotaPause = 100 * time.Millisecond
-	// maxOpenCalls is a number of calls that are open together, and answerWork the time for
-	// the answer to each.
+	// maxOpenCalls is the largest number of open calls that it is made for, and answerWork the
+	// time for the answer to each.
 	maxOpenCalls = 1000
 	answerWork   = 150 * time.Microsecond
 	// deliveryTime is the time for the delivery of an answer to a caller that reads slowly.
@@ -31,8 +31,8 @@
 	answersTime = quotaPause + maxOpenCalls*answerWork + deliveryTime
 )
 
-// Parts of the duration of a stop, as divisors: the largest that is reserved for the last answers, that for
-// the exit, and the largest lag. Upstreams at work thus have five sixths of it.
+// The last answers, the exit and the lag take at most the duration of a stop divided by these. Upstreams at
+// work thus have five sixths of it.
 const (
 	answersDivisor = 12
 	exitDivisor    = 12
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -70,7 +70,10 @@
 	if id == "" || len(id) > maxRequestIDBytes {
 		id = uuid.NewString()
 	}
-	c := &call{gateway: g, w: w, r: r, id: id, arrived: time.Now(), target: target.Parse(r.RequestURI), interim: &interimForwarder{}, sendLog: &sendLog{}, state: newCallState(), responses: &heldResponses{memory: g.bodies}}
+	c := &call{
+		gateway: g, w: w, r: r, id: id, arrived: time.Now(), target: target.Parse(r.RequestURI), interim: &interimForwarder{},
+		sendLog: &sendLog{}, state: newCallState(), responses: &heldResponses{memory: g.bodies},
+	}
 	c.wrapBody()
 	return c
 }
