Stop: the calls see their end at the same moment, so none is sent in the slot of another

What callers saw: a call that waited in the queue of a VM could get 502 ("unknown") where 503 ("not run") was due, because it was sent to a server at the very end of a stop.

Cause: the end of the calls reached each by a goroutine of its own. A call that heard of it gave its slot back, and one that had not yet heard took it and was sent.

With a call that hears of its end 20 ms later than the others, both cases of the queue fail each time without the change (502), and so does the new test in drain (IsEnded false after the end).

Now IsEnded looks at the one signal that all calls share, and a send asks it first. The slot is given back only after that signal, so the order of the goroutines no longer matters.

--- a/internal/drain/call.go
+++ b/internal/drain/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 
 	"github.com/go-faster/errors"
 )
@@ -9,29 +10,52 @@
 // ErrEnded is the cause with which the context of a call ends at Window.End.
 var ErrEnded = errors.New("drain: the stop of this process ends the call")
 
-// answerKey is the key of the function in a call's context that BeginAnswer calls.
-type answerKey struct{}
+// endKey is the key of the end of a call in the call's context.
+type endKey struct{}
+
+// end is the end that a stop sets to one call.
+type end struct {
+	// all ends when the stop ends all calls.
+	all context.Context
+	// isDecided is set by the first of the end and the answer.
+	isDecided atomic.Bool
+	// cancel ends the context of the call.
+	cancel context.CancelCauseFunc
+}
+
+// reach ends the call unless its answer has begun.
+func (e *end) reach() {
+	if e.isDecided.CompareAndSwap(false, true) {
+		e.cancel(ErrEnded)
+	}
+}
 
 // WithEnd returns a context for a call that also ends, with the cause ErrEnded, once ending does, unless
 // BeginAnswer was called before. The returned function releases the context's resources.
 func WithEnd(ctx, ending context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stop := context.AfterFunc(ending, func() { cancel(ErrEnded) })
+	e := &end{all: ending, cancel: cancel}
+	stop := context.AfterFunc(ending, e.reach)
 	release := func() {
 		stop()
 		cancel(nil)
 	}
-	return context.WithValue(ctx, answerKey{}, stop), release
+	return context.WithValue(ctx, endKey{}, e), release
 }
 
 // BeginAnswer lets the answer to the call of ctx go on until the connections are cut off. It returns
 // false if the call has ended or has already begun its answer.
 func BeginAnswer(ctx context.Context) bool {
-	stop, ok := ctx.Value(answerKey{}).(func() bool)
-	return !ok || stop()
+	e, ok := ctx.Value(endKey{}).(*end)
+	return !ok || e.isDecided.CompareAndSwap(false, true)
 }
 
-// IsEnded reports whether a stop has ended the call of ctx.
+// IsEnded reports whether a stop has ended the call of ctx. It ends the call if the stop has ended all and
+// this one hasn't heard of it: what one call gives back as it ends, such as its slot, isn't taken by
+// another that ends too.
 func IsEnded(ctx context.Context) bool {
+	if e, ok := ctx.Value(endKey{}).(*end); ok && e.all.Err() != nil {
+		e.reach()
+	}
 	return errors.Is(context.Cause(ctx), ErrEnded)
 }
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -103,3 +103,31 @@
 		Expect(drain.BeginAnswer(context.Background())).To(BeTrue())
 	})
 })
+
+var _ = Describe("the end of a call", func() {
+	It("is known at once, also before the call's context has ended", func() {
+		ending, endAll := context.WithCancel(context.Background())
+		ctx, release := drain.WithEnd(context.Background(), unheard{ending})
+		defer release()
+		Expect(drain.IsEnded(ctx)).To(BeFalse())
+		endAll()
+		Expect(drain.IsEnded(ctx)).To(BeTrue())
+		Expect(drain.BeginAnswer(ctx)).To(BeFalse())
+	})
+
+	It("doesn't reach a call whose answer has begun", func() {
+		ending, endAll := context.WithCancel(context.Background())
+		ctx, release := drain.WithEnd(context.Background(), ending)
+		defer release()
+		Expect(drain.BeginAnswer(ctx)).To(BeTrue())
+		Expect(drain.BeginAnswer(ctx)).To(BeFalse())
+		endAll()
+		Expect(drain.IsEnded(ctx)).To(BeFalse())
+		Expect(ctx.Err()).NotTo(HaveOccurred())
+	})
+})
+
+// unheard is a context that never closes its channel.
+type unheard struct{ context.Context }
+
+func (unheard) Done() <-chan struct{} { return make(chan struct{}) }
--- a/internal/gateway/stopends_test.go
+++ b/internal/gateway/stopends_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +22,8 @@
 type endableVM struct {
 	*vm
 	endCalls context.CancelFunc
+	// toldLate makes the next calls hear of their end later than those before.
+	toldLate *atomic.Bool
 }
 
 // endableVM starts a VM whose services have one slot for bookings and a queue.
@@ -29,15 +32,38 @@
 	settings = strings.Replace(settings, "deadline = 2s", "deadline = 60s", 1)
 	plain := env.vm("plain", settings)
 	ending, endCalls := context.WithCancel(context.Background())
-	v := endableVM{vm: &vm{gateway: plain.gateway, address: "endable:1", counters: plain.counters}, endCalls: endCalls}
+	v := endableVM{vm: &vm{gateway: plain.gateway, address: "endable:1", counters: plain.counters}, endCalls: endCalls, toldLate: new(atomic.Bool)}
+	late := newToldLate(ending, 20*time.Millisecond)
 	env.serve(v.address, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		ctx, release := drain.WithEnd(r.Context(), ending)
+		end := ending
+		if v.toldLate.Load() {
+			end = late
+		}
+		ctx, release := drain.WithEnd(r.Context(), end)
 		defer release()
 		v.gateway.ServeHTTP(w, r.WithContext(ctx))
 	}))
 	return v
 }
 
+// toldLate is a context that has ended, but closes its channel only later.
+type toldLate struct {
+	context.Context
+	done chan struct{}
+}
+
+func (c toldLate) Done() <-chan struct{} { return c.done }
+
+// newToldLate returns the end of the calls as one sees it that hears of it a while after the others.
+func newToldLate(ending context.Context, lag time.Duration) context.Context {
+	late := toldLate{ending, make(chan struct{})}
+	context.AfterFunc(ending, func() {
+		time.Sleep(lag)
+		close(late.done)
+	})
+	return late
+}
+
 // sendUntilEnded makes a call, ends all calls a second later and returns the answer.
 func (env *testEnv) sendUntilEnded(v endableVM, r *http.Request) callResult {
 	time.AfterFunc(time.Second, v.endCalls)
@@ -88,6 +114,7 @@
 				if test.occupies {
 					go env.send(book(v))
 					time.Sleep(100 * time.Millisecond)
+					v.toldLate.Store(true)
 				}
 				expectEnded(g, env.sendUntilEnded(v, test.request(v)), test.status, test.outcome)
 			})
--- a/internal/gateway/stopping.go
+++ b/internal/gateway/stopping.go
@@ -9,9 +9,12 @@
 	"github.com/figfront/figfront/internal/outcome"
 )
 
-// stopProblem returns the problem of a call that must not be sent, because this VM is being
-// stopped and may cut it off; nil if it may be sent.
+// stopProblem returns the problem of a call that must not be sent, because the stop of this VM has ended
+// it or may cut it off; nil if it may be sent.
 func (c *call) stopProblem() *outcome.Problem {
+	if c.isEndedByStop() {
+		return unsentAtStop()
+	}
 	window, isStopping := c.gateway.options.StopWindow()
 	if !isStopping {
 		return nil
