Configuration store: a committed change that cannot be read again is not reported as unavailable

A change that was sent again under its id, after it had been committed, and whose revision could not be read then, got 503 store_unavailable, as if it were not in force. It gets 504 change_uncertain. The test "while it is read again after it was committed before" failed before (503).

--- a/internal/admin/stop_test.go
+++ b/internal/admin/stop_test.go
@@ -195,6 +195,9 @@
 		"before its transaction": {
 			held: from(1), status: http.StatusServiceUnavailable, problem: "stopping",
 		},
+		"while it is read again after it was committed before": {
+			held: from(4), isRepeated: true, status: http.StatusGatewayTimeout, problem: "change_uncertain",
+		},
 		"while it is pushed": {held: never, pusher: heldPusher{isHeld: true}, status: http.StatusOK},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/configstore/configstore.go
+++ b/internal/configstore/configstore.go
@@ -110,9 +110,13 @@
 	}
 }
 
-// committedConfig returns the configuration that a committed change id became.
+// committedConfig returns the configuration that a committed change id became. It returns ErrUncertain if the
+// table fails, because ErrUnavailable would say that the change is not in effect.
 func (s *Store) committedConfig(ctx context.Context, c merge.Config, change changeRow) (merge.Config, error) {
 	stored, err := s.GetRevision(ctx, c.Team, change.Revision)
+	if errors.Is(err, ErrUnavailable) {
+		return merge.Config{}, errors.Wrap(ErrUncertain, err.Error())
+	}
 	if err != nil {
 		return merge.Config{}, err
 	}
