--- a/cmd/stop_test.go
+++ b/cmd/stop_test.go
@@ -75,6 +75,16 @@
 	return r.command.ProcessState.ExitCode()
 }
 
+// stopTwice is stop with a second SIGTERM a while after the first.
+func (r *testProcess) stopTwice(t *testing.T) int {
+	t.Helper()
+	time.AfterFunc(secondSignal, func() { _ = r.command.Process.Signal(syscall.SIGTERM) })
+	return r.stop(t)
+}
+
+// secondSignal is the time between two signals to a process. It is shorter than the lag of its stop.
+const secondSignal = 100 * time.Millisecond
+
 // vmProcesses holds the processes of one VM, their addresses and settings files.
 type vmProcesses struct {
 	gateway, gatewayOps  string
@@ -295,7 +305,7 @@
 `
 
 // TestGracefulShutdown checks that no call fails when one of two gateways shuts down
-// gracefully under load with half-sent uploads, given a balancer that follows
+// gracefully, though it gets a second SIGTERM, under load with half-sent uploads, given a balancer that follows
 // readiness, nor when the agent and the admin process of the other VM are restarted
 // while its gateway keeps serving.
 func TestGracefulShutdown(t *testing.T) {
@@ -329,7 +339,7 @@
 		callers.Go(func() { l.upload(time.Duration(1+i%3) * time.Second) })
 	}
 	time.Sleep(400 * time.Millisecond)
-	g.Expect(first.gatewayRun.stop(t)).To(Equal(exitOK), first.gatewayRun.output.String())
+	g.Expect(first.gatewayRun.stopTwice(t)).To(Equal(exitOK), first.gatewayRun.output.String())
 	callsAtStop := l.calls.Load()
 
 	g.Expect(second.agentRun.stop(t)).To(Equal(exitOK))
