Stop: who asks whether a call has ended waits for the end that another is bringing about

A call that asked while the goroutine of its own end was between its decision and the end of the context was told "not ended", and could be sent. The decision and the end of the context are under one mutex now.

--- a/internal/drain/call.go
+++ b/internal/drain/call.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"sync"
 
 	"github.com/go-faster/errors"
 )
@@ -17,17 +17,29 @@
 type end struct {
 	// all ends when the stop ends all calls.
 	all context.Context
-	// isDecided is set by the first of the end and the answer.
-	isDecided atomic.Bool
 	// cancel ends the context of the call.
 	cancel context.CancelCauseFunc
+
+	mu sync.Mutex
+	// isDecided is set by the first of the end and the answer.
+	isDecided bool
 }
 
-// reach ends the call unless its answer has begun.
-func (e *end) reach() {
-	if e.isDecided.CompareAndSwap(false, true) {
-		e.cancel(ErrEnded)
+// decide returns true the first time that it is called, after it has called then.
+func (e *end) decide(then func()) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.isDecided {
+		return false
 	}
+	e.isDecided = true
+	then()
+	return true
+}
+
+// reach ends the call unless its answer has begun. The context of an ended call has ended when it returns.
+func (e *end) reach() {
+	e.decide(func() { e.cancel(ErrEnded) })
 }
 
 // WithEnd returns a context for a call that also ends, with the cause ErrEnded, once ending does, unless
@@ -47,7 +59,7 @@
 // false if the call has ended or has already begun its answer.
 func BeginAnswer(ctx context.Context) bool {
 	e, ok := ctx.Value(endKey{}).(*end)
-	return !ok || e.isDecided.CompareAndSwap(false, true)
+	return !ok || e.decide(func() {})
 }
 
 // IsEnded reports whether a stop has ended the call of ctx. It ends the call if the stop has ended all and
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -115,6 +117,26 @@
 		Expect(drain.BeginAnswer(ctx)).To(BeFalse())
 	})
 
+	It("is known to all who ask while it comes", func() {
+		for range 2000 {
+			ending, endAll := context.WithCancel(context.Background())
+			ctx, release := drain.WithEnd(context.Background(), ending)
+			endAll()
+			var unaware atomic.Int32
+			var asking sync.WaitGroup
+			for range 8 {
+				asking.Go(func() {
+					if !drain.IsEnded(ctx) {
+						unaware.Add(1)
+					}
+				})
+			}
+			asking.Wait()
+			Expect(unaware.Load()).To(BeZero())
+			release()
+		}
+	})
+
 	It("doesn't reach a call whose answer has begun", func() {
 		ending, endAll := context.WithCancel(context.Background())
 		ctx, release := drain.WithEnd(context.Background(), ending)
